--- a/crates/kumquatquay-core/src/input/backend_input.rs
+++ b/crates/kumquatquay-core/src/input/backend_input.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use kumquatquay_wire::{MemberState, ServiceName};
+use kumquatquay_wire::{InstanceId, MemberState, ServiceName};
 use serde::{Deserialize, Serialize};
 
 /// What the backend server does.
@@ -25,6 +25,11 @@
 pub struct Announcement {
     /// Service that it belongs to.
     pub service: ServiceName,
+    /// Its life, if it names it; see [`MemberRecord::instance`].
+    ///
+    /// [`MemberRecord::instance`]: kumquatquay_wire::MemberRecord::instance
+    #[serde(default)]
+    pub instance: Option<InstanceId>,
     /// Where its node reaches it.
     pub address: SocketAddr,
     /// Requests that it can run at the same time.
--- a/crates/kumquatquay-core/src/input/mod.rs
+++ b/crates/kumquatquay-core/src/input/mod.rs
@@ -17,7 +17,7 @@
 pub use operator_input::OperatorInput;
 pub use work_input::{WorkInput, WorkResult};
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use derive_more::From;
 use kumquatquay_wire::Datagram;
@@ -43,6 +43,9 @@
     Work(WorkInput),
     /// About the backend server of this host.
     Backend(BackendInput),
+    /// Control addresses that the host found in a register of nodes.
+    #[from(skip)]
+    Seeds(Vec<SocketAddr>),
     /// An authenticated control datagram arrived.
     Datagram(Datagram),
     /// A bulk exchange with another node ended.
--- a/crates/kumquatquay-core/src/lib.rs
+++ b/crates/kumquatquay-core/src/lib.rs
@@ -16,6 +16,7 @@
 //! - `membership`: who is there, in this data centre and the others
 //! - `configuration`: intents in force, plans and their confirmation
 //! - `explain`: why requests were refused
+//! - [`routed`]: calls on configured routes; a node of its own kind
 
 #![forbid(unsafe_code)]
 
@@ -37,6 +38,7 @@
 mod overload;
 mod policy;
 mod quarantine;
+pub mod routed;
 mod state_dump;
 
 pub use allowance_split::AllowanceSplit;
--- a/crates/kumquatquay-core/src/membership/controller.rs
+++ b/crates/kumquatquay-core/src/membership/controller.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use kumquatquay_wire::{ControlBody, Datagram, Rumour};
+use kumquatquay_wire::{ControlBody, Datagram, MemberState, Rumour};
 
 use super::{
     bulk_sync, carrier, far_silence, gossip, leaving, merge, prober, replay_windows::Freshness,
@@ -34,6 +34,10 @@
 /// Time without a tick that is taken for a standstill.
 const STANDSTILL: Duration = Duration::from_secs(1);
 
+/// Addresses of a register to which a node introduces itself at once; at 300
+/// bytes each that is 19 KB, and the others hear of it from these.
+const INTRODUCTIONS_COUNT: usize = 64;
+
 /// How often members that are gone are forgotten.
 const FORGET_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -133,9 +137,42 @@
             bulk_sync::on_far_digest(board, now, from, &data_centre, digest, out);
         }
         ControlBody::News => {}
+        ControlBody::Introduce => {
+            let own = [Rumour::Member(board.members.own().clone())];
+            sender::send_far(board, now, from, ControlBody::News, &own, out);
+        }
     }
 }
 
+/// Introduces this node to addresses that the host found in a register.
+///
+/// Each node that starts does so after it has put its own address there, so of
+/// any two the later one knows of the earlier one, and its introduction brings
+/// each the other's record. Asking a single one for the members isn't enough:
+/// where all start at once, it may know nobody either.
+pub(crate) fn on_seeds(
+    board: &mut Blackboard,
+    now: Moment,
+    seeds: &[SocketAddr],
+    out: &mut Vec<Output>,
+) {
+    for seed in seeds {
+        board.membership.add_seed(*seed);
+    }
+    let own = [Rumour::Member(board.members.own().clone())];
+    let unknown = seeds.iter().filter(|seed| is_unknown(board, **seed));
+    let unknown: Vec<SocketAddr> = unknown.copied().take(INTRODUCTIONS_COUNT).collect();
+    for to in unknown {
+        sender::send_far(board, now, to, ControlBody::Introduce, &own, out);
+    }
+}
+
+/// Whether an address belongs to no member that is believed to be there.
+fn is_unknown(board: &Blackboard, control: SocketAddr) -> bool {
+    let known = board.members.get(control);
+    known.is_none_or(|known| known.state == MemberState::Gone)
+}
+
 /// Whether a datagram is taken in: each one once, and none of an earlier life.
 ///
 /// A sender whose incarnation is too low is told so: it may be a new host whose
--- a/crates/kumquatquay-core/src/membership/member_table.rs
+++ b/crates/kumquatquay-core/src/membership/member_table.rs
@@ -114,7 +114,7 @@
     }
 
     /// When a member's state, revision or incarnation last changed here.
-    pub(super) fn changed(&self) -> Duration {
+    pub(crate) fn changed(&self) -> Duration {
         self.changed
     }
 
@@ -305,6 +305,7 @@
         peer: settings.peer,
         data_centre: settings.data_centre.clone(),
         service: None,
+        instance: None,
         incarnation: settings.incarnation,
         revision: 0,
         state: MemberState::Idle,
--- a/crates/kumquatquay-core/src/membership/mod.rs
+++ b/crates/kumquatquay-core/src/membership/mod.rs
@@ -21,7 +21,7 @@
 mod tellings;
 
 pub(crate) use candidate::Candidate;
-pub(crate) use controller::{on_backend, on_bulk, on_datagram, on_tick};
+pub(crate) use controller::{on_backend, on_bulk, on_datagram, on_seeds, on_tick};
 pub(crate) use data_centre_view::DataCentreView;
 pub(crate) use leaving::{drain, on_stopping, undrain};
 pub(crate) use member_table::MemberTable;
--- a/crates/kumquatquay-core/src/membership/seed_log.rs
+++ b/crates/kumquatquay-core/src/membership/seed_log.rs
@@ -56,7 +56,8 @@
         self.seeds.iter().copied()
     }
 
-    fn add(&mut self, seed: SocketAddr) {
+    /// Adds the newest seed; the oldest above the limit is forgotten.
+    pub(super) fn add(&mut self, seed: SocketAddr) {
         self.seeds.retain(|known| *known != seed);
         self.seeds.push_back(seed);
         if self.seeds.len() > SEEDS_LIMIT_COUNT {
--- a/crates/kumquatquay-core/src/membership/state.rs
+++ b/crates/kumquatquay-core/src/membership/state.rs
@@ -1,6 +1,6 @@
 //! What this node keeps to find out who is there.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use super::{
     bulk_sync::BulkSync, byte_budget::ByteBudget, carrier::Carrier, far_silence::FarSilence,
@@ -87,3 +87,10 @@
         }
     }
 }
+
+impl Membership {
+    /// Remembers a seed that the host found.
+    pub(crate) fn add_seed(&mut self, control: SocketAddr) {
+        self.seed_log.add(control);
+    }
+}
--- a/crates/kumquatquay-core/src/node.rs
+++ b/crates/kumquatquay-core/src/node.rs
@@ -69,6 +69,7 @@
                 gate::on_backend(board, now, &input, out);
                 membership::on_backend(board, now, input, out);
             }
+            Input::Seeds(seeds) => membership::on_seeds(board, now, &seeds, out),
             Input::Datagram(datagram) => membership::on_datagram(board, now, datagram, out),
             Input::Bulk(input) => membership::on_bulk(board, now, input, out),
             Input::Log(input) if operations::owns(board, &input) => {
@@ -122,6 +123,18 @@
         self.board.members.get(control)
     }
 
+    /// What the node knows of all members, itself and those that are gone
+    /// included.
+    pub fn members(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.board.members.iter()
+    }
+
+    /// When the state of any member last changed here; hosts that keep tables of
+    /// their own over the members build them anew when it does.
+    pub fn members_changed(&self) -> Duration {
+        self.board.members.changed()
+    }
+
     /// Digest of the members that are not gone; nodes that agree have the same.
     pub fn members_digest(&self) -> TableDigest {
         self.board.members.digest()
--- /dev/null
+++ b/crates/kumquatquay-core/src/routed/host_gate.rs
@@ -0,0 +1,174 @@
+//! The queue beside a backend server.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use kumquatquay_wire::routed::{GateReport, Priority};
+
+/// Weight of the newest time against those before.
+const NEW_WEIGHT: f64 = 0.05;
+
+/// Time to run a call that is assumed until the first one has ended.
+const FIRST_WORK_S: f64 = 0.05;
+
+/// Waiting calls for each running one, at most; their deadlines keep the queue
+/// shorter where it matters, this bounds its memory.
+const WAITING_RATIO: usize = 4;
+
+/// Waiting calls that a gate with few slots holds all the same.
+const WAITING_LEAST_COUNT: usize = 64;
+
+/// Place of a waiting call: the most important first, then the earliest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WaitKey {
+    priority: Priority,
+    sequence: u64,
+}
+
+/// What becomes of a call that asks to run.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Admission<T> {
+    /// It runs now.
+    Run,
+    /// It waits in the queue, under this key.
+    Wait(WaitKey),
+    /// It waits, and the least important one that waited must go.
+    Evict(WaitKey, T),
+    /// There is no room, or none before its deadline.
+    Refuse(T),
+}
+
+/// The queue beside a backend server, most important calls first.
+///
+/// It answers the pattern in which callers press more calls on a backend server
+/// than it has slots. Left to itself, the backend server turns away whatever
+/// arrives at a bad moment, and a whole request is lost with one of its eight
+/// calls. Here a call waits while its deadline allows, which is hundreds of
+/// milliseconds for work of twenty.
+#[derive(Debug)]
+pub struct HostGate<T> {
+    limit_count: usize,
+    running_count: usize,
+    waiting: BTreeMap<WaitKey, Waiting<T>>,
+    last_sequence: u64,
+    work_s: f64,
+}
+
+#[derive(Debug)]
+struct Waiting<T> {
+    deadline: Duration,
+    ticket: T,
+}
+
+impl<T> Default for HostGate<T> {
+    fn default() -> Self {
+        Self {
+            limit_count: 0,
+            running_count: 0,
+            waiting: BTreeMap::new(),
+            last_sequence: 0,
+            work_s: FIRST_WORK_S,
+        }
+    }
+}
+
+impl<T> HostGate<T> {
+    /// Sets how many calls may run at the same time.
+    pub fn set_limit_count(&mut self, limit_count: usize) {
+        self.limit_count = limit_count;
+    }
+
+    /// Takes in a call that asks to run until `deadline`.
+    pub fn offer(
+        &mut self,
+        now: Duration,
+        priority: Priority,
+        deadline: Duration,
+        ticket: T,
+    ) -> Admission<T> {
+        if self.running_count < self.limit_count && self.waiting.is_empty() {
+            self.running_count += 1;
+            return Admission::Run;
+        }
+        self.last_sequence += 1;
+        let key = WaitKey {
+            priority,
+            sequence: self.last_sequence,
+        };
+        if now + self.wait_before(key) + self.work() > deadline {
+            return Admission::Refuse(ticket);
+        }
+        self.waiting.insert(key, Waiting { deadline, ticket });
+        if self.waiting.len() <= self.waiting_limit_count() {
+            return Admission::Wait(key);
+        }
+        let (last, evicted) = self.waiting.pop_last().expect("one was put in just now");
+        if last == key {
+            Admission::Refuse(evicted.ticket)
+        } else {
+            Admission::Evict(key, evicted.ticket)
+        }
+    }
+
+    /// The call that runs next, if there is room for one; it counts as running.
+    pub fn next(&mut self, now: Duration) -> Option<T> {
+        if self.running_count >= self.limit_count {
+            return None;
+        }
+        while let Some((_, waiting)) = self.waiting.pop_first() {
+            if now < waiting.deadline {
+                self.running_count += 1;
+                return Some(waiting.ticket);
+            }
+        }
+        None
+    }
+
+    /// A running call has ended; `work` is the time that it ran, if it tells how
+    /// long calls run.
+    pub fn ended(&mut self, work: Option<Duration>) {
+        self.running_count = self.running_count.saturating_sub(1);
+        if let Some(work) = work {
+            self.work_s += NEW_WEIGHT * (work.as_secs_f64() - self.work_s);
+        }
+    }
+
+    /// Takes a waiting call out, if it still waits.
+    pub fn withdraw(&mut self, key: WaitKey) -> Option<T> {
+        self.waiting.remove(&key).map(|waiting| waiting.ticket)
+    }
+
+    /// Takes out all that wait.
+    pub fn withdraw_all(&mut self) -> Vec<T> {
+        let waiting = std::mem::take(&mut self.waiting);
+        waiting
+            .into_values()
+            .map(|waiting| waiting.ticket)
+            .collect()
+    }
+
+    /// Mean time that a call takes to run.
+    pub fn work(&self) -> Duration {
+        Duration::from_secs_f64(self.work_s.max(0.0))
+    }
+
+    /// How busy the backend server is.
+    pub fn report(&self) -> GateReport {
+        GateReport {
+            running_count: self.running_count as u32,
+            waiting_count: self.waiting.len() as u32,
+            limit_count: self.limit_count as u32,
+            work_us: self.work().as_micros() as u32,
+        }
+    }
+
+    /// How long a call at this place waits, by the mean time of the calls ahead.
+    fn wait_before(&self, key: WaitKey) -> Duration {
+        let ahead_count = self.waiting.range(..key).count();
+        let share = ahead_count as f64 / self.limit_count.max(1) as f64;
+        Duration::from_secs_f64(share * self.work_s)
+    }
+
+    fn waiting_limit_count(&self) -> usize {
+        WAITING_LEAST_COUNT.max(self.limit_count * WAITING_RATIO)
+    }
+}
--- /dev/null
+++ b/crates/kumquatquay-core/src/routed/route_table.rs
@@ -0,0 +1,93 @@
+//! Finds the route of a call.
+
+use std::{collections::HashMap, sync::Arc};
+
+use kumquatquay_wire::routed::{
+    CallerLimits, RouteConfiguration, RouteSettings, RouteVersion, ServiceSettings,
+};
+
+use super::Split;
+
+/// A configuration, laid out for finding routes.
+///
+/// A call keeps the table that it began with, so it is handled by one
+/// configuration as a whole.
+#[derive(Debug)]
+pub struct RouteTable {
+    version: RouteVersion,
+    limits: CallerLimits,
+    hosts: HashMap<String, HashMap<String, Arc<TableRoute>>>,
+    services: HashMap<String, ServiceSettings>,
+}
+
+/// A route and how its calls are split among services.
+#[derive(Debug)]
+pub struct TableRoute {
+    /// What operators set.
+    pub settings: RouteSettings,
+    /// Shares of its destinations.
+    pub split: Split,
+}
+
+impl RouteTable {
+    /// Lays out a configuration.
+    ///
+    /// `phase`, from 0 to 1, is where this node begins to split calls; nodes with
+    /// phases of their own keep the shares together even with few calls each.
+    pub fn new(configuration: RouteConfiguration, phase: f64) -> Self {
+        let hosts = configuration.hosts.into_iter().map(|host| {
+            let routes = host.routes.into_iter().map(|settings| {
+                let split = Split::new(&settings.destinations, phase);
+                let prefix = settings.path_prefix.clone();
+                (prefix, Arc::new(TableRoute { settings, split }))
+            });
+            (host.host.to_ascii_lowercase(), routes.collect())
+        });
+        let services = configuration.services.into_iter();
+        Self {
+            version: configuration.version,
+            limits: configuration.limits,
+            hosts: hosts.collect(),
+            services: services
+                .map(|service| (service.name.clone(), service))
+                .collect(),
+        }
+    }
+
+    /// Which configuration this is.
+    pub fn version(&self) -> RouteVersion {
+        self.version
+    }
+
+    /// What callers may send.
+    pub fn limits(&self) -> CallerLimits {
+        self.limits
+    }
+
+    /// What holds for the backend servers of a service.
+    pub fn service(&self, name: &str) -> Option<&ServiceSettings> {
+        self.services.get(name)
+    }
+
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<TableRoute>> {
+        self.hosts.values().flat_map(HashMap::values)
+    }
+
+    /// The route of a call: the longest prefix of its host that begins the path.
+    ///
+    /// `host` may carry a port. Prefixes end with a slash, so only the parts of the
+    /// path up to a slash are looked up: a path of seven parts costs seven lookups,
+    /// however many routes there are.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<TableRoute>> {
+        let name = host.split_once(':').map_or(host, |(name, _port)| name);
+        let routes = match self.hosts.get(name) {
+            Some(routes) => routes,
+            None => self.hosts.get(&name.to_ascii_lowercase())?,
+        };
+        let ends = path.bytes().enumerate().rev();
+        let ends = ends.filter(|(_, byte)| *byte == b'/');
+        let mut prefixes = ends.map(|(end, _)| &path[..=end]);
+        prefixes.find_map(|prefix| routes.get(prefix))
+    }
+}
--- /dev/null
+++ b/crates/kumquatquay-core/src/routed/target_table.rs
@@ -0,0 +1,273 @@
+//! Chooses the backend server for a call.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use kumquatquay_wire::{InstanceId, MemberRecord, MemberState, ServiceName, routed::GateReport};
+use rand::{Rng, seq::IndexedRandom};
+
+/// How long a gate's report counts; after that only this node's own calls do.
+const REPORT_LAPSE: Duration = Duration::from_secs(1);
+
+/// Weight of a new result against the ones before.
+const NEW_WEIGHT: f64 = 0.1;
+
+/// How long a host is left out after its link was lost, at first.
+const LOST_PAUSE: Duration = Duration::from_millis(300);
+
+/// How long it is left out at most; then one call tries it again.
+const LOST_PAUSE_LONGEST: Duration = Duration::from_secs(2);
+
+/// How long a host is left out after it said that its backend server takes
+/// nothing; the news of it arrives in that time.
+const CLOSED_PAUSE: Duration = Duration::from_millis(500);
+
+/// Fill of the own data centre's choice above which another one's is weighed.
+///
+/// Work that stays in its data centre costs no bytes between them; beyond this
+/// fill calls begin to wait.
+const SPILL_FILL_RATIO: f64 = 0.85;
+
+/// What a longer way costs in the comparison: a few network round trips.
+const OTHER_DATA_CENTRE_S: f64 = 0.004;
+
+/// Weight of a host's share of failures: a host that fails each call looks as
+/// slow as one that needs this many times the work.
+const FAILURE_WEIGHT: f64 = 20.0;
+
+/// Time to run a call that is assumed of a host that hasn't told.
+const FIRST_WORK_S: f64 = 0.05;
+
+/// Candidates that are compared, of each kind.
+const COMPARED_COUNT: usize = 2;
+
+/// A backend server and the node beside it, as this node's own calls see them.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Where the node takes calls from other nodes.
+    pub peer: SocketAddr,
+    /// The backend server's life.
+    pub instance: Option<InstanceId>,
+    is_own_data_centre: bool,
+    slots_count: u32,
+    outstanding_count: u32,
+    report: GateReport,
+    report_told: Option<Duration>,
+    sent_since_report_count: u32,
+    failed_ratio: f64,
+    closed_until: Duration,
+    lost_pause: Duration,
+}
+
+/// The host that a call goes to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// Control address of the node; names the target.
+    pub control: SocketAddr,
+    /// Where the node takes calls from other nodes.
+    pub peer: SocketAddr,
+    /// The backend server's life.
+    pub instance: Option<InstanceId>,
+}
+
+/// How a call to a target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetEnded {
+    /// The backend server answered.
+    Answered,
+    /// The backend server failed it or turned it away.
+    Failed,
+    /// The gate had no room.
+    Full,
+    /// The host takes nothing for that backend server.
+    Closed,
+    /// The link to the host was lost or could not be made.
+    Lost,
+    /// This node gave the call up.
+    GivenUp,
+}
+
+/// The backend servers of all services.
+#[derive(Debug, Default)]
+pub struct TargetTable {
+    targets: HashMap<SocketAddr, Target>,
+    services: BTreeMap<ServiceName, Vec<SocketAddr>>,
+}
+
+impl TargetTable {
+    /// Takes in the members as they are now; what is known of those that stay
+    /// is kept.
+    pub fn rebuild<'a>(
+        &mut self,
+        own_data_centre: &str,
+        members: impl Iterator<Item = &'a MemberRecord>,
+    ) {
+        let mut known = std::mem::take(&mut self.targets);
+        self.services.clear();
+        for record in members {
+            let takes_calls = matches!(record.state, MemberState::Serving | MemberState::Warming);
+            let Some(service) = record.service.as_ref().filter(|_| takes_calls) else {
+                continue;
+            };
+            let same_life = known
+                .remove(&record.control)
+                .filter(|target| target.instance == record.instance && target.peer == record.peer);
+            let target = same_life.unwrap_or_else(|| Target::new(record, own_data_centre));
+            self.targets.insert(record.control, target);
+            let controls = self.services.entry(service.clone()).or_default();
+            controls.push(record.control);
+        }
+    }
+
+    /// Whether any backend server of a service is known.
+    pub fn knows(&self, service: &str) -> bool {
+        self.services.contains_key(service)
+    }
+
+    /// Slots of all backend servers of a service.
+    pub fn slots_count(&self, service: &str) -> u32 {
+        let controls = self.services.get(service).into_iter().flatten();
+        controls
+            .map(|control| self.targets[control].slots_count)
+            .sum()
+    }
+
+    /// The best backend server of a service for a call that was not yet sent to
+    /// those in `excluded`; it counts as sent.
+    pub fn choose(
+        &mut self,
+        now: Duration,
+        service: &str,
+        excluded: &[SocketAddr],
+        random: &mut impl Rng,
+    ) -> Option<Choice> {
+        let controls = self.services.get(service)?;
+        let open = controls.iter().copied().filter(|control| {
+            !excluded.contains(control) && self.targets[control].closed_until <= now
+        });
+        let (near, far): (Vec<_>, Vec<_>) =
+            open.partition(|control| self.targets[control].is_own_data_centre);
+        let best_near = self.best_of_some(now, &near, random);
+        let has_room = best_near
+            .is_some_and(|control| self.targets[&control].fill_ratio(now) < SPILL_FILL_RATIO);
+        let best = if has_room {
+            best_near
+        } else {
+            let best_far = self.best_of_some(now, &far, random);
+            let both = best_near.into_iter().chain(best_far);
+            both.min_by(|a, b| self.cost_s(now, *a).total_cmp(&self.cost_s(now, *b)))
+        };
+        let control = best?;
+        let target = self.targets.get_mut(&control)?;
+        target.outstanding_count += 1;
+        target.sent_since_report_count += 1;
+        Some(Choice {
+            control,
+            peer: target.peer,
+            instance: target.instance.clone(),
+        })
+    }
+
+    /// A call to a target ended.
+    pub fn ended(
+        &mut self,
+        now: Duration,
+        control: SocketAddr,
+        how: TargetEnded,
+        report: Option<GateReport>,
+    ) {
+        let Some(target) = self.targets.get_mut(&control) else {
+            return;
+        };
+        target.outstanding_count = target.outstanding_count.saturating_sub(1);
+        if let Some(report) = report {
+            target.report = report;
+            target.report_told = Some(now);
+            target.sent_since_report_count = 0;
+        }
+        match how {
+            TargetEnded::Answered => {
+                target.failed_ratio -= NEW_WEIGHT * target.failed_ratio;
+                target.lost_pause = LOST_PAUSE;
+            }
+            TargetEnded::Failed => target.failed_ratio += NEW_WEIGHT * (1.0 - target.failed_ratio),
+            TargetEnded::Closed => target.closed_until = now + CLOSED_PAUSE,
+            TargetEnded::Lost => {
+                target.closed_until = now + target.lost_pause;
+                target.lost_pause = (target.lost_pause * 2).min(LOST_PAUSE_LONGEST);
+            }
+            TargetEnded::Full | TargetEnded::GivenUp => {}
+        }
+    }
+
+    fn best_of_some(
+        &self,
+        now: Duration,
+        controls: &[SocketAddr],
+        random: &mut impl Rng,
+    ) -> Option<SocketAddr> {
+        let some = controls.choose_multiple(random, COMPARED_COUNT).copied();
+        some.min_by(|a, b| self.cost_s(now, *a).total_cmp(&self.cost_s(now, *b)))
+    }
+
+    fn cost_s(&self, now: Duration, control: SocketAddr) -> f64 {
+        self.targets[&control].cost_s(now)
+    }
+}
+
+impl Target {
+    fn new(record: &MemberRecord, own_data_centre: &str) -> Self {
+        Self {
+            peer: record.peer,
+            instance: record.instance.clone(),
+            is_own_data_centre: record.data_centre == own_data_centre,
+            slots_count: record.slots_count,
+            outstanding_count: 0,
+            report: GateReport::default(),
+            report_told: None,
+            sent_since_report_count: 0,
+            failed_ratio: 0.0,
+            closed_until: Duration::ZERO,
+            lost_pause: LOST_PAUSE,
+        }
+    }
+
+    /// Calls at the backend server over those that it runs, as far as is known:
+    /// the last report with what was sent since, and never less than what this
+    /// node itself has there.
+    fn fill_ratio(&self, now: Duration) -> f64 {
+        let limit = self.report.limit_count.max(1).max(self.slots_count) as f64;
+        let own = f64::from(self.outstanding_count) / limit;
+        let is_fresh = self
+            .report_told
+            .is_some_and(|told| now < told + REPORT_LAPSE);
+        if !is_fresh {
+            return own;
+        }
+        let sent = f64::from(self.sent_since_report_count) / limit;
+        own.max(self.report.fill_ratio() + sent)
+    }
+
+    /// Time until the answer to one more call, with failures counted as delay.
+    fn cost_s(&self, now: Duration) -> f64 {
+        let told_work_s = self.report.work().as_secs_f64();
+        let work_s = if told_work_s > 0.0 {
+            told_work_s
+        } else {
+            FIRST_WORK_S
+        };
+        let fill = self.fill_ratio(now);
+        let wait_s = work_s * (fill - 1.0).max(0.0);
+        let crowding_s = work_s * fill.min(1.0) / 2.0;
+        let failure_s = work_s * FAILURE_WEIGHT * self.failed_ratio;
+        let way_s = if self.is_own_data_centre {
+            0.0
+        } else {
+            OTHER_DATA_CENTRE_S
+        };
+        work_s + wait_s + crowding_s + failure_s + way_s
+    }
+}
--- a/crates/kumquatquay-core/tests/overload/properties.rs
+++ b/crates/kumquatquay-core/tests/overload/properties.rs
@@ -206,6 +206,7 @@
             is_fair: true,
         };
         let announcement = Announcement {
+            instance: None,
             service: String::from("archive"),
             address: address(8000),
             slots_count: 2,
--- a/crates/kumquatquayd/src/main.rs
+++ b/crates/kumquatquay-daemon/src/with_intents.rs
@@ -1,37 +1,25 @@
-//! The daemon: one node, from flags and environment variables.
-
-#![forbid(unsafe_code)]
+//! A node with intents, from flags and environment variables.
 
 use std::process::ExitCode;
 
+use clap::ArgMatches;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// The node could not start.
-const EXIT_FAILED: u8 = 1;
-
-/// The settings are wrong; clap uses the same for unknown flags.
-const EXIT_WRONG_SETTINGS: u8 = 2;
+use crate::{EXIT_FAILED, EXIT_WRONG_SETTINGS, fail};
 
 /// Two threads: a node shares its host with a backend server, and at the size to
 /// build for it sees some 190 calls a second. A thread for each core cost no less
 /// processor time and more memory.
 #[tokio::main(worker_threads = 2)]
-async fn main() -> ExitCode {
+pub(crate) async fn serve(matches: &ArgMatches) -> ExitCode {
     kumquatquayd::init_json_log();
-    let matches = kumquatquayd::command().get_matches();
-    let settings = match kumquatquayd::from_matches(&matches) {
+    let settings = match kumquatquayd::from_matches(matches) {
         Ok(settings) => settings,
-        Err(findings) => {
-            eprintln!("kumquatquayd: {findings}");
-            return ExitCode::from(EXIT_WRONG_SETTINGS);
-        }
+        Err(findings) => return fail(EXIT_WRONG_SETTINGS, findings),
     };
     match run(settings).await {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("kumquatquayd: {error:#}");
-            ExitCode::from(EXIT_FAILED)
-        }
+        Err(error) => fail(EXIT_FAILED, format!("{error:#}")),
     }
 }
 
--- a/crates/kumquatquay-wire/src/control/datagram.rs
+++ b/crates/kumquatquay-wire/src/control/datagram.rs
@@ -56,6 +56,8 @@
     },
     /// Carries rumours only.
     News,
+    /// Carries the sender's own record and asks for the receiver's.
+    Introduce,
 }
 
 impl Datagram {
--- a/crates/kumquatquay-wire/src/lib.rs
+++ b/crates/kumquatquay-wire/src/lib.rs
@@ -19,6 +19,7 @@
 mod operator;
 mod outcome;
 mod request_context;
+pub mod routed;
 mod size;
 
 pub use answer_context::{AnswerContext, LoadReport};
@@ -36,7 +37,8 @@
 pub use error::WireError;
 pub use ids::{
     BodyDigest, CallerName, ConfigurationVersion, DataCentreName, Fingerprint, Incarnation,
-    LedgerToken, LogOffset, RequestId, Sequence, ServiceName, StreamName, TableDigest, TraceId,
+    InstanceId, LedgerToken, LogOffset, RequestId, Sequence, ServiceName, StreamName, TableDigest,
+    TraceId,
 };
 pub use importance::{Class, Cohort, Importance};
 pub use key::MeshKey;
--- /dev/null
+++ b/crates/kumquatquay-wire/src/routed/configuration.rs
@@ -0,0 +1,98 @@
+//! A configuration of routes, as operators confirmed it.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ServiceName;
+
+/// Number of a configuration; a node never goes back to a lower one.
+pub type RouteVersion = u64;
+
+/// Rank of a route's calls: 0 is refused last.
+pub type Priority = u32;
+
+/// Everything that operators set for calls on routes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteConfiguration {
+    /// Which configuration this is.
+    pub version: RouteVersion,
+    /// What callers may send.
+    pub limits: CallerLimits,
+    /// Routes by the host that callers name.
+    pub hosts: Vec<HostRoutes>,
+    /// What holds for all backend servers of a service.
+    pub services: Vec<ServiceSettings>,
+}
+
+/// What callers may send, and how slowly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLimits {
+    /// Bytes of a request's head.
+    pub head_limit_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_limit_bytes: usize,
+    /// Time that a head may take to arrive.
+    pub head_timeout: Duration,
+    /// Time for which a connection may stay without a request.
+    pub idle_timeout: Duration,
+}
+
+/// The routes of one host name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRoutes {
+    /// As callers write it, without a port.
+    pub host: String,
+    /// Its routes; the longest prefix that begins a path counts.
+    pub routes: Vec<RouteSettings>,
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteSettings {
+    /// As operators call it.
+    pub name: String,
+    /// Begins and ends with a slash.
+    pub path_prefix: String,
+    /// Whether its calls may run more than once.
+    pub repeat: Repeat,
+    /// Time within which an answer is worth its full value to the caller.
+    pub target_latency: Duration,
+    /// Rank of its calls.
+    pub priority: Priority,
+    /// Where its calls go, by weight.
+    pub destinations: Vec<Destination>,
+    /// The longest time that a caller is kept waiting.
+    pub timeout: Duration,
+    /// Backend servers to which one call may be sent, at most.
+    pub attempts_count: u32,
+}
+
+/// Whether a call may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Repeat {
+    /// Running it again changes nothing.
+    Idempotent,
+    /// It runs once at most for each call.
+    AtMostOnce,
+}
+
+/// A service that gets a share of a route's calls.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Destination {
+    /// The service.
+    pub service: ServiceName,
+    /// Its share, relative to the other destinations.
+    pub weight: u32,
+}
+
+/// What holds for all backend servers of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceSettings {
+    /// The service.
+    pub name: ServiceName,
+    /// Path at which a backend server tells whether it is healthy.
+    pub health_path: String,
+    /// Connections that one backend server takes, from all nodes together.
+    pub connections_limit_count: usize,
+}
--- /dev/null
+++ b/crates/kumquatquay-wire/src/routed/gate_report.rs
@@ -0,0 +1,31 @@
+//! What a gate tells those that send work to it.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// How busy a backend server is, as the gate beside it sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GateReport {
+    /// Calls that the backend server runs.
+    pub running_count: u32,
+    /// Calls that wait for it at the gate.
+    pub waiting_count: u32,
+    /// Calls that the gate lets run at the same time.
+    pub limit_count: u32,
+    /// Mean time that it takes to run a call, in microseconds.
+    pub work_us: u32,
+}
+
+impl GateReport {
+    /// Mean time that a call takes to run.
+    pub fn work(&self) -> Duration {
+        Duration::from_micros(u64::from(self.work_us))
+    }
+
+    /// Calls at the gate over those that it lets run.
+    pub fn fill_ratio(&self) -> f64 {
+        let calls_count = self.running_count + self.waiting_count;
+        f64::from(calls_count) / f64::from(self.limit_count.max(1))
+    }
+}
--- a/crates/kumquatquay-wire/tests/support/values.rs
+++ b/crates/kumquatquay-wire/tests/support/values.rs
@@ -113,6 +113,7 @@
         peer: address(bytes)?,
         data_centre: bytes.arbitrary()?,
         service: bytes.arbitrary()?,
+        instance: bytes.arbitrary()?,
         incarnation: bytes.arbitrary()?,
         revision: bytes.arbitrary()?,
         state: *bytes.choose(&states)?,
--- a/crates/kumquatquayd/src/clock.rs
+++ b/crates/kumquatquayd/src/clock.rs
@@ -1,6 +1,6 @@
 //! The clocks of the operating system.
 
-use std::time::{Instant, SystemTime};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use kumquatquay_core::{Clock, Moment};
 
@@ -26,3 +26,10 @@
         }
     }
 }
+
+/// The time of day in milliseconds: a replacement at the same address starts
+/// later. Where a clock went back, the core rises above what others remember.
+pub(crate) fn incarnation() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(1, |duration| duration.as_millis() as u64)
+}
--- a/crates/kumquatquayd/src/engine/engine.rs
+++ b/crates/kumquatquayd/src/engine/engine.rs
@@ -12,7 +12,7 @@
     CallId, Clock, Counter, Counters, Input, Moment, Node, Note, OperationIssued, Output, Severity,
     StateDump, WorkId,
 };
-use kumquatquay_wire::OperatorReply;
+use kumquatquay_wire::{MemberRecord, OperatorReply};
 use tokio::sync::{
     mpsc::{self, UnboundedReceiver, UnboundedSender},
     oneshot, watch,
@@ -237,6 +237,16 @@
         self.lock().node.state_dump(now)
     }
 
+    /// All members, this node and those that are gone included.
+    pub(crate) fn members(&self) -> Vec<MemberRecord> {
+        self.lock().node.members().cloned().collect()
+    }
+
+    /// When the state of any member last changed.
+    pub(crate) fn members_changed(&self) -> Duration {
+        self.lock().node.members_changed()
+    }
+
     /// Reads the clock that the node is fed from.
     pub(crate) fn now(&self) -> Moment {
         self.clock.now()
--- a/crates/kumquatquayd/src/json_log.rs
+++ b/crates/kumquatquayd/src/json_log.rs
@@ -1,11 +1,11 @@
-//! Log lines as JSON objects, one a line, on standard error.
+//! Log lines as JSON objects, one a line.
 
 use std::{
     io::{self, Write},
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use env_logger::{Builder, Env, fmt::Formatter};
+use env_logger::{Builder, Env, Target, fmt::Formatter};
 use log::{
     Record,
     kv::{Error as KvError, Key, Value, VisitSource},
@@ -17,9 +17,18 @@
 
 /// Starts logging for the whole process; a second call does nothing.
 pub fn init() {
+    init_to(Target::Stderr);
+}
+
+/// [`init`], with the lines on standard output.
+pub fn init_to_stdout() {
+    init_to(Target::Stdout);
+}
+
+fn init_to(target: Target) {
     let env = Env::new().filter_or(LEVEL_VARIABLE, "info");
     let mut builder = Builder::from_env(env);
-    builder.format(write_line);
+    builder.target(target).format(write_line);
     // A second start in one process, as in tests, keeps the first logger.
     let _ = builder.try_init();
 }
--- a/crates/kumquatquayd/src/lib.rs
+++ b/crates/kumquatquayd/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `http`: headers, bodies and clients that they share
 //! - `control`: datagrams and bulk exchanges between nodes
 //! - `platform`: the platform's log
+//! - [`routed`]: a node that carries calls on configured routes
 
 #![forbid(unsafe_code)]
 
@@ -23,12 +24,13 @@
 mod metrics;
 mod platform;
 mod reach;
+pub mod routed;
 mod running_node;
 mod serve;
 mod settings;
 mod tasks;
 
-pub use json_log::init as init_json_log;
+pub use json_log::{init as init_json_log, init_to_stdout as init_json_log_to_stdout};
 pub use reach::Reach;
 pub use running_node::{RunningNode, start};
 pub use settings::{DaemonSettings, Finding, Findings, OperatorAccount, command, from_matches};
--- /dev/null
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -0,0 +1,242 @@
+//! Carries a call from its entry to a backend server.
+
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use kumquatquay_core::routed::{Choice, TableRoute, TargetEnded};
+use kumquatquay_wire::{
+    ServiceName,
+    routed::{
+        CallHead, HeaderField, LinkOutcome, NotRunReason, Repeat, RouteVersion, UnknownReason,
+    },
+};
+use rand::Rng;
+
+use super::{
+    link::{LinkAnswer, send_call},
+    node::RoutedNode,
+    run_here::run_here,
+};
+
+/// Nodes that are asked for room for one call, at most. A refusal there costs a
+/// round trip and no run.
+const ASKED_LIMIT_COUNT: usize = 4;
+
+/// Pause before a call looks again for a backend server that takes it.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
+
+/// Time from the deadline in which no further attempt is begun.
+const LAST_ATTEMPT: Duration = Duration::from_millis(10);
+
+/// A call of this host.
+#[derive(Debug)]
+pub(crate) struct OutgoingCall {
+    pub(crate) route: Arc<TableRoute>,
+    pub(crate) service: ServiceName,
+    pub(crate) version: RouteVersion,
+    pub(crate) attempt: String,
+    pub(crate) deadline: Duration,
+    pub(crate) method: String,
+    pub(crate) target: String,
+    pub(crate) headers: Vec<HeaderField>,
+    pub(crate) body: Bytes,
+}
+
+/// How a call ended, and what it took.
+#[derive(Debug)]
+pub(crate) struct Carried {
+    pub(crate) answer: LinkAnswer,
+    /// Backend servers to which it was sent.
+    pub(crate) sends_count: u32,
+    /// Nodes that had no room for it.
+    pub(crate) refusals_count: usize,
+    /// Control address of the last node that it was sent to.
+    pub(crate) last: Option<SocketAddr>,
+}
+
+/// Carries a call until it is answered, refused or given up.
+pub(crate) async fn carry(node: &Rc<RoutedNode>, call: &OutgoingCall) -> Carried {
+    node.count_request(&call.service);
+    let mut course = Course::default();
+    loop {
+        if node.now() + LAST_ATTEMPT > call.deadline {
+            return course.end(LinkAnswer::not_run(NotRunReason::Late));
+        }
+        let Some(choice) = choose(node, call, &course.asked) else {
+            if course.can_look_again(node, call) {
+                tokio::time::sleep(LOOK_AGAIN).await;
+                course.asked.clear();
+                continue;
+            }
+            return course.end(LinkAnswer::not_run(NotRunReason::Full));
+        };
+        course.asked.push(choice.control);
+        course.last = Some(choice.control);
+        let answer = attempt(node, call, &choice).await;
+        match course.judge(node, call, &answer) {
+            Verdict::Final => return course.end(answer),
+            Verdict::Elsewhere => {}
+        }
+    }
+}
+
+/// What a call went through so far.
+#[derive(Debug, Default)]
+struct Course {
+    asked: Vec<SocketAddr>,
+    sends_count: u32,
+    refusals_count: usize,
+    last: Option<SocketAddr>,
+    /// An attempt of which it isn't known whether it ran.
+    unknown: Option<UnknownReason>,
+}
+
+enum Verdict {
+    Final,
+    Elsewhere,
+}
+
+impl Course {
+    fn judge(&mut self, node: &RoutedNode, call: &OutgoingCall, answer: &LinkAnswer) -> Verdict {
+        match &answer.outcome {
+            LinkOutcome::Answered { .. } => Verdict::Final,
+            LinkOutcome::NotRun(NotRunReason::TurnedAway) => {
+                self.sends_count += 1;
+                self.once_more(node, call)
+            }
+            LinkOutcome::NotRun(_) => {
+                self.refusals_count += 1;
+                Verdict::Elsewhere
+            }
+            LinkOutcome::Unknown(reason) => {
+                self.sends_count += 1;
+                self.unknown = Some(*reason);
+                if call.route.settings.repeat == Repeat::AtMostOnce {
+                    return Verdict::Final;
+                }
+                self.once_more(node, call)
+            }
+        }
+    }
+
+    /// Whether a call that a backend server has seen is sent to another one.
+    fn once_more(&self, node: &RoutedNode, call: &OutgoingCall) -> Verdict {
+        let is_allowed = self.sends_count < call.route.settings.attempts_count;
+        if is_allowed && node.take_repeat(&call.service) {
+            node.decisions.count("repeat", "sent");
+            Verdict::Elsewhere
+        } else {
+            Verdict::Final
+        }
+    }
+
+    /// Whether a call for which no backend server has room looks again: while there
+    /// may be one that was not found yet.
+    fn can_look_again(&self, node: &RoutedNode, call: &OutgoingCall) -> bool {
+        let has_time = node.now() + LOOK_AGAIN + LAST_ATTEMPT < call.deadline;
+        has_time && self.refusals_count < ASKED_LIMIT_COUNT
+    }
+
+    fn end(self, answer: LinkAnswer) -> Carried {
+        // A later refusal says nothing of an earlier attempt that may have run.
+        let answer = match (&answer.outcome, self.unknown) {
+            (LinkOutcome::NotRun(_), Some(reason)) => LinkAnswer::unknown(reason),
+            _ => answer,
+        };
+        Carried {
+            answer,
+            sends_count: self.sends_count,
+            refusals_count: self.refusals_count,
+            last: self.last,
+        }
+    }
+}
+
+fn choose(node: &RoutedNode, call: &OutgoingCall, asked: &[SocketAddr]) -> Option<Choice> {
+    let mut random = node.random.borrow_mut();
+    let mut targets = node.targets.borrow_mut();
+    targets.choose(node.now(), &call.service, asked, &mut *random)
+}
+
+/// Counts an attempt that is dropped before it has an answer.
+struct OpenAttempt<'a> {
+    node: &'a RoutedNode,
+    control: SocketAddr,
+    is_open: bool,
+}
+
+impl Drop for OpenAttempt<'_> {
+    fn drop(&mut self) {
+        if self.is_open {
+            let now = self.node.now();
+            let mut targets = self.node.targets.borrow_mut();
+            targets.ended(now, self.control, TargetEnded::GivenUp, None);
+        }
+    }
+}
+
+async fn attempt(node: &Rc<RoutedNode>, call: &OutgoingCall, choice: &Choice) -> LinkAnswer {
+    let mut open = OpenAttempt {
+        node,
+        control: choice.control,
+        is_open: true,
+    };
+    let head = head_of(node, call, choice);
+    let answer = if choice.peer == node.links_address() {
+        let mut answer = run_here(node, &head, call.body.clone(), std::future::pending()).await;
+        answer.report = Some(node.gate.borrow().report());
+        answer
+    } else {
+        send_call(node, choice.peer, head, &call.body).await
+    };
+    open.is_open = false;
+    let ended = ended_of(&answer.outcome);
+    let mut targets = node.targets.borrow_mut();
+    targets.ended(node.now(), choice.control, ended, answer.report);
+    answer
+}
+
+fn ended_of(outcome: &LinkOutcome) -> TargetEnded {
+    match outcome {
+        LinkOutcome::Answered { status, .. } if *status >= 500 => TargetEnded::Failed,
+        LinkOutcome::Answered { .. } => TargetEnded::Answered,
+        LinkOutcome::NotRun(NotRunReason::Full) => TargetEnded::Full,
+        LinkOutcome::NotRun(NotRunReason::Late) => TargetEnded::GivenUp,
+        LinkOutcome::NotRun(NotRunReason::Unsent) => TargetEnded::Lost,
+        LinkOutcome::NotRun(NotRunReason::TurnedAway | NotRunReason::Quarantined) => {
+            TargetEnded::Failed
+        }
+        LinkOutcome::NotRun(NotRunReason::Closed) => TargetEnded::Closed,
+        LinkOutcome::Unknown(UnknownReason::LinkLost) => TargetEnded::Lost,
+        LinkOutcome::Unknown(_) => TargetEnded::Failed,
+    }
+}
+
+fn head_of(node: &RoutedNode, call: &OutgoingCall, choice: &Choice) -> CallHead {
+    let settings = &call.route.settings;
+    let time_left = call.deadline.saturating_sub(node.now());
+    CallHead {
+        number: 0,
+        service: call.service.clone(),
+        instance: choice.instance.clone(),
+        caller_service: node.settings.service.clone(),
+        attempt: call.attempt.clone(),
+        priority: settings.priority,
+        is_idempotent: settings.repeat == Repeat::Idempotent,
+        remaining_ms: time_left.as_millis() as u64,
+        version: call.version,
+        method: call.method.clone(),
+        target: call.target.clone(),
+        headers: call.headers.clone(),
+    }
+}
+
+/// When a refused caller should come back: spread out, so that those who were
+/// refused together don't return together.
+pub(crate) fn retry_after(node: &RoutedNode, deadline: Duration) -> Duration {
+    let left = deadline.saturating_sub(node.now());
+    // Callers wait for a third of their time at most; later is never.
+    let longest_s = (left.as_secs_f64() / 3.0).clamp(0.02, 1.5);
+    let share = node.random.borrow_mut().random_range(0.4..0.95);
+    Duration::from_secs_f64(longest_s * share)
+}
--- /dev/null
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -0,0 +1,245 @@
+//! The entry listener: calls of callers and of the backend server on this host.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use kumquatquay_core::routed::{RouteTable, TableRoute};
+use kumquatquay_wire::routed::LinkOutcome;
+
+use super::{
+    carry::{Carried, OutgoingCall, carry, retry_after},
+    http_io::{WholeBody, fields_of, headers_of, own_answer},
+    interface::RequestMarks,
+    node::{RoutedNode, StopPhase},
+};
+
+/// Time after which a caller is asked to come back while no configuration is known.
+const NOT_CONFIGURED_RETRY: Duration = Duration::from_millis(300);
+
+/// Serves one request of a caller.
+pub(crate) async fn serve_entry(
+    node: Rc<RoutedNode>,
+    request: Request<Incoming>,
+) -> Response<WholeBody> {
+    let _in_flight = InFlight::new(&node);
+    let mut answer = answer_entry(&node, request).await;
+    if node.stop_phase() > StopPhase::Serving {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
+
+/// A request that has no answer yet; counted for a stop.
+struct InFlight<'a> {
+    node: &'a RoutedNode,
+}
+
+impl<'a> InFlight<'a> {
+    fn new(node: &'a RoutedNode) -> Self {
+        node.in_flight_count.set(node.in_flight_count.get() + 1);
+        Self { node }
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        let count = &self.node.in_flight_count;
+        count.set(count.get() - 1);
+    }
+}
+
+async fn answer_entry(node: &Rc<RoutedNode>, request: Request<Incoming>) -> Response<WholeBody> {
+    let began = node.now();
+    let (parts, body) = request.into_parts();
+    let Some(table) = node.routes() else {
+        node.decisions.count("refused", "no_configuration");
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return own_answer(status, Some(NOT_CONFIGURED_RETRY), "no configuration yet\n");
+    };
+    let Some(route) = find_route(&table, &parts) else {
+        node.decisions.count("refused", "no_route");
+        return own_answer(StatusCode::NOT_FOUND, None, "no route\n");
+    };
+    let route = Arc::clone(route);
+    let marks = (node.dialect.read_request)(&parts.headers);
+    let body = match read_body(body, table.limits().body_limit_bytes).await {
+        Ok(body) => body,
+        Err(status) => {
+            node.decisions.count("refused", "body");
+            return own_answer(status, None, "the body is too long or broken\n");
+        }
+    };
+    let Some(service) = route.split.next().cloned() else {
+        node.decisions.count("refused", "no_destination");
+        let retry = Some(NOT_CONFIGURED_RETRY);
+        return own_answer(StatusCode::SERVICE_UNAVAILABLE, retry, "no destination\n");
+    };
+    let call = OutgoingCall {
+        service,
+        version: table.version(),
+        deadline: deadline_of(&route, &marks, began),
+        attempt: marks.attempt.unwrap_or_default(),
+        method: String::from(parts.method.as_str()),
+        target: target_of(&parts),
+        headers: fields_of(&parts.headers),
+        body,
+        route,
+    };
+    let wait = call.deadline.saturating_sub(node.now());
+    match tokio::time::timeout(wait, carry(node, &call)).await {
+        Ok(carried) => answer_carried(node, &call, carried, began),
+        Err(_) => {
+            node.decisions.count("failed", "deadline");
+            log_failed(node, &call, "deadline", None, began);
+            own_answer(StatusCode::GATEWAY_TIMEOUT, None, "no answer in time\n")
+        }
+    }
+}
+
+fn find_route<'a>(table: &'a RouteTable, parts: &Parts) -> Option<&'a Arc<TableRoute>> {
+    let host = parts.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host())?;
+    table.find(host, parts.uri.path())
+}
+
+fn target_of(parts: &Parts) -> String {
+    let target = parts.uri.path_and_query();
+    target.map_or_else(|| String::from("/"), ToString::to_string)
+}
+
+/// The moment at which the caller has its answer or is told that there is none.
+fn deadline_of(route: &TableRoute, marks: &RequestMarks, began: Duration) -> Duration {
+    let timeout = route.settings.timeout;
+    began + marks.time_left.map_or(timeout, |left| left.min(timeout))
+}
+
+async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, StatusCode> {
+    match Limited::new(body, limit_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(_) => Err(StatusCode::BAD_REQUEST),
+    }
+}
+
+fn answer_carried(
+    node: &RoutedNode,
+    call: &OutgoingCall,
+    carried: Carried,
+    began: Duration,
+) -> Response<WholeBody> {
+    match &carried.answer.outcome {
+        LinkOutcome::Answered { status, headers } => {
+            let latency = node.now().saturating_sub(began);
+            node.decisions.served(latency);
+            if node.decisions.samples_served(node.now()) {
+                log_ended(node, call, &carried, "served", began);
+            }
+            let mut answer = Response::new(Full::new(carried.answer.body));
+            *answer.status_mut() = StatusCode::from_u16(*status).unwrap_or(StatusCode::BAD_GATEWAY);
+            *answer.headers_mut() = headers_of(headers);
+            answer
+        }
+        LinkOutcome::NotRun(reason) => {
+            node.decisions.count("refused", not_run_name(*reason));
+            log_ended(node, call, &carried, "refused", began);
+            let retry = Some(retry_after(node, call.deadline));
+            own_answer(StatusCode::SERVICE_UNAVAILABLE, retry, "no room\n")
+        }
+        LinkOutcome::Unknown(reason) => {
+            node.decisions.count("failed", unknown_name(*reason));
+            log_ended(node, call, &carried, "failed", began);
+            own_answer(StatusCode::BAD_GATEWAY, None, "no whole answer\n")
+        }
+    }
+}
+
+fn not_run_name(reason: kumquatquay_wire::routed::NotRunReason) -> &'static str {
+    use kumquatquay_wire::routed::NotRunReason;
+    match reason {
+        NotRunReason::Full => "full",
+        NotRunReason::Closed => "closed",
+        NotRunReason::TurnedAway => "turned_away",
+        NotRunReason::Late => "late",
+        NotRunReason::Unsent => "unsent",
+        NotRunReason::Quarantined => "quarantined",
+    }
+}
+
+fn unknown_name(reason: kumquatquay_wire::routed::UnknownReason) -> &'static str {
+    use kumquatquay_wire::routed::UnknownReason;
+    match reason {
+        UnknownReason::LinkLost => "link_lost",
+        UnknownReason::BackendBroke => "backend_broke",
+        UnknownReason::Garbled => "garbled",
+        UnknownReason::NoAnswer => "no_answer",
+    }
+}
+
+fn log_ended(
+    node: &RoutedNode,
+    call: &OutgoingCall,
+    carried: &Carried,
+    outcome: &'static str,
+    began: Duration,
+) {
+    let why = match &carried.answer.outcome {
+        LinkOutcome::Answered { status, .. } => status.to_string(),
+        LinkOutcome::NotRun(reason) => reason.to_string(),
+        LinkOutcome::Unknown(reason) => reason.to_string(),
+    };
+    if outcome != "served" && !node.decisions.has_line(node.now()) {
+        return;
+    }
+    log_line(node, call, outcome, &why, Some(carried), began);
+}
+
+fn log_failed(
+    node: &RoutedNode,
+    call: &OutgoingCall,
+    why: &str,
+    carried: Option<&Carried>,
+    began: Duration,
+) {
+    if node.decisions.has_line(node.now()) {
+        log_line(node, call, "failed", why, carried, began);
+    }
+}
+
+fn log_line(
+    node: &RoutedNode,
+    call: &OutgoingCall,
+    outcome: &'static str,
+    why: &str,
+    carried: Option<&Carried>,
+    began: Duration,
+) {
+    let now = node.now();
+    let last = carried.and_then(|carried| carried.last);
+    let last = last.map(|last| last.to_string()).unwrap_or_default();
+    let report = carried
+        .and_then(|carried| carried.answer.report)
+        .unwrap_or_default();
+    log::info!(
+        event = "request",
+        request = call.attempt.as_str(),
+        route = call.route.settings.name.as_str(),
+        service = call.service.as_str(),
+        outcome = outcome,
+        why = why,
+        version = call.version,
+        took_ms = now.saturating_sub(began).as_millis() as u64,
+        left_ms = call.deadline.saturating_sub(now).as_millis() as u64,
+        sends = carried.map_or(0, |carried| carried.sends_count),
+        refusals = carried.map_or(0, |carried| carried.refusals_count as u64),
+        last_node = last.as_str(),
+        gate_running = report.running_count,
+        gate_waiting = report.waiting_count,
+        gate_limit = report.limit_count;
+        "a request ended"
+    );
+}
--- /dev/null
+++ b/crates/kumquatquayd/src/routed/http_io.rs
@@ -0,0 +1,156 @@
+//! Listeners and header fields, shared by all that speak HTTP here.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use eyre::WrapErr;
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use kumquatquay_wire::routed::HeaderField;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::node::{RoutedNode, StopPhase};
+
+/// A body that is held as a whole.
+pub(crate) type WholeBody = Full<Bytes>;
+
+/// Fields that concern one connection only.
+const CONNECTION_FIELDS: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// The one field of its kind that the HTTP library has no name for.
+const KEEP_ALIVE: &str = "keep-alive";
+
+/// Pause after an accept that failed, mostly for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Longest time from one request of a connection to the head of the next. Callers
+/// use connections again that were idle for most of the configured time, which a
+/// configuration may raise while a connection is open; closing one just as a
+/// request arrives would lose it.
+const HEAD_WAIT: Duration = Duration::from_secs(300);
+
+/// Bytes of a head that the HTTP library takes, at least.
+const HEAD_LEAST_BYTES: usize = 8 * 1024;
+
+/// Binds a listener.
+pub(crate) async fn listen(what: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await;
+    listener.wrap_err_with(|| format!("can't listen on {address} for {what}"))
+}
+
+/// Accepts connections for as long as the node runs.
+pub(crate) async fn accept_all(
+    node: Rc<RoutedNode>,
+    listener: TcpListener,
+    take: impl Fn(Rc<RoutedNode>, TcpStream),
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                take(Rc::clone(&node), stream);
+            }
+            Err(error) => {
+                node.decisions.count("accept_failed", "error");
+                log::warn!(event = "accept_failed"; "a connection was not accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection of HTTP/1.1 until it ends or the node stops.
+pub(crate) async fn serve_connection<F>(
+    node: Rc<RoutedNode>,
+    stream: TcpStream,
+    serve: impl Fn(Rc<RoutedNode>, Request<Incoming>) -> F,
+) where
+    F: Future<Output = Response<WholeBody>>,
+{
+    let head_limit_bytes = node
+        .routes()
+        .map_or(0, |routes| routes.limits().head_limit_bytes);
+    let service = service_fn(|request| {
+        let answer = serve(Rc::clone(&node), request);
+        async { Ok::<_, std::convert::Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_WAIT)
+        .max_buf_size(head_limit_bytes.max(HEAD_LEAST_BYTES))
+        .auto_date_header(false)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut stop = node.stop.subscribe();
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = stop.wait_for(|phase| *phase == StopPhase::Closing) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    // What went wrong on a caller's connection is the caller's to see.
+    let _ = connection.await;
+}
+
+/// The fields of a message that concern more than its connection.
+pub(crate) fn fields_of(headers: &HeaderMap) -> Vec<HeaderField> {
+    let named = headers
+        .get(header::CONNECTION)
+        .and_then(|value| value.to_str().ok());
+    let named = named.unwrap_or_default();
+    let kept = headers
+        .iter()
+        .filter(|(name, _)| !is_of_connection(name, named));
+    let kept = kept.map(|(name, value)| (String::from(name.as_str()), value.as_bytes().to_vec()));
+    kept.collect()
+}
+
+/// Whether a field concerns one connection only; `named` is what its connection
+/// field names besides.
+fn is_of_connection(name: &HeaderName, named: &str) -> bool {
+    CONNECTION_FIELDS.contains(name)
+        || name.as_str() == KEEP_ALIVE
+        || named
+            .split(',')
+            .any(|token| token.trim().eq_ignore_ascii_case(name.as_str()))
+}
+
+/// Fields as the HTTP library holds them; ones that it can't hold are left out.
+pub(crate) fn headers_of(fields: &[HeaderField]) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(fields.len() + 4);
+    for (name, value) in fields {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_bytes(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers
+}
+
+/// An answer of the node itself.
+pub(crate) fn own_answer(
+    status: StatusCode,
+    retry_after: Option<Duration>,
+    reason: &'static str,
+) -> Response<WholeBody> {
+    let mut answer = Response::new(Full::new(Bytes::from_static(reason.as_bytes())));
+    *answer.status_mut() = status;
+    if let Some(retry_after) = retry_after {
+        let seconds = format!("{:.3}", retry_after.as_secs_f64());
+        let seconds = HeaderValue::from_str(&seconds).expect("digits and a point");
+        answer.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/kumquatquayd/src/routed/interface.rs
@@ -0,0 +1,136 @@
+//! What the platform fills in for a node on configured routes.
+
+use std::{fmt, future::Future, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
+
+use derive_more::{Display, Error};
+use http::HeaderMap;
+use kumquatquay_core::routed::LifeReport;
+use kumquatquay_wire::{InstanceId, routed::RouteConfiguration};
+
+/// How requests, answers and reports are written on this platform.
+///
+/// Plain functions, so that a node's library knows no header and no path of any
+/// platform; tests fill in their own.
+#[derive(Clone, Copy)]
+pub struct Dialect {
+    /// Reads what a request says of itself.
+    pub read_request: fn(&HeaderMap) -> RequestMarks,
+    /// Writes what a backend server is told beside the request as the caller sent it.
+    pub write_hand_over: fn(&mut HeaderMap, &HandOver<'_>),
+    /// Reads what an answer says of itself.
+    pub read_answer: fn(&HeaderMap) -> AnswerMarks,
+    /// Reads a report of the backend server on this host.
+    pub read_report: fn(&http::request::Parts, &[u8]) -> Result<BackendReport, String>,
+    /// Whether a request asks if the node is ready.
+    pub asks_readiness: fn(&http::request::Parts) -> bool,
+}
+
+impl fmt::Debug for Dialect {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Dialect").finish_non_exhaustive()
+    }
+}
+
+/// What a request says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RequestMarks {
+    /// Its id; opaque. Each time that a caller sends a request it gives a new one.
+    pub attempt: Option<String>,
+    /// How long the caller waits.
+    pub time_left: Option<Duration>,
+}
+
+/// What a backend server is told beside the request.
+#[derive(Clone, Copy, Debug)]
+pub struct HandOver<'a> {
+    /// Time in which the answer is still wanted.
+    pub time_left: Duration,
+    /// The life of the backend server that is meant; any other declines.
+    pub instance: Option<&'a InstanceId>,
+    /// Service on the host where the request began.
+    pub caller_service: &'a str,
+}
+
+/// What an answer says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AnswerMarks {
+    /// Id of the request that it answers.
+    pub attempt: Option<String>,
+    /// Whether a backend server vouches for it; only such answers are passed on as
+    /// a success.
+    pub is_signed: bool,
+    /// Whether it says that the request has not run.
+    pub is_not_run: bool,
+    /// The life of the backend server that gave it.
+    pub instance: Option<InstanceId>,
+    /// Time for which the backend server keeps the connection open without a
+    /// request; an answer that doesn't say means less than a second.
+    pub kept_open: Option<Duration>,
+}
+
+/// A report of the backend server on this host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BackendReport {
+    /// How it is.
+    Life(LifeReport),
+    /// It leaves.
+    Leave {
+        /// The life that leaves.
+        instance: InstanceId,
+    },
+}
+
+/// What a call of the platform's store answers.
+pub type StoreFuture<T> = Pin<Box<dyn Future<Output = Result<T, StoreError>>>>;
+
+/// Where what lasts is kept.
+#[derive(Clone)]
+pub struct PlatformStore {
+    /// Waits for a configuration newer than what was read with this value last.
+    pub next_routes: Arc<dyn Fn() -> StoreFuture<RouteNews>>,
+    /// Control addresses of the nodes that have entered themselves.
+    pub nodes: Arc<dyn Fn() -> StoreFuture<Vec<SocketAddr>>>,
+    /// Enters this node.
+    pub enter_node: Arc<dyn Fn(SocketAddr) -> StoreFuture<()>>,
+    /// Takes this node out.
+    pub remove_node: Arc<dyn Fn(SocketAddr) -> StoreFuture<()>>,
+}
+
+impl fmt::Debug for PlatformStore {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("PlatformStore")
+            .finish_non_exhaustive()
+    }
+}
+
+/// What a wait for a configuration brought.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RouteNews {
+    /// The newest one.
+    Configuration(Box<RouteConfiguration>),
+    /// None that is newer.
+    Unchanged,
+    /// One that can't be read, with all that is wrong about it and where.
+    Malformed {
+        /// Each finding with its place.
+        findings: Vec<String>,
+    },
+}
+
+/// Why a call of the store brought nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum StoreError {
+    /// Nothing was done.
+    #[display("the store refused: {detail}")]
+    Refused {
+        /// Status and reason.
+        detail: String,
+    },
+    /// No answer; it may have been done, or may still be.
+    #[display("the store did not answer: {detail}")]
+    Unsure {
+        /// What happened to the call.
+        detail: String,
+    },
+}
--- /dev/null
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -0,0 +1,389 @@
+//! The side of a link that sends calls.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use kumquatquay_wire::routed::{
+    AnswerHead, CallHead, CallNumber, FrameHead, FrameReader, GateReport, LinkOutcome,
+    NotRunReason, RouteVersion, UnknownReason, encode_frame,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::{Notify, oneshot},
+};
+
+use super::node::RoutedNode;
+
+/// Bodies above this go over a second link, so that short calls don't wait behind
+/// them: at 200 Mbit/s this many bytes take 1.3 ms.
+const SMALL_BODY_BYTES: usize = 32 * 1024;
+
+/// Bytes that may wait for a peer that doesn't read; no call is added beyond.
+const UNWRITTEN_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+
+/// Time without a byte from the peer after which it is asked for a sign of life,
+/// while calls wait for it.
+const QUIET_TIME: Duration = Duration::from_millis(400);
+
+/// [`QUIET_TIME`] while no call waits; it also carries versions around.
+const IDLE_QUIET_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time without a byte from the peer after which the link is given up.
+///
+/// Connections go silent without a reset when a network part fails; a host that is
+/// merely slow still answers a ping within a few hundred milliseconds.
+const SILENT_TIME: Duration = Duration::from_millis(1_600);
+
+/// How long a connection may take to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// How often links are looked at.
+const WATCH_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Bytes read at once.
+const READ_BYTES: usize = 32 * 1024;
+
+/// Which of the two links to a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum LinkKind {
+    Small,
+    Bulk,
+}
+
+/// The links that this node has made, by the peer's address.
+#[derive(Debug, Default)]
+pub(crate) struct Links {
+    links: HashMap<(SocketAddr, LinkKind), Rc<Link>>,
+    last_number: CallNumber,
+}
+
+impl Links {
+    /// Links that are open.
+    pub(crate) fn len(&self) -> usize {
+        self.links.len()
+    }
+}
+
+/// One link that this node has made.
+#[derive(Debug)]
+pub(crate) struct Link {
+    pub(crate) frames: FrameWriter,
+    pending: RefCell<HashMap<CallNumber, Pending>>,
+    last_heard: Cell<Duration>,
+    pinged: Cell<Option<Duration>>,
+    end: Notify,
+}
+
+#[derive(Debug)]
+struct Pending {
+    answer: oneshot::Sender<LinkAnswer>,
+    /// Bytes of the link up to the end of the call.
+    end_bytes: u64,
+}
+
+/// What came of a call that was sent over a link.
+#[derive(Debug)]
+pub(crate) struct LinkAnswer {
+    pub(crate) outcome: LinkOutcome,
+    pub(crate) body: Bytes,
+    pub(crate) report: Option<GateReport>,
+}
+
+impl LinkAnswer {
+    pub(crate) fn not_run(reason: NotRunReason) -> Self {
+        Self::without_body(LinkOutcome::NotRun(reason))
+    }
+
+    pub(crate) fn unknown(reason: UnknownReason) -> Self {
+        Self::without_body(LinkOutcome::Unknown(reason))
+    }
+
+    fn without_body(outcome: LinkOutcome) -> Self {
+        Self {
+            outcome,
+            body: Bytes::new(),
+            report: None,
+        }
+    }
+}
+
+/// Frames on their way into a connection.
+#[derive(Debug, Default)]
+pub(crate) struct FrameWriter {
+    unwritten: RefCell<Vec<u8>>,
+    wake: Notify,
+    queued_bytes: Cell<u64>,
+    written_bytes: Cell<u64>,
+    is_closed: Cell<bool>,
+}
+
+impl FrameWriter {
+    /// Queues a frame; the count of the connection's bytes up to its end.
+    pub(crate) fn push(&self, head: &FrameHead, body: &[u8]) -> u64 {
+        let mut unwritten = self.unwritten.borrow_mut();
+        let before = unwritten.len();
+        encode_frame(head, body, &mut unwritten);
+        let added = (unwritten.len() - before) as u64;
+        self.queued_bytes.set(self.queued_bytes.get() + added);
+        self.wake.notify_one();
+        self.queued_bytes.get()
+    }
+
+    fn has_room(&self) -> bool {
+        !self.is_closed.get() && self.unwritten.borrow().len() < UNWRITTEN_LIMIT_BYTES
+    }
+
+    /// Whether bytes up to here were given to the connection, in part or whole.
+    fn has_written_to(&self, end_bytes: u64) -> bool {
+        self.written_bytes.get() >= end_bytes
+    }
+
+    /// Writes what is queued, all frames of one moment at once.
+    pub(crate) async fn run(&self, mut connection: OwnedWriteHalf) -> io::Result<()> {
+        loop {
+            let chunk = std::mem::take(&mut *self.unwritten.borrow_mut());
+            if chunk.is_empty() {
+                self.wake.notified().await;
+                continue;
+            }
+            let mut rest = chunk.as_slice();
+            while !rest.is_empty() {
+                let written = connection.write(rest).await?;
+                if written == 0 {
+                    return Err(io::ErrorKind::WriteZero.into());
+                }
+                self.written_bytes
+                    .set(self.written_bytes.get() + written as u64);
+                rest = &rest[written..];
+            }
+        }
+    }
+}
+
+/// Reads frames and hands each on, until the connection ends or breaks.
+pub(crate) async fn read_frames(
+    mut connection: OwnedReadHalf,
+    mut take: impl FnMut(FrameHead, Vec<u8>),
+) -> io::Result<()> {
+    let mut reader = FrameReader::default();
+    loop {
+        let buffer = reader.buffer();
+        buffer.reserve(READ_BYTES);
+        if connection.read_buf(buffer).await? == 0 {
+            return Ok(());
+        }
+        while let Some((head, body)) = reader.next_frame().map_err(io::Error::other)? {
+            take(head, body);
+        }
+    }
+}
+
+/// Sends a call to another node and waits for what comes of it.
+///
+/// Dropped before that, it tells the other node that nobody waits any more.
+pub(crate) async fn send_call(
+    node: &Rc<RoutedNode>,
+    peer: SocketAddr,
+    mut call: CallHead,
+    body: &Bytes,
+) -> LinkAnswer {
+    let link = link_to(node, peer, body.len());
+    if !link.frames.has_room() {
+        return LinkAnswer::not_run(NotRunReason::Unsent);
+    }
+    call.number = next_number(node);
+    let number = call.number;
+    let (sender, receiver) = oneshot::channel();
+    let end_bytes = link.frames.push(&FrameHead::Call(call), body);
+    let pending = Pending {
+        answer: sender,
+        end_bytes,
+    };
+    link.pending.borrow_mut().insert(number, pending);
+    let _canceller = Canceller {
+        link: &link,
+        number,
+    };
+    let answer = receiver.await;
+    answer.unwrap_or_else(|_| LinkAnswer::unknown(UnknownReason::LinkLost))
+}
+
+/// Tells the other node that the answer to a call isn't wanted any more, unless
+/// it has come.
+struct Canceller<'a> {
+    link: &'a Link,
+    number: CallNumber,
+}
+
+impl Drop for Canceller<'_> {
+    fn drop(&mut self) {
+        let number = self.number;
+        let is_open = self.link.pending.borrow_mut().remove(&number).is_some();
+        if is_open {
+            self.link.frames.push(&FrameHead::Cancel { number }, &[]);
+        }
+    }
+}
+
+fn next_number(node: &RoutedNode) -> CallNumber {
+    let mut links = node.links.borrow_mut();
+    links.last_number += 1;
+    links.last_number
+}
+
+fn link_to(node: &Rc<RoutedNode>, peer: SocketAddr, body_bytes: usize) -> Rc<Link> {
+    let kind = if body_bytes <= SMALL_BODY_BYTES {
+        LinkKind::Small
+    } else {
+        LinkKind::Bulk
+    };
+    let key = (peer, kind);
+    if let Some(link) = node.links.borrow().links.get(&key) {
+        return Rc::clone(link);
+    }
+    let link = Rc::new(Link {
+        frames: FrameWriter::default(),
+        pending: RefCell::default(),
+        last_heard: Cell::new(node.now()),
+        pinged: Cell::new(None),
+        end: Notify::new(),
+    });
+    node.links.borrow_mut().links.insert(key, Rc::clone(&link));
+    let task = keep_link(Rc::clone(node), key, Rc::clone(&link));
+    tokio::task::spawn_local(task);
+    link
+}
+
+/// Makes a link, carries its frames, and settles its calls when it ends.
+async fn keep_link(node: Rc<RoutedNode>, key: (SocketAddr, LinkKind), link: Rc<Link>) {
+    let (peer, _) = key;
+    let why = match run_link(&node, peer, &link).await {
+        Ok(()) => String::from("the other side closed it"),
+        Err(error) => error.to_string(),
+    };
+    link.frames.is_closed.set(true);
+    node.links.borrow_mut().links.remove(&key);
+    let pending = std::mem::take(&mut *link.pending.borrow_mut());
+    let lost_count = pending.len();
+    node.decisions.count("link_ended", "lost");
+    log::info!(event = "link_ended", peer:% = peer, calls = lost_count; "{why}");
+    for pending in pending.into_values() {
+        // A frame that was not written to its end was never understood.
+        let answer = if link.frames.has_written_to(pending.end_bytes) {
+            LinkAnswer::unknown(UnknownReason::LinkLost)
+        } else {
+            LinkAnswer::not_run(NotRunReason::Unsent)
+        };
+        let _ = pending.answer.send(answer);
+    }
+}
+
+async fn run_link(node: &Rc<RoutedNode>, peer: SocketAddr, link: &Rc<Link>) -> io::Result<()> {
+    let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer));
+    let stream = connect.await.map_err(|_| io::ErrorKind::TimedOut)??;
+    stream.set_nodelay(true)?;
+    link.last_heard.set(node.now());
+    let (read, write) = stream.into_split();
+    let take = |head, body| on_frame(node, link, head, body);
+    tokio::select! {
+        read = read_frames(read, take) => read,
+        written = link.frames.run(write) => written,
+        () = link.end.notified() => Err(io::Error::new(io::ErrorKind::TimedOut, "it went silent")),
+    }
+}
+
+fn on_frame(node: &Rc<RoutedNode>, link: &Rc<Link>, head: FrameHead, body: Vec<u8>) {
+    link.last_heard.set(node.now());
+    link.pinged.set(None);
+    match head {
+        FrameHead::Answer(answer) => on_answer(node, link, answer, body),
+        FrameHead::Pong { version } | FrameHead::Ping { version } => {
+            on_version(node, &link.frames, version);
+        }
+        FrameHead::Configuration => on_configuration(node, &body),
+        FrameHead::ConfigurationAsk => tell_configuration(node, &link.frames),
+        FrameHead::Hello { .. } | FrameHead::Call(_) | FrameHead::Cancel { .. } => {
+            log::warn!(event = "link_confused"; "a frame came from the wrong side of a link");
+        }
+    }
+}
+
+fn on_answer(node: &RoutedNode, link: &Link, answer: AnswerHead, body: Vec<u8>) {
+    on_version(node, &link.frames, answer.version);
+    let pending = link.pending.borrow_mut().remove(&answer.number);
+    // Without one the call was given up; the answer has crossed the cancellation.
+    if let Some(pending) = pending {
+        let _ = pending.answer.send(LinkAnswer {
+            outcome: answer.outcome,
+            body: Bytes::from(body),
+            report: Some(answer.report),
+        });
+    }
+}
+
+/// Asks for a configuration that the other node has and this one lacks.
+pub(crate) fn on_version(node: &RoutedNode, frames: &FrameWriter, version: RouteVersion) {
+    if version > node.route_version() && node.may_ask_configuration() {
+        frames.push(&FrameHead::ConfigurationAsk, &[]);
+    }
+}
+
+/// Takes in a configuration of another node.
+pub(crate) fn on_configuration(node: &RoutedNode, body: &[u8]) {
+    match postcard::from_bytes(body) {
+        Ok(configuration) => node.apply(configuration, "node"),
+        Err(error) => log::warn!(event = "configuration_refused", from = "node"; "{error}"),
+    }
+}
+
+/// Sends the configuration in force, if there is one.
+pub(crate) fn tell_configuration(node: &RoutedNode, frames: &FrameWriter) {
+    let configuration = node.configuration.borrow();
+    let Some(configuration) = configuration.as_ref() else {
+        return;
+    };
+    let bytes = postcard::to_stdvec(configuration).expect("a wire type always encodes");
+    frames.push(&FrameHead::Configuration, &bytes);
+}
+
+/// Asks quiet peers for a sign of life and gives silent links up.
+pub(crate) async fn watch_links(node: Rc<RoutedNode>) {
+    loop {
+        tokio::time::sleep(WATCH_INTERVAL).await;
+        let links: Vec<Rc<Link>> = node.links.borrow().links.values().cloned().collect();
+        for link in links {
+            watch_link(&node, &link);
+        }
+    }
+}
+
+fn watch_link(node: &RoutedNode, link: &Link) {
+    let now = node.now();
+    let quiet = now.saturating_sub(link.last_heard.get());
+    let is_waited_for = !link.pending.borrow().is_empty();
+    let patience = if is_waited_for {
+        QUIET_TIME
+    } else {
+        IDLE_QUIET_TIME
+    };
+    match link.pinged.get() {
+        None if quiet >= patience => {
+            link.pinged.set(Some(now));
+            let version = node.route_version();
+            link.frames.push(&FrameHead::Ping { version }, &[]);
+        }
+        Some(pinged) if now >= pinged + SILENT_TIME => link.end.notify_one(),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/kumquatquayd/src/routed/members.rs
@@ -0,0 +1,166 @@
+//! Who the members are: hosts the membership of the core.
+
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use kumquatquay_core::{Announcement, BackendInput, Input, routed::LifeState};
+use kumquatquay_wire::{MemberState, MeshKey};
+use tokio::{net::UdpSocket, sync::mpsc::UnboundedReceiver};
+
+use super::{interface::PlatformStore, node::RoutedNode, run_here::turn_away_waiting};
+use crate::{
+    control,
+    engine::{Effect, Engine},
+    reach::Reach,
+    tasks::Tasks,
+};
+
+/// How often the node looks whether the members have changed.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Pauses between looks at the register of nodes after the start. All nodes may
+/// start at the same moment and datagrams get lost; the later looks are for those
+/// that the first one missed.
+const REGISTER_PAUSES: [Duration; 4] = [
+    Duration::from_millis(400),
+    Duration::from_millis(1_500),
+    Duration::from_secs(4),
+    Duration::from_secs(10),
+];
+
+/// Pause after a call to the register that failed.
+const REGISTER_RETRY: Duration = Duration::from_millis(700);
+
+/// Tells the membership what the backend server of this host is.
+pub(crate) fn announce(node: &RoutedNode) {
+    let lives = node.lives.borrow();
+    let Some(current) = lives.current() else {
+        return;
+    };
+    let state = match current.state {
+        LifeState::Serving if current.cold.is_zero() => MemberState::Serving,
+        LifeState::Serving => MemberState::Warming,
+        LifeState::Draining | LifeState::Gone => MemberState::Draining,
+    };
+    log::info!(event = "backend", instance = current.instance.as_str(), state:% = state,
+        slots = current.slots_count, sequence = current.sequence;
+        "the backend server of this host told how it is");
+    let announcement = Announcement {
+        service: current.service.clone(),
+        instance: Some(current.instance.clone()),
+        address: node.settings.backend,
+        slots_count: current.slots_count as u32,
+        connections_count: 0,
+        state,
+    };
+    node.engine.handle(BackendInput::Announced(announcement));
+}
+
+/// Tells the membership that the backend server of this host is dead.
+pub(crate) fn announce_death(node: &RoutedNode) {
+    if node.lives.borrow_mut().on_found_dead() {
+        log::warn!(event = "backend_dead"; "nothing listens at the backend server's address");
+        node.engine.handle(BackendInput::Died);
+        turn_away_waiting(node);
+    }
+}
+
+/// Keeps the table of targets like the members.
+pub(crate) async fn follow_members(node: Rc<RoutedNode>) {
+    let mut seen = None;
+    loop {
+        let changed = node.engine.members_changed();
+        if seen != Some(changed) {
+            seen = Some(changed);
+            refresh(&node);
+        }
+        node.backend.drop_stale();
+        tokio::time::sleep(REFRESH_INTERVAL).await;
+    }
+}
+
+fn refresh(node: &RoutedNode) {
+    let members = node.engine.members();
+    let is_there = |state| state != MemberState::Gone;
+    let there_count = members
+        .iter()
+        .filter(|member| is_there(member.state))
+        .count();
+    // The larger count makes this node's part of shared budgets the smaller one.
+    node.nodes_count
+        .set(there_count.max(node.nodes_count.get()));
+    let mut targets = node.targets.borrow_mut();
+    targets.rebuild(&node.settings.data_centre, members.iter());
+}
+
+/// Enters this node in the register and introduces it to those found there.
+pub(crate) async fn use_register(node: Rc<RoutedNode>, store: PlatformStore) {
+    let own = node.settings.listen.control;
+    node.engine
+        .handle(Input::Seeds(node.settings.seeds.clone()));
+    while let Err(error) = (store.enter_node)(own).await {
+        log::warn!(event = "register_unreached"; "{error}");
+        tokio::time::sleep(REGISTER_RETRY).await;
+    }
+    look_at_register(&node, &store).await;
+    for pause in REGISTER_PAUSES {
+        tokio::time::sleep(pause).await;
+        look_at_register(&node, &store).await;
+    }
+}
+
+async fn look_at_register(node: &RoutedNode, store: &PlatformStore) {
+    loop {
+        match (store.nodes)().await {
+            Ok(nodes) => {
+                let own = node.settings.listen.control;
+                let others: Vec<SocketAddr> = nodes
+                    .into_iter()
+                    .filter(|control| *control != own)
+                    .collect();
+                log::info!(event = "register_read", nodes = others.len(); "other nodes found");
+                node.engine.handle(Input::Seeds(others));
+                return;
+            }
+            Err(error) => {
+                log::warn!(event = "register_unreached"; "{error}");
+                tokio::time::sleep(REGISTER_RETRY).await;
+            }
+        }
+    }
+}
+
+/// Ticks the core.
+pub(crate) async fn tick(engine: Arc<Engine>) {
+    loop {
+        let wait = engine.tick();
+        tokio::time::sleep(wait).await;
+    }
+}
+
+/// Carries out what the core asks of its host; the logs of the core's other
+/// concerns aren't kept on this platform.
+pub(crate) async fn carry_out(
+    engine: Arc<Engine>,
+    mut effects: UnboundedReceiver<Effect>,
+    socket: Arc<UdpSocket>,
+    key: MeshKey,
+) {
+    let tasks = Tasks::default();
+    while let Some(effect) = effects.recv().await {
+        match effect {
+            Effect::Send { to, datagram } => {
+                // A datagram that can't be sent is lost, as any datagram may be.
+                let _ = socket.try_send_to(&datagram.to_bytes(&key), to);
+            }
+            Effect::BulkAsk { to, question } => {
+                let ask = control::Ask {
+                    key: key.clone(),
+                    reach: Reach::default(),
+                    to,
+                };
+                tasks.spawn(ask.run(Arc::clone(&engine), question));
+            }
+            Effect::Append { .. } | Effect::Read { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquatquayd/src/routed/metrics_text.rs
@@ -0,0 +1,37 @@
+//! The node's metrics as text, one a line.
+
+use std::fmt::Write;
+
+use super::node::RoutedNode;
+
+/// Quantiles of the latency that are told.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
+
+/// Counters, latencies and gauges of a node.
+pub(crate) fn metrics_text(node: &RoutedNode) -> String {
+    let mut text = String::new();
+    for ((what, why), count) in node.decisions.counts() {
+        let _ = writeln!(text, "kumquatquay_{what}_total{{why=\"{why}\"}} {count}");
+    }
+    for quantile in QUANTILES {
+        let latency_ms = node.decisions.latency(quantile).as_secs_f64() * 1_000.0;
+        let _ = writeln!(
+            text,
+            "kumquatquay_served_latency_ms{{quantile=\"{quantile}\"}} {latency_ms:.1}"
+        );
+    }
+    let report = node.gate.borrow().report();
+    let gauges = [
+        ("in_flight", node.in_flight_count.get() as u64),
+        ("gate_running", u64::from(report.running_count)),
+        ("gate_waiting", u64::from(report.waiting_count)),
+        ("gate_limit", u64::from(report.limit_count)),
+        ("gate_work_us", u64::from(report.work_us)),
+        ("route_version", node.route_version()),
+        ("links", node.links.borrow().len() as u64),
+    ];
+    for (name, value) in gauges {
+        let _ = writeln!(text, "kumquatquay_{name} {value}");
+    }
+    text
+}
--- /dev/null
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -0,0 +1,35 @@
+//! A node that carries calls on configured routes.
+//!
+//! Callers and the backend server of this host send calls to the entry listener.
+//! A call on a route goes to the node beside a backend server of the route's
+//! service, over a link that the two nodes keep, and that node hands it to its
+//! backend server when there is room. Who the members are is found out by the same
+//! membership as in a node with intents.
+//!
+//! The platform on which the nodes run fills two interfaces: [`Dialect`], how
+//! requests and reports are written, and [`PlatformStore`], where what lasts is
+//! kept.
+
+mod backend_pool;
+mod carry;
+mod decisions;
+mod entry;
+mod http_io;
+mod interface;
+mod link;
+mod link_server;
+mod members;
+mod metrics_text;
+mod node;
+mod reports;
+mod routes_watch;
+mod run_here;
+mod settings;
+mod start;
+
+pub use interface::{
+    AnswerMarks, BackendReport, Dialect, HandOver, PlatformStore, RequestMarks, RouteNews,
+    StoreError, StoreFuture,
+};
+pub use settings::{Bounds, Limits, Listen, RetryBudget, RoutedSettings};
+pub use start::run;
--- /dev/null
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -0,0 +1,286 @@
+//! Runs a call at the backend server of this host.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, Request, Uri};
+use http_body_util::Full;
+use kumquatquay_core::routed::{Admission, WaitKey};
+use kumquatquay_wire::routed::{CallHead, LinkOutcome, NotRunReason, UnknownReason};
+use tokio::sync::oneshot;
+
+use super::{
+    backend_pool::{BackendAnswer, SendError},
+    http_io::{WholeBody, fields_of, headers_of},
+    interface::HandOver,
+    link::LinkAnswer,
+    members::{announce, announce_death},
+    node::{RoutedNode, RunTicket},
+};
+
+/// The least time in which a call is still handed over.
+const LEAST_TIME_LEFT: Duration = Duration::from_millis(2);
+
+/// Statuses that promise that a request has not run. A backend server says so in a
+/// field of its own; without it such a status is no promise that may be passed on.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// A call and the moment at which its time is over.
+struct Timed<'a> {
+    call: &'a CallHead,
+    deadline: Duration,
+}
+
+/// Runs a call at the backend server of this host, once there is room for it.
+///
+/// When `cancelled` is done, a call that waits is taken out, and one that runs is
+/// given up if it may run again; one that may not is let run to its end.
+pub(crate) async fn run_here(
+    node: &Rc<RoutedNode>,
+    call: &CallHead,
+    body: Bytes,
+    cancelled: impl Future<Output = ()>,
+) -> LinkAnswer {
+    let deadline = node.now() + Duration::from_millis(call.remaining_ms);
+    let timed = Timed { call, deadline };
+    let mut cancelled = std::pin::pin!(cancelled);
+    let slot = tokio::select! {
+        slot = wait_for_slot(node, &timed) => slot,
+        () = cancelled.as_mut() => Err(NotRunReason::Late),
+    };
+    let slot = match slot {
+        Ok(slot) => slot,
+        Err(reason) => return LinkAnswer::not_run(reason),
+    };
+    if call.is_idempotent {
+        tokio::select! {
+            answer = hand_over(node, &timed, body, slot) => answer,
+            () = cancelled => LinkAnswer::unknown(UnknownReason::NoAnswer),
+        }
+    } else {
+        hand_over(node, &timed, body, slot).await
+    }
+}
+
+/// A place among the calls that run; leaving it lets the next one run.
+struct Slot {
+    node: Rc<RoutedNode>,
+    began: Duration,
+    counts_work: bool,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let work = self.node.now().saturating_sub(self.began);
+        let work = self.counts_work.then_some(work);
+        self.node.gate.borrow_mut().ended(work);
+        admit_waiting(&self.node);
+    }
+}
+
+/// Lets calls run that wait, as far as there is room.
+pub(crate) fn admit_waiting(node: &RoutedNode) {
+    let now = node.now();
+    loop {
+        let next = node.gate.borrow_mut().next(now);
+        let Some(ticket) = next else {
+            return;
+        };
+        if ticket.send(()).is_err() {
+            // Its caller left while it waited.
+            node.gate.borrow_mut().ended(None);
+        }
+    }
+}
+
+/// Sends calls that wait for a backend server that is leaving to other ones.
+pub(crate) fn turn_away_waiting(node: &RoutedNode) {
+    let waiting = node.gate.borrow_mut().withdraw_all();
+    // Dropping a ticket tells its call that it isn't run here.
+    drop(waiting);
+}
+
+async fn wait_for_slot(node: &Rc<RoutedNode>, timed: &Timed<'_>) -> Result<Slot, NotRunReason> {
+    check_open(node, timed)?;
+    let (ticket, granted) = oneshot::channel();
+    let admission = offer(node, timed, ticket);
+    let key = match admission {
+        Admission::Run => return Ok(Slot::new(node)),
+        Admission::Refuse(_) => return Err(NotRunReason::Full),
+        Admission::Wait(key) => key,
+        Admission::Evict(key, evicted) => {
+            drop(evicted);
+            key
+        }
+    };
+    let mut waiting = WaitingCall { node, key, granted };
+    let wait = timed.deadline.saturating_sub(node.now());
+    match tokio::time::timeout(wait, &mut waiting.granted).await {
+        Ok(Ok(())) => {
+            let slot = Slot::new(node);
+            check_open(node, timed)?;
+            Ok(slot)
+        }
+        Ok(Err(_)) => Err(NotRunReason::Full),
+        Err(_) => Err(NotRunReason::Late),
+    }
+}
+
+/// A call in the queue; it leaves the queue with its task.
+struct WaitingCall<'a> {
+    node: &'a Rc<RoutedNode>,
+    key: WaitKey,
+    granted: oneshot::Receiver<()>,
+}
+
+impl Drop for WaitingCall<'_> {
+    fn drop(&mut self) {
+        let withdrawn = self.node.gate.borrow_mut().withdraw(self.key);
+        // A grant that nobody took would hold its place for good.
+        if withdrawn.is_none() && self.granted.try_recv().is_ok() {
+            self.node.gate.borrow_mut().ended(None);
+            admit_waiting(self.node);
+        }
+    }
+}
+
+fn offer(node: &RoutedNode, timed: &Timed<'_>, ticket: RunTicket) -> Admission<RunTicket> {
+    let latest_start = timed.deadline;
+    let mut gate = node.gate.borrow_mut();
+    gate.offer(node.now(), timed.call.priority, latest_start, ticket)
+}
+
+/// Whether the backend server that a call is meant for is there and takes calls.
+fn check_open(node: &RoutedNode, timed: &Timed<'_>) -> Result<(), NotRunReason> {
+    let now = node.now();
+    if now + LEAST_TIME_LEFT > timed.deadline {
+        return Err(NotRunReason::Late);
+    }
+    let lives = node.lives.borrow();
+    let is_served = lives
+        .current()
+        .is_some_and(|current| current.service == timed.call.service);
+    let drain = node.settings.bounds.drain.mul_f64(DRAIN_RATIO);
+    let instance = timed.call.instance.as_deref();
+    if is_served && lives.may_run(now, instance, drain) {
+        Ok(())
+    } else {
+        Err(NotRunReason::Closed)
+    }
+}
+
+/// Part of the time after a leaving was acknowledged in which calls still go to
+/// that backend server. By then all nodes know; the rest is for calls that begin
+/// to run in that time.
+const DRAIN_RATIO: f64 = 0.6;
+
+impl Slot {
+    fn new(node: &Rc<RoutedNode>) -> Self {
+        Self {
+            node: Rc::clone(node),
+            began: node.now(),
+            counts_work: false,
+        }
+    }
+}
+
+async fn hand_over(
+    node: &Rc<RoutedNode>,
+    timed: &Timed<'_>,
+    body: Bytes,
+    mut slot: Slot,
+) -> LinkAnswer {
+    let time_left = timed.deadline.saturating_sub(node.now());
+    let Some(request) = request_of(node, timed, body, time_left) else {
+        return LinkAnswer::not_run(NotRunReason::Unsent);
+    };
+    let sent = node.backend.send(request, timed.call.is_idempotent);
+    let answer = match tokio::time::timeout(time_left, sent).await {
+        Ok(Ok(answer)) => judge(node, timed, answer),
+        Ok(Err(error)) => on_send_error(node, error),
+        Err(_) => LinkAnswer::unknown(UnknownReason::NoAnswer),
+    };
+    slot.counts_work = matches!(answer.outcome, LinkOutcome::Answered { .. });
+    answer
+}
+
+fn request_of(
+    node: &RoutedNode,
+    timed: &Timed<'_>,
+    body: Bytes,
+    time_left: Duration,
+) -> Option<Request<WholeBody>> {
+    let call = timed.call;
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = Method::from_bytes(call.method.as_bytes()).ok()?;
+    *request.uri_mut() = call.target.parse::<Uri>().ok()?;
+    *request.headers_mut() = headers_of(&call.headers);
+    let hand_over = HandOver {
+        time_left,
+        instance: call.instance.as_ref(),
+        caller_service: &call.caller_service,
+    };
+    (node.dialect.write_hand_over)(request.headers_mut(), &hand_over);
+    Some(request)
+}
+
+/// Decides what an answer says of the call.
+///
+/// A connection may bring the late answer to an earlier request, bytes that no
+/// backend server vouches for, or a refusal without the promise. None of these may
+/// reach a caller as the answer to its request.
+fn judge(node: &RoutedNode, timed: &Timed<'_>, answer: BackendAnswer) -> LinkAnswer {
+    let marks = (node.dialect.read_answer)(&answer.headers);
+    let is_other = marks
+        .attempt
+        .as_ref()
+        .is_some_and(|attempt| *attempt != timed.call.attempt);
+    if is_other {
+        node.decisions.count("garbled", "other_request");
+        answer.discard();
+        return LinkAnswer::unknown(UnknownReason::Garbled);
+    }
+    if answer.status == 421 {
+        if let Some(instance) = &marks.instance
+            && node.lives.borrow_mut().on_answered_as(instance)
+        {
+            announce(node);
+        }
+        answer.keep(marks.kept_open);
+        return LinkAnswer::not_run(NotRunReason::TurnedAway);
+    }
+    if marks.is_not_run {
+        answer.keep(marks.kept_open);
+        return LinkAnswer::not_run(NotRunReason::TurnedAway);
+    }
+    let is_encoded = answer.headers.contains_key(http::header::CONTENT_ENCODING);
+    let is_success = (200..300).contains(&answer.status);
+    let is_own = marks.attempt.is_some() && marks.is_signed && !is_encoded;
+    let is_hollow_promise = PROMISES.contains(&answer.status) && !marks.is_signed;
+    if (is_success && !is_own) || is_hollow_promise {
+        node.decisions.count("garbled", "unsigned");
+        answer.discard();
+        return LinkAnswer::unknown(UnknownReason::Garbled);
+    }
+    let outcome = LinkOutcome::Answered {
+        status: answer.status,
+        headers: fields_of(&answer.headers),
+    };
+    let body = answer.keep(marks.kept_open);
+    LinkAnswer {
+        outcome,
+        body,
+        report: None,
+    }
+}
+
+fn on_send_error(node: &RoutedNode, error: SendError) -> LinkAnswer {
+    match error {
+        SendError::NobodyThere => {
+            announce_death(node);
+            LinkAnswer::not_run(NotRunReason::Closed)
+        }
+        SendError::Unsent => LinkAnswer::not_run(NotRunReason::TurnedAway),
+        SendError::Broke => LinkAnswer::unknown(UnknownReason::BackendBroke),
+    }
+}
--- /dev/null
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -0,0 +1,165 @@
+//! Runs a node on configured routes, from its start to its stop.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use eyre::WrapErr;
+use kumquatquay_core::{Input, Node, NodeSettings};
+use kumquatquay_wire::MeshKey;
+use rand::Rng;
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    task::spawn_local,
+};
+
+use super::{
+    entry::serve_entry,
+    http_io::{accept_all, listen, serve_connection},
+    interface::{Dialect, PlatformStore},
+    link::watch_links,
+    link_server::serve_link,
+    members::{carry_out, follow_members, tick, use_register},
+    node::{RoutedNode, StopPhase},
+    reports::{serve_metrics, serve_readiness, serve_report},
+    routes_watch::follow_routes,
+    settings::RoutedSettings,
+};
+use crate::{clock::incarnation, control, engine::Engine, tasks::Tasks};
+
+/// What is left of the grace when the node closes down, whatever is under way.
+const GRACE_MARGIN: Duration = Duration::from_millis(600);
+
+/// How long a node that is asked to stop keeps its connections open. Callers are
+/// told by its readiness, which is asked for once a second, and by each answer.
+const LEAVING_TIME: Duration = Duration::from_millis(2_800);
+
+/// How often a node that stops looks whether anything is under way.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// Runs a node until `stop` is done and what was under way has ended.
+///
+/// It runs on the thread of its caller, inside a `tokio` `LocalSet`.
+///
+/// # Errors
+///
+/// An address that can't be bound.
+pub async fn run(
+    settings: RoutedSettings,
+    dialect: Dialect,
+    store: PlatformStore,
+    stop: impl Future<Output = ()>,
+) -> eyre::Result<()> {
+    let key = MeshKey::from_secret("");
+    let control = settings.listen.control;
+    let control_tcp = listen("control", control).await?;
+    let control_udp = UdpSocket::bind(control).await;
+    let control_udp = control_udp.wrap_err_with(|| format!("can't bind {control} for control"))?;
+    let (engine, effects) = Engine::new(Node::new(node_settings(&settings, &key)));
+    let node = RoutedNode::new(settings, dialect, Arc::clone(&engine));
+    open_listeners(&node).await?;
+    let control_udp = Arc::new(control_udp);
+    let tasks = Tasks::default();
+    tasks.spawn(control::receive(
+        Arc::clone(&engine),
+        Arc::clone(&control_udp),
+        key.clone(),
+    ));
+    tasks.spawn(control::serve_bulk(
+        Arc::clone(&engine),
+        tasks.clone(),
+        control_tcp,
+        key.clone(),
+    ));
+    tasks.spawn(tick(Arc::clone(&engine)));
+    tasks.spawn(carry_out(engine, effects, control_udp, key));
+    spawn_local(follow_members(Rc::clone(&node)));
+    spawn_local(follow_routes(Rc::clone(&node), store.clone()));
+    spawn_local(use_register(Rc::clone(&node), store));
+    spawn_local(watch_links(Rc::clone(&node)));
+    log_start(&node);
+    stop.await;
+    leave(&node).await;
+    tasks.end();
+    Ok(())
+}
+
+fn node_settings(settings: &RoutedSettings, key: &MeshKey) -> NodeSettings {
+    let listen = settings.listen;
+    NodeSettings::new(
+        settings.data_centre.clone(),
+        listen.control,
+        listen.links,
+        key.clone(),
+    )
+    .incarnation(incarnation())
+    .seeds(settings.seeds.clone())
+    .random_seed(rand::rng().random())
+}
+
+fn log_start(node: &RoutedNode) {
+    let settings = &node.settings;
+    log::info!(
+        event = "started",
+        host = settings.host.as_str(),
+        data_centre = settings.data_centre.as_str(),
+        service = settings.service.as_str(),
+        entry:% = settings.listen.entry,
+        links:% = settings.listen.links,
+        control:% = settings.listen.control;
+        "the node serves"
+    );
+}
+
+async fn open_listeners(node: &Rc<RoutedNode>) -> eyre::Result<()> {
+    let addresses = node.settings.listen;
+    let links = listen("links", addresses.links).await?;
+    let entry = listen("callers", addresses.entry).await?;
+    let ready = listen("readiness", addresses.ready).await?;
+    let reports = listen("reports", addresses.reports).await?;
+    spawn_local(accept_all(Rc::clone(node), links, |node, stream| {
+        spawn_local(serve_link(node, stream));
+    }));
+    spawn_local(accept_all(Rc::clone(node), entry, |node, stream| {
+        spawn_local(serve_connection(node, stream, serve_entry));
+    }));
+    spawn_local(accept_all(Rc::clone(node), ready, |node, stream| {
+        spawn_local(serve_connection(node, stream, serve_readiness));
+    }));
+    spawn_local(accept_all(Rc::clone(node), reports, |node, stream| {
+        spawn_local(serve_connection(node, stream, serve_report));
+    }));
+    if let Some(metrics) = addresses.metrics {
+        serve_metrics_at(node, listen("metrics", metrics).await?);
+    }
+    Ok(())
+}
+
+fn serve_metrics_at(node: &Rc<RoutedNode>, listener: TcpListener) {
+    spawn_local(accept_all(Rc::clone(node), listener, |node, stream| {
+        spawn_local(serve_connection(node, stream, serve_metrics));
+    }));
+}
+
+/// Leaves: callers are sent elsewhere, then connections close, then the node ends
+/// once nothing is under way, at the latest when the grace is over.
+async fn leave(node: &Rc<RoutedNode>) {
+    let grace = node.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
+    let until = node.now() + grace;
+    log::info!(event = "stopping", grace_ms = grace.as_millis() as u64,
+        in_flight = node.in_flight_count.get() as u64;
+        "the node was asked to stop");
+    node.engine.handle(Input::Stopping { grace });
+    node.stop.send_replace(StopPhase::Leaving);
+    tokio::time::sleep(LEAVING_TIME.min(grace)).await;
+    node.stop.send_replace(StopPhase::Closing);
+    while is_busy(node) && node.now() < until {
+        tokio::time::sleep(STOP_LOOK).await;
+    }
+    // One more moment, for the bytes of the last answer.
+    tokio::time::sleep(STOP_LOOK).await;
+    log::info!(event = "stopped", cut = node.in_flight_count.get() as u64; "the node has left");
+}
+
+fn is_busy(node: &RoutedNode) -> bool {
+    let report = node.gate.borrow().report();
+    node.in_flight_count.get() > 0 || report.running_count + report.waiting_count > 0
+}
--- a/crates/kumquatquayd/src/running_node.rs
+++ b/crates/kumquatquayd/src/running_node.rs
@@ -1,10 +1,6 @@
 //! A node that runs, and how it stops.
 
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use eyre::WrapErr;
 use kumquatquay_core::{Input, Node, NodeSettings, StateDump};
@@ -16,6 +12,7 @@
 };
 
 use crate::{
+    clock::incarnation,
     control,
     engine::{Effect, Engine},
     health,
@@ -177,13 +174,6 @@
     .policy(settings.policy)
 }
 
-/// The time of day in milliseconds: a replacement at the same address starts
-/// later. Where a clock went back, the core rises above what others remember.
-fn incarnation() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.map_or(1, |duration| duration.as_millis() as u64)
-}
-
 async fn tick(engine: Arc<Engine>) {
     loop {
         let wait = engine.tick();
--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -43,6 +43,7 @@
 
 fn announcement() -> Announcement {
     Announcement {
+        instance: None,
         service: String::from("archive"),
         address: "127.0.0.1:8080".parse().expect("an address"),
         slots_count: 90,
