Test the decisions for calls on configured routes

34 cases without a network: route choice, split by weight, the gate beside a backend server, retry windows, lives of a backend server, choice of a host.

--- /dev/null
+++ b/crates/kumquatquay-core/tests/routed/host_gate.rs
@@ -0,0 +1,133 @@
+//! Who waits beside a backend server, and who is refused.
+
+use std::time::Duration;
+
+use kumquatquay_core::routed::{Admission, HostGate};
+use quickcheck::quickcheck;
+
+use crate::at_ms;
+
+/// A gate that lets `limit` calls run and has learnt that they take 20 ms.
+fn gate(limit: usize) -> HostGate<&'static str> {
+    let mut gate = HostGate::default();
+    gate.set_limit_count(1);
+    for _ in 0..400 {
+        assert_eq!(
+            gate.offer(at_ms(0), 0, at_ms(10_000), "learn"),
+            Admission::Run
+        );
+        gate.ended(Some(Duration::from_millis(20)));
+    }
+    gate.set_limit_count(limit);
+    gate
+}
+
+fn fill(gate: &mut HostGate<&'static str>, count: usize) {
+    for _ in 0..count {
+        assert_eq!(
+            gate.offer(at_ms(0), 0, at_ms(10_000), "running"),
+            Admission::Run
+        );
+    }
+}
+
+/// A backend server of 30 slots is full, and the last of eight calls of a whole
+/// request arrives. Turned away, it would end the request and waste the seven
+/// before it. It waits and runs as soon as a slot is free.
+#[test]
+fn a_call_waits_for_a_slot() {
+    let mut gate = gate(30);
+    fill(&mut gate, 30);
+    let admission = gate.offer(at_ms(1), 2, at_ms(500), "late");
+    assert!(matches!(admission, Admission::Wait(_)), "{admission:?}");
+    assert_eq!(gate.next(at_ms(2)), None);
+    gate.ended(None);
+    assert_eq!(gate.next(at_ms(3)), Some("late"));
+}
+
+/// Calls of three ranks wait; the slot that is freed goes to the most important
+/// one, and among equals to the earliest.
+#[test]
+fn the_most_important_runs_first() {
+    let mut gate = gate(1);
+    fill(&mut gate, 1);
+    for (priority, ticket) in [(2, "low"), (0, "first"), (1, "middle"), (0, "second")] {
+        let admission = gate.offer(at_ms(1), priority, at_ms(5_000), ticket);
+        assert!(matches!(admission, Admission::Wait(_)));
+    }
+    let order = [(); 4].map(|()| {
+        gate.ended(None);
+        gate.next(at_ms(2)).unwrap()
+    });
+    assert_eq!(order, ["first", "second", "middle", "low"]);
+}
+
+/// Fifty calls wait for one slot, a second of work. A call that has 300 ms left
+/// can't run in time; it is refused at once, so that its sender can go elsewhere,
+/// and doesn't wait to be late.
+#[test]
+fn a_call_that_would_be_late_is_refused_at_once() {
+    let mut gate = gate(1);
+    fill(&mut gate, 1);
+    for _ in 0..50 {
+        gate.offer(at_ms(1), 1, at_ms(60_000), "patient");
+    }
+    assert_eq!(
+        gate.offer(at_ms(1), 1, at_ms(300), "urgent"),
+        Admission::Refuse("urgent")
+    );
+    // A more important one passes those that wait.
+    assert!(matches!(
+        gate.offer(at_ms(1), 0, at_ms(300), "vital"),
+        Admission::Wait(_)
+    ));
+}
+
+#[test]
+fn a_call_whose_time_is_over_does_not_run() {
+    let mut gate = gate(1);
+    fill(&mut gate, 1);
+    gate.offer(at_ms(1), 1, at_ms(100), "late");
+    gate.offer(at_ms(1), 1, at_ms(5_000), "patient");
+    gate.ended(None);
+    assert_eq!(gate.next(at_ms(200)), Some("patient"));
+}
+
+#[test]
+fn a_withdrawn_call_does_not_run() {
+    let mut gate = gate(1);
+    fill(&mut gate, 1);
+    let Admission::Wait(key) = gate.offer(at_ms(1), 1, at_ms(5_000), "left") else {
+        panic!("it waits");
+    };
+    assert_eq!(gate.withdraw(key), Some("left"));
+    gate.ended(None);
+    assert_eq!(gate.next(at_ms(2)), None);
+}
+
+quickcheck! {
+    /// No call is refused or evicted while a less important one stays in the queue.
+    fn the_least_important_goes_first(priorities: Vec<u8>) -> bool {
+        let mut gate = HostGate::default();
+        gate.set_limit_count(1);
+        gate.offer(at_ms(0), 0, at_ms(100_000), 0);
+        let mut waiting: Vec<u32> = Vec::new();
+        for priority in priorities.into_iter().cycle().take(200) {
+            let priority = u32::from(priority % 4);
+            let gone = match gate.offer(at_ms(0), priority, at_ms(1_000_000), priority) {
+                Admission::Run => return false,
+                Admission::Wait(_) => None,
+                Admission::Evict(_, gone) | Admission::Refuse(gone) => Some(gone),
+            };
+            waiting.push(priority);
+            if let Some(gone) = gone {
+                let place = waiting.iter().rposition(|priority| *priority == gone).unwrap();
+                waiting.remove(place);
+                if waiting.iter().any(|stays| *stays > gone) {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -0,0 +1,15 @@
+//! Decisions for calls on configured routes, without a network.
+
+mod backend_lives;
+mod host_gate;
+mod retry_window;
+mod route_table;
+mod split;
+mod target_table;
+
+use std::time::Duration;
+
+/// Time since a node's start.
+fn at_ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
--- /dev/null
+++ b/crates/kumquatquay-core/tests/routed/split.rs
@@ -0,0 +1,61 @@
+//! How the calls of a route are split among services.
+
+use kumquatquay_core::routed::Split;
+use kumquatquay_wire::routed::Destination;
+use quickcheck::quickcheck;
+
+fn destinations(weights: &[u32]) -> Vec<Destination> {
+    let named = weights
+        .iter()
+        .enumerate()
+        .map(|(place, weight)| Destination {
+            service: place.to_string(),
+            weight: *weight,
+        });
+    named.collect()
+}
+
+/// Calls that the first service gets of the next `count`.
+fn first_count(split: &Split, count: usize) -> usize {
+    let services = (0..count).filter_map(|_| split.next());
+    services.filter(|service| *service == "0").count()
+}
+
+quickcheck! {
+    fn any_span_of_calls_keeps_the_shares(weight: u8, skipped: u8, phase: f64) -> bool {
+        let weight = u32::from(weight) % 99 + 1;
+        let phase = if phase.is_finite() { phase.fract().abs() } else { 0.0 };
+        let split = Split::new(&destinations(&[weight, 100 - weight]), phase);
+        first_count(&split, usize::from(skipped));
+        let expected = f64::from(weight) * 3.0;
+        (first_count(&split, 300) as f64 - expected).abs() <= 4.0
+    }
+}
+
+/// A route is split 90 to 10. Each of 59 nodes sees six of its calls within the time
+/// in which the shares are looked at, too few for any of them to keep the shares
+/// by itself. Nodes that all began at the same place would send the small part
+/// nothing, or twice its share.
+#[test]
+fn many_nodes_with_few_calls_keep_the_shares() {
+    let nodes_count = 59;
+    let phases = (0..nodes_count).map(|node| f64::from(node) / f64::from(nodes_count));
+    let counts = phases.map(|phase| {
+        let split = Split::new(&destinations(&[90, 10]), phase);
+        first_count(&split, 6)
+    });
+    let first: usize = counts.sum();
+    let share = first as f64 / f64::from(nodes_count * 6);
+    assert!((share - 0.9).abs() < 0.02, "{share}");
+}
+
+#[test]
+fn a_service_of_weight_zero_gets_nothing() {
+    let split = Split::new(&destinations(&[0, 1]), 0.0);
+    assert_eq!(first_count(&split, 100), 0);
+}
+
+#[test]
+fn without_destinations_there_is_none() {
+    assert_eq!(Split::new(&[], 0.5).next(), None);
+}
--- /dev/null
+++ b/crates/kumquatquay-core/tests/routed/target_table.rs
@@ -0,0 +1,132 @@
+//! Which backend server a call goes to.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use kumquatquay_core::routed::{TargetEnded, TargetTable};
+use kumquatquay_wire::{MemberRecord, MemberState, routed::GateReport};
+use rand::{SeedableRng, rngs::StdRng};
+
+use crate::at_ms;
+
+fn address(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], 7_000))
+}
+
+fn member(host: u8, data_centre: &str, state: MemberState) -> MemberRecord {
+    MemberRecord {
+        control: address(host),
+        peer: address(host),
+        data_centre: String::from(data_centre),
+        service: Some(String::from("archive")),
+        instance: Some(format!("life-{host}")),
+        incarnation: 1,
+        revision: 0,
+        state,
+        is_suspect: false,
+        slots_count: 10,
+    }
+}
+
+fn report(running_count: u32, work_ms: u32) -> GateReport {
+    GateReport {
+        running_count,
+        waiting_count: 0,
+        limit_count: 10,
+        work_us: work_ms * 1_000,
+    }
+}
+
+/// Hosts 1 and 2 in the own data centre, 3 in another one.
+fn table() -> (TargetTable, StdRng) {
+    let members = [
+        member(1, "near", MemberState::Serving),
+        member(2, "near", MemberState::Serving),
+        member(3, "far", MemberState::Serving),
+    ];
+    let mut table = TargetTable::default();
+    table.rebuild("near", members.iter());
+    (table, StdRng::seed_from_u64(1))
+}
+
+fn tell(table: &mut TargetTable, host: u8, how: TargetEnded, report: GateReport) {
+    table.ended(at_ms(0), address(host), how, Some(report));
+}
+
+/// Sends `count` calls that all end at once, and counts where they went.
+fn spread(table: &mut TargetTable, random: &mut StdRng, count: usize) -> BTreeMap<u8, usize> {
+    let mut counts = BTreeMap::new();
+    for _ in 0..count {
+        let choice = table.choose(at_ms(0), "archive", &[], random).unwrap();
+        table.ended(at_ms(0), choice.control, TargetEnded::GivenUp, None);
+        let SocketAddr::V4(control) = choice.control else {
+            panic!("an IPv4 address");
+        };
+        *counts.entry(control.ip().octets()[3]).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn calls_stay_in_the_own_data_centre_while_there_is_room() {
+    let (mut table, mut random) = table();
+    let counts = spread(&mut table, &mut random, 100);
+    assert_eq!(counts.get(&3), None);
+}
+
+#[test]
+fn calls_spill_over_when_the_own_data_centre_is_full() {
+    let (mut table, mut random) = table();
+    for host in [1, 2] {
+        tell(&mut table, host, TargetEnded::Answered, report(25, 20));
+    }
+    tell(&mut table, 3, TargetEnded::Answered, report(2, 20));
+    let counts = spread(&mut table, &mut random, 5);
+    assert_eq!(counts.get(&3), Some(&5));
+}
+
+#[test]
+fn a_host_that_fails_is_chosen_last() {
+    let (mut table, mut random) = table();
+    for _ in 0..20 {
+        tell(&mut table, 1, TargetEnded::Failed, report(1, 20));
+    }
+    tell(&mut table, 2, TargetEnded::Answered, report(5, 20));
+    let counts = spread(&mut table, &mut random, 3);
+    assert_eq!(counts.get(&1), None);
+}
+
+/// The link to a host is lost. Calls that tried it again and again would each wait
+/// for the connection's timeout; one that tries it after a pause finds out.
+#[test]
+fn a_host_whose_link_was_lost_is_left_out_for_a_while() {
+    let (mut table, mut random) = table();
+    table.ended(at_ms(0), address(1), TargetEnded::Lost, None);
+    let excluded = [address(2), address(3)];
+    assert_eq!(
+        table.choose(at_ms(100), "archive", &excluded, &mut random),
+        None
+    );
+    let choice = table.choose(at_ms(400), "archive", &excluded, &mut random);
+    assert_eq!(choice.unwrap().control, address(1));
+}
+
+#[test]
+fn what_drains_gets_nothing() {
+    let mut table = TargetTable::default();
+    let members = [member(1, "near", MemberState::Draining)];
+    table.rebuild("near", members.iter());
+    assert!(!table.knows("archive"));
+}
+
+/// A backend server was replaced at the same address. What was learnt of the one
+/// before, here that its link was lost, says nothing of the new one.
+#[test]
+fn a_new_life_begins_with_nothing_known() {
+    let (mut table, mut random) = table();
+    table.ended(at_ms(0), address(1), TargetEnded::Lost, None);
+    let mut replaced = member(1, "near", MemberState::Serving);
+    replaced.instance = Some(String::from("new"));
+    table.rebuild("near", [replaced].iter());
+    let choice = table.choose(at_ms(1), "archive", &[], &mut random).unwrap();
+    assert_eq!(choice.instance.as_deref(), Some("new"));
+}
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -202,12 +202,12 @@
         LinkOutcome::Answered { .. } => TargetEnded::Answered,
         LinkOutcome::NotRun(NotRunReason::Full) => TargetEnded::Full,
         LinkOutcome::NotRun(NotRunReason::Late) => TargetEnded::GivenUp,
-        LinkOutcome::NotRun(NotRunReason::Unsent) => TargetEnded::Lost,
         LinkOutcome::NotRun(NotRunReason::TurnedAway | NotRunReason::Quarantined) => {
             TargetEnded::Failed
         }
         LinkOutcome::NotRun(NotRunReason::Closed) => TargetEnded::Closed,
-        LinkOutcome::Unknown(UnknownReason::LinkLost) => TargetEnded::Lost,
+        LinkOutcome::NotRun(NotRunReason::Unsent)
+        | LinkOutcome::Unknown(UnknownReason::LinkLost) => TargetEnded::Lost,
         LinkOutcome::Unknown(_) => TargetEnded::Failed,
     }
 }
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use kumquatquay_core::routed::{RouteTable, TableRoute};
-use kumquatquay_wire::routed::LinkOutcome;
+use kumquatquay_wire::routed::{LinkOutcome, NotRunReason, UnknownReason};
 
 use super::{
     carry::{Carried, OutgoingCall, carry, retry_after},
@@ -158,8 +158,7 @@
     }
 }
 
-fn not_run_name(reason: kumquatquay_wire::routed::NotRunReason) -> &'static str {
-    use kumquatquay_wire::routed::NotRunReason;
+fn not_run_name(reason: NotRunReason) -> &'static str {
     match reason {
         NotRunReason::Full => "full",
         NotRunReason::Closed => "closed",
@@ -170,8 +169,7 @@
     }
 }
 
-fn unknown_name(reason: kumquatquay_wire::routed::UnknownReason) -> &'static str {
-    use kumquatquay_wire::routed::UnknownReason;
+fn unknown_name(reason: UnknownReason) -> &'static str {
     match reason {
         UnknownReason::LinkLost => "link_lost",
         UnknownReason::BackendBroke => "backend_broke",
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -155,12 +155,12 @@
 
     /// Counts a request of a service, for its retry budget.
     pub(crate) fn count_request(&self, service: &str) {
-        self.with_window(service, |window, now| window.on_request(now));
+        self.with_window(service, RetryWindow::on_request);
     }
 
     /// Takes a repeat out of the retry budget of a service, if there is room.
     pub(crate) fn take_repeat(&self, service: &str) -> bool {
-        self.with_window(service, |window, now| window.take_repeat(now))
+        self.with_window(service, RetryWindow::take_repeat)
     }
 
     fn with_window<T>(
