Let whole requests in by the level of the services on their way

Each gate now sets a level, the share of ranks of requests it has room for; it rides up on answers. Nodes learn which routes people use (called from hosts of all services) and which calls a run makes (shares by expectation maximization over runs under way), so an entry knows which services a route leads to, and refuses at once what one of them has no room for, by priority. Ruled out: telling calls of backend servers from those of callers by address; both come from their host's own.

--- a/crates/kumquatquay-core/src/routed/host_gate.rs
+++ b/crates/kumquatquay-core/src/routed/host_gate.rs
@@ -4,6 +4,8 @@
 
 use kumquatquay_wire::routed::{GateReport, Priority};
 
+use super::GateState;
+
 /// Weight of the newest time against those before.
 const NEW_WEIGHT: f64 = 0.05;
 
@@ -151,9 +153,19 @@
         Duration::from_secs_f64(self.work_s.max(0.0))
     }
 
-    /// How busy the backend server is.
-    pub fn report(&self) -> GateReport {
+    /// What decides about the level of whole requests.
+    pub fn state(&self) -> GateState {
+        GateState {
+            work: self.work(),
+            limit_count: self.limit_count,
+            waiting_count: self.waiting.len(),
+        }
+    }
+
+    /// How busy the backend server is, with the level for whole requests.
+    pub fn report(&self, level: f64) -> GateReport {
         GateReport {
+            level_permille: (level * 1_000.0) as u16,
             running_count: self.running_count as u32,
             waiting_count: self.waiting.len() as u32,
             limit_count: self.limit_count as u32,
--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -6,15 +6,25 @@
 //! no network: the daemon carries the bytes and tells the time.
 
 mod backend_lives;
+mod call_graph;
+mod caller_census;
+mod entry_levels;
 mod host_gate;
+mod level_setter;
 mod retry_window;
+mod returning;
 mod route_table;
 mod split;
 mod target_table;
 
 pub use backend_lives::{BackendLives, LifeReport, LifeState};
+pub use call_graph::{CallGraph, GraphRow};
+pub use caller_census::CallerCensus;
+pub use entry_levels::{EntryLevels, EntryRequest, Shortage};
 pub use host_gate::{Admission, HostGate, WaitKey};
+pub use level_setter::{GateState, LevelSetter};
 pub use retry_window::RetryWindow;
+pub use returning::Returning;
 pub use route_table::{RouteTable, TableRoute};
 pub use split::Split;
 pub use target_table::{Choice, Target, TargetEnded, TargetTable};
--- a/crates/kumquatquay-core/src/routed/retry_window.rs
+++ b/crates/kumquatquay-core/src/routed/retry_window.rs
@@ -43,21 +43,22 @@
         self.extra_count = extra_count;
     }
 
-    /// Counts a request.
-    pub fn on_request(&mut self, now: Duration) {
-        self.part_at(now).requests_count += 1.0;
+    /// Counts requests; a request that makes calls counts for several there.
+    pub fn on_requests(&mut self, now: Duration, count: f64) {
+        self.part_at(now).requests_count += count;
     }
 
-    /// Takes a repeat out of the budget, if there is room for it.
-    pub fn take_repeat(&mut self, now: Duration) -> bool {
+    /// Whether this many repeats fit into the budget.
+    pub fn has_room(&mut self, now: Duration, count: f64) -> bool {
         self.part_at(now);
         let requests: f64 = self.parts.iter().map(|part| part.requests_count).sum();
         let repeats: f64 = self.parts.iter().map(|part| part.repeats_count).sum();
-        if repeats + 1.0 > self.ratio * requests + self.extra_count {
-            return false;
-        }
-        self.part_at(now).repeats_count += 1.0;
-        true
+        repeats + count <= self.ratio * requests + self.extra_count
+    }
+
+    /// Counts repeats that are made.
+    pub fn on_repeats(&mut self, now: Duration, count: f64) {
+        self.part_at(now).repeats_count += count;
     }
 
     fn part_at(&mut self, now: Duration) -> &mut Part {
--- a/crates/kumquatquay-core/src/routed/route_table.rs
+++ b/crates/kumquatquay-core/src/routed/route_table.rs
@@ -1,9 +1,12 @@
 //! Finds the route of a call.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
 
 use kumquatquay_wire::routed::{
-    CallerLimits, RouteConfiguration, RouteSettings, RouteVersion, ServiceSettings,
+    CallerLimits, Priority, RouteConfiguration, RouteSettings, RouteVersion, ServiceSettings,
 };
 
 use super::Split;
@@ -18,6 +21,7 @@
     limits: CallerLimits,
     hosts: HashMap<String, HashMap<String, Arc<TableRoute>>>,
     services: HashMap<String, ServiceSettings>,
+    priorities: BTreeMap<String, Priority>,
 }
 
 /// A route and how its calls are split among services.
@@ -35,6 +39,10 @@
     /// `phase`, from 0 to 1, is where this node begins to split calls; nodes with
     /// phases of their own keep the shares together even with few calls each.
     pub fn new(configuration: RouteConfiguration, phase: f64) -> Self {
+        let routes = configuration.hosts.iter().flat_map(|host| &host.routes);
+        let priorities = routes
+            .map(|route| (route.name.clone(), route.priority))
+            .collect();
         let hosts = configuration.hosts.into_iter().map(|host| {
             let routes = host.routes.into_iter().map(|settings| {
                 let split = Split::new(&settings.destinations, phase);
@@ -47,6 +55,7 @@
         Self {
             version: configuration.version,
             limits: configuration.limits,
+            priorities,
             hosts: hosts.collect(),
             services: services
                 .map(|service| (service.name.clone(), service))
@@ -69,6 +78,11 @@
         self.services.get(name)
     }
 
+    /// The rank of each route, by its name.
+    pub fn priorities(&self) -> &BTreeMap<String, Priority> {
+        &self.priorities
+    }
+
     /// All routes.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<TableRoute>> {
         self.hosts.values().flat_map(HashMap::values)
--- a/crates/kumquatquay-core/src/routed/target_table.rs
+++ b/crates/kumquatquay-core/src/routed/target_table.rs
@@ -127,6 +127,11 @@
         self.services.contains_key(service)
     }
 
+    /// Services that are known.
+    pub fn services_count(&self) -> usize {
+        self.services.len()
+    }
+
     /// Slots of all backend servers of a service.
     pub fn slots_count(&self, service: &str) -> u32 {
         let controls = self.services.get(service).into_iter().flatten();
--- a/crates/kumquatquay-core/tests/routed/retry_window.rs
+++ b/crates/kumquatquay-core/tests/routed/retry_window.rs
@@ -9,23 +9,32 @@
 
 const WINDOW: Duration = Duration::from_secs(10);
 
+/// Makes a repeat, if there is room for it.
+fn take(window: &mut RetryWindow, now: Duration) -> bool {
+    let has_room = window.has_room(now, 1.0);
+    if has_room {
+        window.on_repeats(now, 1.0);
+    }
+    has_room
+}
+
 #[test]
 fn repeats_are_a_share_of_requests_and_an_extra() {
     let mut window = RetryWindow::new(WINDOW, 0.2, 3.0);
     for request in 0..50 {
-        window.on_request(at_ms(request));
+        window.on_requests(at_ms(request), 1.0);
     }
-    let taken = (0..100).filter(|_| window.take_repeat(at_ms(60))).count();
+    let taken = (0..100).filter(|_| take(&mut window, at_ms(60))).count();
     assert_eq!(taken, 13);
 }
 
 #[test]
 fn the_budget_comes_back_when_the_window_has_passed() {
     let mut window = RetryWindow::new(WINDOW, 0.2, 2.0);
-    assert!(window.take_repeat(at_ms(0)));
-    assert!(window.take_repeat(at_ms(0)));
-    assert!(!window.take_repeat(at_ms(9_900)));
-    assert!(window.take_repeat(at_ms(11_100)));
+    assert!(take(&mut window, at_ms(0)));
+    assert!(take(&mut window, at_ms(0)));
+    assert!(!take(&mut window, at_ms(9_900)));
+    assert!(take(&mut window, at_ms(11_100)));
 }
 
 quickcheck! {
@@ -37,7 +46,7 @@
         let mut repeats: Vec<Duration> = Vec::new();
         for step_ms in steps_ms {
             now += Duration::from_millis(u64::from(step_ms) % 4_000);
-            if window.take_repeat(now) {
+            if take(&mut window, now) {
                 repeats.push(now);
             }
         }
--- a/crates/kumquatquay-core/tests/routed/target_table.rs
+++ b/crates/kumquatquay-core/tests/routed/target_table.rs
@@ -33,6 +33,7 @@
         waiting_count: 0,
         limit_count: 10,
         work_us: work_ms * 1_000,
+        level_permille: 1_000,
     }
 }
 
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use super::{GateReport, Priority, RouteVersion};
+use super::{GateReport, Priority, RouteNews, RouteVersion, ServicePressure};
 use crate::{InstanceId, ServiceName, WireError};
 
 /// Names a call on one link, in the direction from the node that sent it.
@@ -21,7 +21,7 @@
 const FRAME_LIMIT_BYTES: usize = 80 * 1024 * 1024;
 
 /// What a frame says; a body may follow it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FrameHead {
     /// The first frame of who made the link.
     Hello {
@@ -58,6 +58,8 @@
 pub struct CallHead {
     /// Names the call in its answer.
     pub number: CallNumber,
+    /// Name of its route.
+    pub route: String,
     /// Service that is to run it.
     pub service: ServiceName,
     /// Life of the backend server that is meant.
@@ -83,7 +85,7 @@
 }
 
 /// An answer, without its body.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AnswerHead {
     /// The call that it answers.
     pub number: CallNumber,
@@ -93,6 +95,10 @@
     pub report: GateReport,
     /// Configuration in force at the sender.
     pub version: RouteVersion,
+    /// What the sender knows of the call's route, where it wasn't told just before.
+    pub news: Option<RouteNews>,
+    /// Pressure on the services that the route leads to.
+    pub pressures: Vec<ServicePressure>,
 }
 
 /// What became of a call.
--- a/crates/kumquatquay-wire/src/routed/gate_report.rs
+++ b/crates/kumquatquay-wire/src/routed/gate_report.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// How busy a backend server is, as the gate beside it sees it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GateReport {
     /// Calls that the backend server runs.
     pub running_count: u32,
@@ -15,6 +15,9 @@
     pub limit_count: u32,
     /// Mean time that it takes to run a call, in microseconds.
     pub work_us: u32,
+    /// Share of the ranks of whole requests for which the gate has room, in
+    /// thousandths.
+    pub level_permille: u16,
 }
 
 impl GateReport {
@@ -23,9 +26,27 @@
         Duration::from_micros(u64::from(self.work_us))
     }
 
+    /// Share of the ranks of whole requests for which the gate has room.
+    pub fn level(&self) -> f64 {
+        f64::from(self.level_permille) / 1_000.0
+    }
+
     /// Calls at the gate over those that it lets run.
     pub fn fill_ratio(&self) -> f64 {
         let calls_count = self.running_count + self.waiting_count;
         f64::from(calls_count) / f64::from(self.limit_count.max(1))
     }
 }
+
+impl Default for GateReport {
+    /// A gate that has told nothing yet, and is taken to have room.
+    fn default() -> Self {
+        Self {
+            running_count: 0,
+            waiting_count: 0,
+            limit_count: 0,
+            work_us: 0,
+            level_permille: 1_000,
+        }
+    }
+}
--- a/crates/kumquatquay-wire/src/routed/mod.rs
+++ b/crates/kumquatquay-wire/src/routed/mod.rs
@@ -11,6 +11,7 @@
 mod configuration;
 mod frame;
 mod gate_report;
+mod route_news;
 
 pub use configuration::{
     CallerLimits, Destination, HostRoutes, Priority, Repeat, RouteConfiguration, RouteSettings,
@@ -21,3 +22,4 @@
     NotRunReason, UnknownReason, encode_frame,
 };
 pub use gate_report::GateReport;
+pub use route_news::{RouteNews, ServicePressure};
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -25,12 +25,16 @@
 /// Pause before a call looks again for a backend server that takes it.
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
 
+/// Time that is kept for the answer to come back.
+const ANSWER_TIME: Duration = Duration::from_millis(12);
+
 /// Time from the deadline in which no further attempt is begun.
-const LAST_ATTEMPT: Duration = Duration::from_millis(10);
+const LAST_ATTEMPT: Duration = Duration::from_millis(18);
 
 /// A call of this host.
 #[derive(Debug)]
 pub(crate) struct OutgoingCall {
+    pub(crate) caller: Option<SocketAddr>,
     pub(crate) route: Arc<TableRoute>,
     pub(crate) service: ServiceName,
     pub(crate) version: RouteVersion,
@@ -56,7 +60,7 @@
 
 /// Carries a call until it is answered, refused or given up.
 pub(crate) async fn carry(node: &Rc<RoutedNode>, call: &OutgoingCall) -> Carried {
-    node.count_request(&call.service);
+    node.count_request(&call.route.settings.name, &call.service);
     let mut course = Course::default();
     loop {
         if node.now() + LAST_ATTEMPT > call.deadline {
@@ -122,7 +126,7 @@
     /// Whether a call that a backend server has seen is sent to another one.
     fn once_more(&self, node: &RoutedNode, call: &OutgoingCall) -> Verdict {
         let is_allowed = self.sends_count < call.route.settings.attempts_count;
-        if is_allowed && node.take_repeat(&call.service) {
+        if is_allowed && node.take_repeat(&call.route.settings.name, &call.service) {
             node.decisions.count("repeat", "sent");
             Verdict::Elsewhere
         } else {
@@ -184,18 +188,39 @@
     let head = head_of(node, call, choice);
     let answer = if choice.peer == node.links_address() {
         let mut answer = run_here(node, &head, call.body.clone(), std::future::pending()).await;
-        answer.report = Some(node.gate.borrow().report());
+        answer.report = Some(node.gate_report());
+        answer.news = Some(node.route_news(&head.route));
         answer
     } else {
         send_call(node, choice.peer, head, &call.body).await
     };
     open.is_open = false;
+    learn(node, call, &answer);
     let ended = ended_of(&answer.outcome);
     let mut targets = node.targets.borrow_mut();
     targets.ended(node.now(), choice.control, ended, answer.report);
     answer
 }
 
+/// Takes in what an answer tells of the services on the way.
+fn learn(node: &RoutedNode, call: &OutgoingCall, answer: &LinkAnswer) {
+    let now = node.now();
+    let mut levels = node.levels.borrow_mut();
+    if let Some(report) = answer.report {
+        levels.on_gate(now, &call.service, report.level());
+    }
+    if let Some(news) = &answer.news {
+        let route = &call.route.settings.name;
+        levels.on_route(now, route, &call.service, news.clone());
+    }
+    for pressure in &answer.pressures {
+        // The gate's own word of its service goes before what others heard of it.
+        if pressure.service != call.service {
+            levels.on_pressure(now, pressure);
+        }
+    }
+}
+
 fn ended_of(outcome: &LinkOutcome) -> TargetEnded {
     match outcome {
         LinkOutcome::Answered { status, .. } if *status >= 500 => TargetEnded::Failed,
@@ -214,9 +239,10 @@
 
 fn head_of(node: &RoutedNode, call: &OutgoingCall, choice: &Choice) -> CallHead {
     let settings = &call.route.settings;
-    let time_left = call.deadline.saturating_sub(node.now());
+    let time_left = call.deadline.saturating_sub(node.now() + ANSWER_TIME);
     CallHead {
         number: 0,
+        route: settings.name.clone(),
         service: call.service.clone(),
         instance: choice.instance.clone(),
         caller_service: node.settings.service.clone(),
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -6,12 +6,16 @@
 use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use kumquatquay_core::routed::{RouteTable, TableRoute};
-use kumquatquay_wire::routed::{LinkOutcome, NotRunReason, UnknownReason};
+use kumquatquay_core::routed::{EntryRequest, RouteTable, TableRoute};
+use kumquatquay_wire::{
+    Fingerprint,
+    routed::{LinkOutcome, NotRunReason, UnknownReason},
+};
+use rand::Rng;
 
 use super::{
     carry::{Carried, OutgoingCall, carry, retry_after},
-    http_io::{WholeBody, fields_of, headers_of, own_answer},
+    http_io::{Caller, WholeBody, fields_of, headers_of, own_answer},
     interface::RequestMarks,
     node::{RoutedNode, StopPhase},
 };
@@ -78,7 +82,9 @@
         let retry = Some(NOT_CONFIGURED_RETRY);
         return own_answer(StatusCode::SERVICE_UNAVAILABLE, retry, "no destination\n");
     };
+    let caller = parts.extensions.get::<Caller>().map(|caller| caller.0);
     let call = OutgoingCall {
+        caller,
         service,
         version: table.version(),
         deadline: deadline_of(&route, &marks, began),
@@ -89,6 +95,9 @@
         body,
         route,
     };
+    if let Some(refusal) = refuse_for_shortage(node, &call, began) {
+        return refusal;
+    }
     let wait = call.deadline.saturating_sub(node.now());
     match tokio::time::timeout(wait, carry(node, &call)).await {
         Ok(carried) => answer_carried(node, &call, carried, began),
@@ -100,6 +109,70 @@
     }
 }
 
+/// Refuses a whole request that a service on its way has no room for, before
+/// anything was done for it.
+fn refuse_for_shortage(
+    node: &RoutedNode,
+    call: &OutgoingCall,
+    began: Duration,
+) -> Option<Response<WholeBody>> {
+    let now = node.now();
+    let route = &call.route.settings;
+    if node.levels.borrow().is_from_outside(now, &route.name) == Some(false) {
+        node.graph.borrow_mut().called(now, &route.name);
+        return None;
+    }
+    let table = node.routes()?;
+    let fingerprint = fingerprint_of(call);
+    let returns = node.returning.borrow_mut().returns(now, fingerprint);
+    let place = if returns {
+        0.0
+    } else {
+        node.random.borrow_mut().random()
+    };
+    let request = EntryRequest {
+        route: &route.name,
+        service: &call.service,
+        priority: route.priority,
+        place,
+    };
+    let admitted = node
+        .levels
+        .borrow()
+        .admit(now, &request, table.priorities());
+    let shortage = admitted.err()?;
+    let wait = retry_after(node, call.deadline);
+    node.returning.borrow_mut().refused(now, fingerprint, wait);
+    node.decisions.count("refused", "shortage");
+    if node.decisions.has_line(now) {
+        let why = format!(
+            "{} has room for {:.2} of the ranks, told {} ms ago",
+            shortage.service,
+            shortage.level,
+            shortage.age.as_millis()
+        );
+        log_line(node, call, "refused", &why, None, began);
+    }
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Some(own_answer(
+        status,
+        Some(wait),
+        "no room for the whole request\n",
+    ))
+}
+
+/// What stays the same when a caller sends a request again.
+fn fingerprint_of(call: &OutgoingCall) -> Fingerprint {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(call.route.settings.name.as_bytes());
+    hasher.update(call.method.as_bytes());
+    hasher.update(call.target.as_bytes());
+    hasher.update(&call.body);
+    let hash = hasher.finalize();
+    let first = hash.as_bytes()[..8].try_into();
+    Fingerprint::from_le_bytes(first.expect("a BLAKE3 hash has 32 bytes"))
+}
+
 fn find_route<'a>(table: &'a RouteTable, parts: &Parts) -> Option<&'a Arc<TableRoute>> {
     let host = parts.headers.get(header::HOST);
     let host = host.and_then(|host| host.to_str().ok());
@@ -217,6 +290,10 @@
     began: Duration,
 ) {
     let now = node.now();
+    let caller = call
+        .caller
+        .map(|caller| caller.to_string())
+        .unwrap_or_default();
     let last = carried.and_then(|carried| carried.last);
     let last = last.map(|last| last.to_string()).unwrap_or_default();
     let report = carried
@@ -225,6 +302,7 @@
     log::info!(
         event = "request",
         request = call.attempt.as_str(),
+        caller = caller.as_str(),
         route = call.route.settings.name.as_str(),
         service = call.service.as_str(),
         outcome = outcome,
--- a/crates/kumquatquayd/src/routed/http_io.rs
+++ b/crates/kumquatquayd/src/routed/http_io.rs
@@ -44,6 +44,10 @@
 /// Bytes of a head that the HTTP library takes, at least.
 const HEAD_LEAST_BYTES: usize = 8 * 1024;
 
+/// Where the connection of a request comes from.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Caller(pub(crate) SocketAddr);
+
 /// Binds a listener.
 pub(crate) async fn listen(what: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
     let listener = TcpListener::bind(address).await;
@@ -82,7 +86,11 @@
     let head_limit_bytes = node
         .routes()
         .map_or(0, |routes| routes.limits().head_limit_bytes);
-    let service = service_fn(|request| {
+    let caller = stream.peer_addr().ok();
+    let service = service_fn(|mut request: Request<Incoming>| {
+        if let Some(caller) = caller {
+            request.extensions_mut().insert(Caller(caller));
+        }
         let answer = serve(Rc::clone(&node), request);
         async { Ok::<_, std::convert::Infallible>(answer.await) }
     });
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use kumquatquay_wire::routed::{
     AnswerHead, CallHead, CallNumber, FrameHead, FrameReader, GateReport, LinkOutcome,
-    NotRunReason, RouteVersion, UnknownReason, encode_frame,
+    NotRunReason, RouteNews, RouteVersion, ServicePressure, UnknownReason, encode_frame,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -98,6 +98,8 @@
     pub(crate) outcome: LinkOutcome,
     pub(crate) body: Bytes,
     pub(crate) report: Option<GateReport>,
+    pub(crate) news: Option<RouteNews>,
+    pub(crate) pressures: Vec<ServicePressure>,
 }
 
 impl LinkAnswer {
@@ -114,6 +116,8 @@
             outcome,
             body: Bytes::new(),
             report: None,
+            news: None,
+            pressures: Vec::new(),
         }
     }
 }
@@ -328,6 +332,8 @@
             outcome: answer.outcome,
             body: Bytes::from(body),
             report: Some(answer.report),
+            news: answer.news,
+            pressures: answer.pressures,
         });
     }
 }
--- a/crates/kumquatquayd/src/routed/link_server.rs
+++ b/crates/kumquatquayd/src/routed/link_server.rs
@@ -1,9 +1,16 @@
 //! The side of a link that takes calls for the backend server of this host.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
-use kumquatquay_wire::routed::{AnswerHead, CallHead, CallNumber, FrameHead};
+use kumquatquay_wire::routed::{
+    AnswerHead, CallHead, CallNumber, FrameHead, RouteNews, ServicePressure,
+};
 use tokio::{net::TcpStream, sync::oneshot};
 
 use super::{
@@ -20,6 +27,42 @@
     frames: FrameWriter,
     /// Calls that have no answer yet; dropping a sender cancels its call.
     open: RefCell<HashMap<CallNumber, oneshot::Sender<()>>>,
+    /// When each route's news was told last.
+    news_told: RefCell<HashMap<String, Duration>>,
+    /// When pressures were told last.
+    pressures_told: Cell<Duration>,
+}
+
+/// How often news of a route is told on a link; it changes slowly.
+const NEWS_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How often pressures are told on a link; the controls that act on them look back
+/// over a tenth of a second.
+const PRESSURES_INTERVAL: Duration = Duration::from_millis(40);
+
+impl ServedLink {
+    /// News of a route, unless it was told just now.
+    fn news(&self, node: &RoutedNode, route: &str) -> Option<RouteNews> {
+        let now = node.now();
+        let mut told = self.news_told.borrow_mut();
+        let last = told.get(route).copied();
+        if last.is_some_and(|last| now < last + NEWS_INTERVAL) {
+            return None;
+        }
+        told.insert(String::from(route), now);
+        Some(node.route_news(route))
+    }
+
+    /// Pressures on the services that a route leads to, unless told just now.
+    fn pressures(&self, node: &RoutedNode, route: &str) -> Vec<ServicePressure> {
+        let now = node.now();
+        if now < self.pressures_told.get() + PRESSURES_INTERVAL {
+            return Vec::new();
+        }
+        self.pressures_told.set(now);
+        let leads_to = node.route_news(route).leads_to;
+        node.levels.borrow().pressures(now, &leads_to)
+    }
 }
 
 /// Serves a link until it ends.
@@ -62,10 +105,11 @@
     let link = Rc::clone(link);
     tokio::task::spawn_local(async move {
         let number = call.number;
+        let route = call.route.clone();
         let answer = run_call(&node, call, Bytes::from(body), cancelled).await;
         let is_wanted = link.open.borrow_mut().remove(&number).is_some();
         if is_wanted {
-            tell_answer(&node, &link, number, &answer);
+            tell_answer(&node, &link, number, &route, &answer);
         }
     });
 }
@@ -84,12 +128,20 @@
     .await
 }
 
-fn tell_answer(node: &RoutedNode, link: &ServedLink, number: CallNumber, answer: &LinkAnswer) {
+fn tell_answer(
+    node: &RoutedNode,
+    link: &ServedLink,
+    number: CallNumber,
+    route: &str,
+    answer: &LinkAnswer,
+) {
     let head = FrameHead::Answer(AnswerHead {
         number,
         outcome: answer.outcome.clone(),
-        report: node.gate.borrow().report(),
+        report: node.gate_report(),
         version: node.route_version(),
+        news: link.news(node, route),
+        pressures: link.pressures(node, route),
     });
     link.frames.push(&head, &answer.body);
 }
--- a/crates/kumquatquayd/src/routed/metrics_text.rs
+++ b/crates/kumquatquayd/src/routed/metrics_text.rs
@@ -20,13 +20,14 @@
             "kumquatquay_served_latency_ms{{quantile=\"{quantile}\"}} {latency_ms:.1}"
         );
     }
-    let report = node.gate.borrow().report();
+    let report = node.gate_report();
     let gauges = [
         ("in_flight", node.in_flight_count.get() as u64),
         ("gate_running", u64::from(report.running_count)),
         ("gate_waiting", u64::from(report.waiting_count)),
         ("gate_limit", u64::from(report.limit_count)),
         ("gate_work_us", u64::from(report.work_us)),
+        ("gate_level_permille", u64::from(report.level_permille)),
         ("route_version", node.route_version()),
         ("links", node.links.borrow().len() as u64),
     ];
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -11,11 +11,14 @@
 
 use kumquatquay_core::{
     Clock,
-    routed::{BackendLives, HostGate, RetryWindow, RouteTable, TargetTable},
+    routed::{
+        BackendLives, CallGraph, CallerCensus, EntryLevels, HostGate, LevelSetter, RetryWindow,
+        Returning, RouteTable, TargetTable,
+    },
 };
 use kumquatquay_wire::{
     ServiceName,
-    routed::{RouteConfiguration, RouteVersion},
+    routed::{GateReport, RouteConfiguration, RouteNews, RouteVersion},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::sync::{oneshot, watch};
@@ -30,6 +33,27 @@
 /// milliseconds.
 const CONFIGURATION_ASK_PAUSE: Duration = Duration::from_millis(100);
 
+/// Part of a retry budget that each kind of repeat gets: half for the calls that
+/// nodes send once more, half for the calls that repeated runs make. The first kind
+/// is known where a call is sent, the second only where its cause is sent again, so
+/// neither can count the other.
+const REPEATS_RATIO: f64 = 0.45;
+
+/// Repeats of this node, by service.
+#[derive(Debug, Default)]
+struct Retries {
+    own: HashMap<ServiceName, RetryWindow>,
+    caused: HashMap<ServiceName, RetryWindow>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Repeats {
+    /// Calls that this node sends once more.
+    Own,
+    /// Calls that backend servers make in runs that are repeats.
+    Caused,
+}
+
 /// Tells a waiting call that it may run.
 pub(crate) type RunTicket = oneshot::Sender<()>;
 
@@ -51,10 +75,20 @@
     /// When another node may next be asked for a configuration.
     next_ask: Cell<Duration>,
     pub(crate) targets: RefCell<TargetTable>,
-    pub(crate) retries: RefCell<HashMap<ServiceName, RetryWindow>>,
+    retries: RefCell<Retries>,
     pub(crate) links: RefCell<Links>,
     pub(crate) gate: RefCell<HostGate<RunTicket>>,
     pub(crate) lives: RefCell<BackendLives>,
+    /// Sets the level of the gate of this host.
+    pub(crate) level: RefCell<LevelSetter>,
+    /// From where routes to the backend server of this host are called.
+    pub(crate) census: RefCell<CallerCensus>,
+    /// Which calls the backend server of this host makes.
+    pub(crate) graph: RefCell<CallGraph>,
+    /// What is known of the pressure on services and of where routes lead.
+    pub(crate) levels: RefCell<EntryLevels>,
+    /// Requests that were refused and told when to come back.
+    pub(crate) returning: RefCell<Returning>,
     pub(crate) backend: BackendPool,
     pub(crate) decisions: Decisions,
     /// Requests at the entry that have no answer yet.
@@ -95,6 +129,11 @@
             links: RefCell::default(),
             gate: RefCell::default(),
             lives: RefCell::default(),
+            level: RefCell::default(),
+            census: RefCell::default(),
+            graph: RefCell::default(),
+            levels: RefCell::default(),
+            returning: RefCell::default(),
             decisions: Decisions::new(),
             in_flight_count: Cell::new(0),
             nodes_count: Cell::new(1),
@@ -153,32 +192,99 @@
         *self.stop.borrow()
     }
 
-    /// Counts a request of a service, for its retry budget.
-    pub(crate) fn count_request(&self, service: &str) {
-        self.with_window(service, RetryWindow::on_request);
+    /// How busy the backend server of this host is.
+    pub(crate) fn gate_report(&self) -> GateReport {
+        let level = self.level.borrow().level();
+        self.gate.borrow().report(level)
+    }
+
+    /// What this node has learnt of a route to the backend server of this host.
+    pub(crate) fn route_news(&self, route: &str) -> RouteNews {
+        let now = self.now();
+        let services_count = self.targets.borrow().services_count();
+        let levels = self.levels.borrow();
+        let mut leads_to = BTreeMap::from([(self.settings.service.clone(), 1.0)]);
+        for row in self.graph.borrow().rows(route) {
+            for (service, calls) in levels.leads_to_all(now, &row.route) {
+                *leads_to.entry(service).or_default() += calls * row.calls_count as f32;
+            }
+        }
+        RouteNews {
+            is_from_outside: self
+                .census
+                .borrow()
+                .is_from_outside(now, route, services_count),
+            leads_to: leads_to.into_iter().collect(),
+        }
+    }
+
+    /// Counts a call for the retry budgets of its service and of those behind it.
+    pub(crate) fn count_request(&self, route: &str, service: &str) {
+        let now = self.now();
+        self.with_window(service, Repeats::Own, |window| window.on_requests(now, 1.0));
+        for (behind, calls_count) in self.calls_behind(route, service) {
+            self.with_window(&behind, Repeats::Caused, |window| {
+                window.on_requests(now, calls_count);
+            });
+        }
     }
 
-    /// Takes a repeat out of the retry budget of a service, if there is room.
-    pub(crate) fn take_repeat(&self, service: &str) -> bool {
-        self.with_window(service, RetryWindow::take_repeat)
+    /// Takes a repeat of a call out of the retry budgets, if there is room in all.
+    ///
+    /// The calls that a repeated run makes are repeats too, at the services behind.
+    pub(crate) fn take_repeat(&self, route: &str, service: &str) -> bool {
+        let now = self.now();
+        let behind = self.calls_behind(route, service);
+        let mut has_room =
+            self.with_window(service, Repeats::Own, |window| window.has_room(now, 1.0));
+        for (service, calls_count) in &behind {
+            has_room &= self.with_window(service, Repeats::Caused, |window| {
+                window.has_room(now, *calls_count)
+            });
+        }
+        if !has_room {
+            return false;
+        }
+        self.with_window(service, Repeats::Own, |window| window.on_repeats(now, 1.0));
+        for (service, calls_count) in &behind {
+            self.with_window(service, Repeats::Caused, |window| {
+                window.on_repeats(now, *calls_count);
+            });
+        }
+        true
+    }
+
+    /// Calls that one run of a route makes at services other than its own.
+    fn calls_behind(&self, route: &str, service: &str) -> Vec<(ServiceName, f64)> {
+        let levels = self.levels.borrow();
+        let leads_to = levels.leads_to(self.now(), route, service).iter();
+        let behind = leads_to.filter(|(behind, _)| behind != service);
+        behind
+            .map(|(behind, calls)| (behind.clone(), f64::from(*calls)))
+            .collect()
     }
 
     fn with_window<T>(
         &self,
         service: &str,
-        act: impl FnOnce(&mut RetryWindow, Duration) -> T,
+        kind: Repeats,
+        act: impl FnOnce(&mut RetryWindow) -> T,
     ) -> T {
-        let now = self.now();
         let budget = self.settings.retry_budget;
-        let extra_count = budget.extra_count / self.nodes_count.get() as f64;
+        let extra_count = budget.extra_count * REPEATS_RATIO / self.nodes_count.get() as f64;
         let mut retries = self.retries.borrow_mut();
-        if !retries.contains_key(service) {
-            let window = RetryWindow::new(budget.window, budget.ratio, extra_count);
-            retries.insert(ServiceName::from(service), window);
+        let windows = match kind {
+            Repeats::Own => &mut retries.own,
+            Repeats::Caused => &mut retries.caused,
+        };
+        if !windows.contains_key(service) {
+            let ratio = budget.ratio * REPEATS_RATIO;
+            let window = RetryWindow::new(budget.window, ratio, extra_count);
+            windows.insert(ServiceName::from(service), window);
         }
-        let window = retries.get_mut(service).expect("it was put in just now");
+        let window = windows.get_mut(service).expect("it was put in just now");
         window.set_extra_count(extra_count);
-        act(window, now)
+        act(window)
     }
 
     /// Address at which other nodes reach this one's links.
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -31,6 +31,18 @@
     deadline: Duration,
 }
 
+impl Timed<'_> {
+    /// The moment after which the call would not end in time: it is refused then,
+    /// while its sender can still say that it has not run.
+    fn latest_start(&self, node: &RoutedNode) -> Duration {
+        let work = node.gate.borrow().work();
+        self.deadline.saturating_sub(work.mul_f64(LEAST_WORK_RATIO))
+    }
+}
+
+/// Part of the mean time to run a call that must be left when it begins.
+const LEAST_WORK_RATIO: f64 = 0.5;
+
 /// Runs a call at the backend server of this host, once there is room for it.
 ///
 /// When `cancelled` is done, a call that waits is taken out, and one that runs is
@@ -41,7 +53,12 @@
     body: Bytes,
     cancelled: impl Future<Output = ()>,
 ) -> LinkAnswer {
-    let deadline = node.now() + Duration::from_millis(call.remaining_ms);
+    let now = node.now();
+    let deadline = now + Duration::from_millis(call.remaining_ms);
+    node.level.borrow_mut().arrived();
+    node.census
+        .borrow_mut()
+        .called(now, &call.route, &call.caller_service);
     let timed = Timed { call, deadline };
     let mut cancelled = std::pin::pin!(cancelled);
     let slot = tokio::select! {
@@ -62,6 +79,18 @@
     }
 }
 
+/// How often the level of the gate is set.
+const LEVEL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Sets the level of the gate from what it sees.
+pub(crate) async fn set_level(node: Rc<RoutedNode>) {
+    loop {
+        tokio::time::sleep(LEVEL_INTERVAL).await;
+        let state = node.gate.borrow().state();
+        node.level.borrow_mut().tick(node.now(), state);
+    }
+}
+
 /// A place among the calls that run; leaving it lets the next one run.
 struct Slot {
     node: Rc<RoutedNode>,
@@ -114,7 +143,7 @@
         }
     };
     let mut waiting = WaitingCall { node, key, granted };
-    let wait = timed.deadline.saturating_sub(node.now());
+    let wait = timed.latest_start(node).saturating_sub(node.now());
     match tokio::time::timeout(wait, &mut waiting.granted).await {
         Ok(Ok(())) => {
             let slot = Slot::new(node);
@@ -184,6 +213,30 @@
     }
 }
 
+/// A run at the backend server, as the call graph sees it.
+struct Run<'a> {
+    node: &'a RoutedNode,
+    call: &'a CallHead,
+}
+
+impl<'a> Run<'a> {
+    fn new(node: &'a RoutedNode, call: &'a CallHead) -> Self {
+        let now = node.now();
+        node.graph.borrow_mut().run_began(now, &call.route);
+        Self { node, call }
+    }
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        let now = self.node.now();
+        self.node
+            .graph
+            .borrow_mut()
+            .run_ended(now, &self.call.route);
+    }
+}
+
 async fn hand_over(
     node: &Rc<RoutedNode>,
     timed: &Timed<'_>,
@@ -194,6 +247,7 @@
     let Some(request) = request_of(node, timed, body, time_left) else {
         return LinkAnswer::not_run(NotRunReason::Unsent);
     };
+    let _run = Run::new(node, timed.call);
     let sent = node.backend.send(request, timed.call.is_idempotent);
     let answer = match tokio::time::timeout(time_left, sent).await {
         Ok(Ok(answer)) => judge(node, timed, answer),
@@ -271,6 +325,8 @@
         outcome,
         body,
         report: None,
+        news: None,
+        pressures: Vec::new(),
     }
 }
 
--- a/crates/kumquatquayd/src/routed/start.rs
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -21,6 +21,7 @@
     node::{RoutedNode, StopPhase},
     reports::{serve_metrics, serve_readiness, serve_report},
     routes_watch::follow_routes,
+    run_here::set_level,
     settings::RoutedSettings,
 };
 use crate::{clock::incarnation, control, engine::Engine, tasks::Tasks};
@@ -75,6 +76,7 @@
     spawn_local(follow_routes(Rc::clone(&node), store.clone()));
     spawn_local(use_register(Rc::clone(&node), store));
     spawn_local(watch_links(Rc::clone(&node)));
+    spawn_local(set_level(Rc::clone(&node)));
     log_start(&node);
     stop.await;
     leave(&node).await;
@@ -160,6 +162,6 @@
 }
 
 fn is_busy(node: &RoutedNode) -> bool {
-    let report = node.gate.borrow().report();
+    let report = node.gate_report();
     node.in_flight_count.get() > 0 || report.running_count + report.waiting_count > 0
 }
