--- a/crates/kumquatquay-core/src/routed/call_graph.rs
+++ b/crates/kumquatquay-core/src/routed/call_graph.rs
@@ -1,49 +1,67 @@
 //! Learns which calls a backend server makes while it runs others.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
-/// How fast old observations fade: after this time they count half.
-const HALF_LIFE: Duration = Duration::from_secs(6);
+/// Length of the spans that are compared with each other.
+///
+/// Longer than most runs, so that a run and its calls mostly fall into one span.
+const SPAN: Duration = Duration::from_millis(200);
 
-/// How often they are faded.
-const FADE_INTERVAL: Duration = Duration::from_millis(500);
+/// How much each span counts against the one after it; the mean span is 10 s old.
+const FADE_RATIO: f64 = 0.98;
 
-/// Calls a second by one run that are assumed of a pair of routes not seen yet;
-/// any value will do, it only lets the first calls be shared out evenly.
-const FIRST_RATE_PER_S: f64 = 1.0;
+/// Spans before anything is said.
+const SPANS_LEAST_COUNT: f64 = 8.0;
 
-/// Runs of a route before what was learnt of it is told.
-const RUNS_LEAST_COUNT: f64 = 5.0;
+/// Standard errors that are taken off an estimate. Routes whose runs make no calls
+/// but happen beside others that do come out as noise around zero; this keeps
+/// them from being taken for routes that lead somewhere.
+const CAUTION: f64 = 2.0;
 
 /// Calls a run below which a route isn't said to lead there.
-const CALLS_LEAST_COUNT: f64 = 0.05;
+const CALLS_LEAST_COUNT: f64 = 0.2;
+
+/// Part of the squares that is added on the diagonal, so that routes whose runs go
+/// up and down together still give a solution.
+const RIDGE_RATIO: f64 = 0.002;
 
-/// Routes that are remembered on each side; operators set some hundred.
-const ROUTES_LIMIT_COUNT: usize = 512;
+/// Routes that are told apart on each side. A service has a handful in use; the
+/// work grows with the square of this.
+const ROUTES_LIMIT_COUNT: usize = 12;
 
 /// Which calls the runs of each route make, as the node beside a backend server
 /// sees it.
 ///
 /// No header ties a call that a backend server makes to the run that made it. What
-/// is seen is which runs were under way at each call. Each call is shared out among
-/// them in proportion to how often runs of their routes have made such calls so
-/// far, and these rates are learnt from the shares (expectation maximization for a
-/// sum of Poisson processes). Runs that never make a call happen beside it no more
-/// often than their number says, so their rate falls towards zero.
+/// is seen is how many runs of each route and how many calls there were in each of
+/// many short spans. The calls are fitted as a sum over the runs (linear least
+/// squares, faded with age); an estimate counts as far as it lies above zero by its
+/// own error.
 #[derive(Debug, Default)]
 pub struct CallGraph {
-    routes: HashMap<String, RouteRuns>,
-    faded: Duration,
+    span_began: Option<Duration>,
+    /// Routes that the backend server runs, in the order of first sight.
+    runs: Vec<RouteRuns>,
+    /// Calls on each route that backend servers call.
+    calls: BTreeMap<String, Calls>,
+    /// Sums of products of the runs of two routes.
+    squares: Vec<Vec<f64>>,
+    spans_count: f64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct RouteRuns {
-    running_count: u32,
-    changed: Duration,
-    /// Time that runs have spent, all together.
-    running_s: f64,
-    ended_count: f64,
-    calls: HashMap<String, f64>,
+    route: String,
+    /// Begins and ends of runs in this span.
+    edges_count: u32,
+}
+
+#[derive(Debug, Default)]
+struct Calls {
+    count: u32,
+    /// Sums of products with the runs of each route.
+    products: Vec<f64>,
+    square: f64,
 }
 
 /// How often one run of a route makes a call on another.
@@ -58,103 +76,161 @@
 impl CallGraph {
     /// A run of a route began at the backend server.
     pub fn run_began(&mut self, now: Duration, route: &str) {
-        self.fade(now);
-        if !self.routes.contains_key(route) {
-            if self.routes.len() >= ROUTES_LIMIT_COUNT {
-                return;
-            }
-            self.routes
-                .insert(String::from(route), RouteRuns::default());
-        }
-        let runs = self.routes.get_mut(route).expect("it was put in just now");
-        runs.advance(now);
-        runs.running_count += 1;
+        self.edge(now, route);
     }
 
     /// A run of a route ended.
     pub fn run_ended(&mut self, now: Duration, route: &str) {
-        if let Some(runs) = self.routes.get_mut(route) {
-            runs.advance(now);
-            runs.running_count = runs.running_count.saturating_sub(1);
-            runs.ended_count += 1.0;
-        }
+        self.edge(now, route);
     }
 
     /// The backend server made a call on a route.
     pub fn called(&mut self, now: Duration, callee: &str) {
-        let running = self.routes.values_mut();
-        let running = running.filter(|runs| runs.running_count > 0);
-        let mut shares: Vec<(f64, &mut RouteRuns)> = running
-            .map(|runs| {
-                runs.advance(now);
-                let weight = f64::from(runs.running_count) * runs.rate_per_s(callee);
-                (weight, runs)
-            })
-            .collect();
-        let total: f64 = shares.iter().map(|(weight, _)| weight).sum();
-        if total <= 0.0 {
-            return;
-        }
-        for (weight, runs) in &mut shares {
-            runs.add_calls(callee, *weight / total);
+        self.close_span(now);
+        if let Some(calls) = self.calls.get_mut(callee) {
+            calls.count += 1;
+        } else if self.calls.len() < ROUTES_LIMIT_COUNT {
+            let calls = Calls {
+                count: 1,
+                ..Calls::default()
+            };
+            self.calls.insert(String::from(callee), calls);
         }
     }
 
+    /// Whether enough was seen to say anything.
+    pub fn is_settled(&self) -> bool {
+        self.spans_count >= SPANS_LEAST_COUNT
+    }
+
     /// What one run of a route calls.
     pub fn rows(&self, route: &str) -> Vec<GraphRow> {
-        let runs = self.routes.get(route);
-        let Some(runs) = runs.filter(|runs| runs.ended_count >= RUNS_LEAST_COUNT) else {
+        let place = self.runs.iter().position(|runs| runs.route == route);
+        let Some(place) = place.filter(|_| self.is_settled()) else {
             return Vec::new();
         };
-        let rows = runs.calls.iter().map(|(route, calls)| GraphRow {
-            route: route.clone(),
-            calls_count: calls / runs.ended_count,
+        let Some(inverse) = inverse_of(&self.ridged()) else {
+            return Vec::new();
+        };
+        let rows = self.calls.iter().map(|(callee, calls)| GraphRow {
+            route: callee.clone(),
+            calls_count: self.estimate(calls, &inverse, place),
         });
         rows.filter(|row| row.calls_count >= CALLS_LEAST_COUNT)
             .collect()
     }
 
-    fn fade(&mut self, now: Duration) {
-        let passed = now.saturating_sub(self.faded);
-        if passed < FADE_INTERVAL {
-            return;
+    /// Calls that a run makes, where that is surely above zero.
+    fn estimate(&self, calls: &Calls, inverse: &[Vec<f64>], place: usize) -> f64 {
+        let products = self.padded(&calls.products);
+        let fitted: Vec<f64> = inverse.iter().map(|row| dot(row, &products)).collect();
+        let left = (calls.square - dot(&fitted, &products)).max(0.0);
+        let free_count = (self.spans_count - self.runs.len() as f64).max(1.0);
+        let error = (left / free_count * inverse[place][place]).max(0.0).sqrt();
+        if fitted[place] > CAUTION * error {
+            fitted[place]
+        } else {
+            0.0
         }
-        self.faded = now;
-        let kept = 0.5_f64.powf(passed.as_secs_f64() / HALF_LIFE.as_secs_f64());
-        for runs in self.routes.values_mut() {
-            runs.advance(now);
-            runs.fade(kept);
+    }
+
+    fn edge(&mut self, now: Duration, route: &str) {
+        self.close_span(now);
+        if let Some(runs) = self.runs.iter_mut().find(|runs| runs.route == route) {
+            runs.edges_count += 1;
+        } else if self.runs.len() < ROUTES_LIMIT_COUNT {
+            self.runs.push(RouteRuns {
+                route: String::from(route),
+                edges_count: 1,
+            });
         }
     }
-}
 
-impl RouteRuns {
-    /// Counts the time that runs have spent since the last change.
-    fn advance(&mut self, now: Duration) {
-        let passed = now.saturating_sub(self.changed);
-        self.running_s += passed.as_secs_f64() * f64::from(self.running_count);
-        self.changed = self.changed.max(now);
+    fn close_span(&mut self, now: Duration) {
+        let began = *self.span_began.get_or_insert(now);
+        if now < began + SPAN {
+            return;
+        }
+        self.span_began = Some(now);
+        self.add_span();
     }
 
-    fn rate_per_s(&self, callee: &str) -> f64 {
-        let calls = self.calls.get(callee).copied().unwrap_or_default();
-        // As if one run of a second had been seen before all others.
-        (calls + FIRST_RATE_PER_S) / (self.running_s + 1.0)
+    fn add_span(&mut self) {
+        // A run has two edges; where they fall into two spans, so do its calls.
+        let runs = self.runs.iter_mut();
+        let runs = runs.map(|runs| f64::from(std::mem::take(&mut runs.edges_count)) / 2.0);
+        let runs: Vec<f64> = runs.collect();
+        self.spans_count = self.spans_count * FADE_RATIO + 1.0;
+        self.squares.resize(runs.len(), Vec::new());
+        for (row, squares) in self.squares.iter_mut().enumerate() {
+            squares.resize(runs.len(), 0.0);
+            for (column, square) in squares.iter_mut().enumerate() {
+                *square = *square * FADE_RATIO + runs[row] * runs[column];
+            }
+        }
+        for calls in self.calls.values_mut() {
+            let count = f64::from(std::mem::take(&mut calls.count));
+            calls.products.resize(runs.len(), 0.0);
+            for (product, run) in calls.products.iter_mut().zip(&runs) {
+                *product = *product * FADE_RATIO + run * count;
+            }
+            calls.square = calls.square * FADE_RATIO + count * count;
+        }
     }
 
-    fn add_calls(&mut self, callee: &str, calls: f64) {
-        if let Some(known) = self.calls.get_mut(callee) {
-            *known += calls;
-        } else if self.calls.len() < ROUTES_LIMIT_COUNT {
-            self.calls.insert(String::from(callee), calls);
+    /// The squares, with a little more on the diagonal.
+    fn ridged(&self) -> Vec<Vec<f64>> {
+        let routes_count = self.runs.len();
+        let mut matrix: Vec<Vec<f64>> = self.squares.iter().map(|row| self.padded(row)).collect();
+        matrix.resize(routes_count, vec![0.0; routes_count]);
+        let trace: f64 = (0..routes_count).map(|place| matrix[place][place]).sum();
+        for (place, row) in matrix.iter_mut().enumerate() {
+            row[place] += RIDGE_RATIO * row[place] + 1e-6 * trace.max(1.0);
         }
+        matrix
     }
 
-    fn fade(&mut self, kept: f64) {
-        self.running_s *= kept;
-        self.ended_count *= kept;
-        for calls in self.calls.values_mut() {
-            *calls *= kept;
+    fn padded(&self, row: &[f64]) -> Vec<f64> {
+        let mut row = row.to_vec();
+        row.resize(self.runs.len(), 0.0);
+        row
+    }
+}
+
+fn dot(a: &[f64], b: &[f64]) -> f64 {
+    a.iter().zip(b).map(|(a, b)| a * b).sum()
+}
+
+/// The inverse of a symmetric matrix, by Gauss-Jordan elimination; `None` if it has
+/// none.
+fn inverse_of(matrix: &[Vec<f64>]) -> Option<Vec<Vec<f64>>> {
+    let size = matrix.len();
+    let mut rows: Vec<Vec<f64>> = matrix
+        .iter()
+        .enumerate()
+        .map(|(place, row)| {
+            let unit = (0..size).map(|column| f64::from(u8::from(column == place)));
+            row.iter().copied().chain(unit).collect()
+        })
+        .collect();
+    for pivot in 0..size {
+        let scale = rows[pivot][pivot];
+        if scale.abs() < 1e-12 {
+            return None;
+        }
+        for value in &mut rows[pivot] {
+            *value /= scale;
+        }
+        let pivot_row = rows[pivot].clone();
+        for (place, row) in rows.iter_mut().enumerate() {
+            if place == pivot {
+                continue;
+            }
+            let factor = row[pivot];
+            for (value, pivot_value) in row.iter_mut().zip(&pivot_row) {
+                *value -= factor * pivot_value;
+            }
         }
     }
+    Some(rows.into_iter().map(|row| row[size..].to_vec()).collect())
 }
--- a/crates/kumquatquay-core/src/routed/entry_levels.rs
+++ b/crates/kumquatquay-core/src/routed/entry_levels.rs
@@ -1,13 +1,14 @@
 //! Decides at the entry which whole requests are let in.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
     time::Duration,
 };
 
 use kumquatquay_wire::{
     ServiceName,
-    routed::{Priority, RouteNews, ServicePressure},
+    routed::{GateReport, Priority, RouteNews, ServicePressure},
 };
 
 /// Time for which a level counts as it was told.
@@ -20,41 +21,76 @@
 /// Time for which it counts what a route leads to.
 const ROUTE_LAPSE: Duration = Duration::from_secs(30);
 
-/// Weight of a level that another gate of the service tells against those before.
-/// Calls reach all gates of a service in turn, so this is close to their mean.
-const NEW_WEIGHT: f64 = 0.3;
-
 /// Calls at a service by one request from which on its level counts for a route.
-const CALLS_LEAST_COUNT: f64 = 0.2;
+const CALLS_LEAST_COUNT: f32 = 0.2;
 
 /// Services and routes that are remembered, of each.
 const LIMIT_COUNT: usize = 1_024;
 
+/// Time in which the count of offered requests halves.
+const OFFERED_HALF_LIFE_S: f64 = 2.0;
+
+/// Requests of each route that are taken as offered from the first moment on, so
+/// that the first few don't decide the shares alone.
+const OFFERED_FIRST: f64 = 0.5;
+
 /// What a node knows of the pressure on services and of where routes lead.
 ///
-/// All entries order requests alike: by the priority of their route, then by a
-/// place of their own. A service that is short of room is felt by the last in that
-/// order first, wherever they come in, and those that are let in find room at each
-/// service on their way.
+/// A level is the share of the load offered to a service that it has room for. All
+/// entries order requests alike, by the priority of their route and then by a place
+/// of their own, and let in those that lie below the level. So a service that is
+/// short of room is felt by the last in that order first, wherever they come in,
+/// and those that are let in find room at each service on their way.
 #[derive(Debug, Default)]
 pub struct EntryLevels {
-    services: HashMap<ServiceName, Told>,
+    services: HashMap<ServiceName, ServiceLevels>,
     /// By route, and by the service that told it: a route may be split.
-    routes: HashMap<String, BTreeMap<ServiceName, KnownRoute>>,
+    routes: HashMap<String, RouteLevels>,
+}
+
+/// Levels of a service: of its gates that this node calls, and what others heard.
+#[derive(Debug, Default)]
+struct ServiceLevels {
+    gates: HashMap<SocketAddr, Told>,
+    heard: Option<Told>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Told {
     level: f64,
+    /// Calls a second that the gate can run.
+    capacity_per_s: f64,
     told: Duration,
 }
 
+#[derive(Debug, Default)]
+struct RouteLevels {
+    known: BTreeMap<ServiceName, KnownRoute>,
+    offered: Offered,
+}
+
 #[derive(Debug)]
 struct KnownRoute {
     news: RouteNews,
     told: Duration,
 }
 
+/// A count that fades with time.
+#[derive(Clone, Copy, Debug)]
+struct Offered {
+    count: f64,
+    at: Duration,
+}
+
+impl Default for Offered {
+    fn default() -> Self {
+        Self {
+            count: OFFERED_FIRST,
+            at: Duration::ZERO,
+        }
+    }
+}
+
 /// A request that asks to be let in.
 #[derive(Clone, Copy, Debug)]
 pub struct EntryRequest<'a> {
@@ -81,44 +117,60 @@
 }
 
 impl EntryLevels {
-    /// Takes in the level of a gate of a service, as that gate tells it.
-    pub fn on_gate(&mut self, now: Duration, service: &str, level: f64) {
-        if let Some(told) = self.services.get_mut(service) {
-            let before = told.at(now);
-            told.level = before + NEW_WEIGHT * (level - before);
-            told.told = now;
+    // Learning
+
+    /// Takes in what a gate of a service tells.
+    pub fn on_gate(&mut self, now: Duration, service: &str, gate: SocketAddr, report: &GateReport) {
+        let work_s = report.work().as_secs_f64().max(1e-4);
+        let told = Told {
+            level: report.level(),
+            capacity_per_s: f64::from(report.limit_count) / work_s,
+            told: now,
+        };
+        if let Some(known) = self.services.get_mut(service) {
+            known.gates.insert(gate, told);
+            known.gates.retain(|_, gate| now < gate.told + LAPSE);
         } else if self.services.len() < LIMIT_COUNT {
-            let told = Told { level, told: now };
-            self.services.insert(ServiceName::from(service), told);
+            let known = self.services.entry(ServiceName::from(service));
+            known.or_default().gates.insert(gate, told);
         }
     }
 
     /// Takes in what another node knows of a service.
     pub fn on_pressure(&mut self, now: Duration, pressure: &ServicePressure) {
         let told = now.saturating_sub(Duration::from_millis(u64::from(pressure.age_ms)));
-        let is_newer = self
-            .services
-            .get(&pressure.service)
-            .is_none_or(|known| told > known.told);
-        if is_newer && self.services.len() < LIMIT_COUNT {
-            let level = f64::from(pressure.level);
-            self.services
-                .insert(pressure.service.clone(), Told { level, told });
+        if !self.services.contains_key(&pressure.service) && self.services.len() >= LIMIT_COUNT {
+            return;
+        }
+        let known = self.services.entry(pressure.service.clone()).or_default();
+        if known.heard.is_none_or(|heard| told > heard.told) {
+            known.heard = Some(Told {
+                level: f64::from(pressure.level),
+                capacity_per_s: 0.0,
+                told,
+            });
         }
     }
 
     /// Takes in what is known of a route at a service that runs its calls.
+    ///
+    /// A node that has just started knows little; its word doesn't replace what
+    /// another one has learnt.
     pub fn on_route(&mut self, now: Duration, route: &str, service: &str, news: RouteNews) {
-        if !self.routes.contains_key(route) {
-            if self.routes.len() >= LIMIT_COUNT {
-                return;
-            }
-            self.routes.insert(String::from(route), BTreeMap::new());
+        if !self.routes.contains_key(route) && self.routes.len() >= LIMIT_COUNT {
+            return;
+        }
+        let known = &mut self.routes.entry(String::from(route)).or_default().known;
+        let is_better_known = known
+            .get(service)
+            .is_some_and(|known| known.news.is_settled && now < known.told + ROUTE_LAPSE);
+        if news.is_settled || !is_better_known {
+            known.insert(ServiceName::from(service), KnownRoute { news, told: now });
         }
-        let told = self.routes.get_mut(route).expect("it was put in just now");
-        told.insert(ServiceName::from(service), KnownRoute { news, told: now });
     }
 
+    // Reading
+
     /// Whether outside callers use a route; `None` while nothing is known.
     pub fn is_from_outside(&self, now: Duration, route: &str) -> Option<bool> {
         let mut known = self.known(now, route).peekable();
@@ -142,6 +194,12 @@
             .collect()
     }
 
+    /// Level of a service as this node knows it, with the age of the newest word.
+    pub fn level(&self, now: Duration, service: &str) -> Option<(f64, Duration)> {
+        let told = self.services.get(service)?.told(now)?;
+        Some((told.at(now), now.saturating_sub(told.told)))
+    }
+
     /// What to tell others of the services that a route leads to.
     pub fn pressures(
         &self,
@@ -149,7 +207,7 @@
         leads_to: &[(ServiceName, f32)],
     ) -> Vec<ServicePressure> {
         let known = leads_to.iter().filter_map(|(service, _)| {
-            let told = self.services.get(service)?;
+            let told = self.services.get(service)?.told(now)?;
             let age = now.saturating_sub(told.told);
             (age < LAPSE).then(|| ServicePressure {
                 service: service.clone(),
@@ -160,6 +218,8 @@
         known.collect()
     }
 
+    // Deciding
+
     /// Lets a request in, or says which service has no room for it.
     ///
     /// `ranks` tells the priorities of all routes. A request that a backend server
@@ -170,17 +230,21 @@
     ///
     /// The service that is short of room.
     pub fn admit(
-        &self,
+        &mut self,
         now: Duration,
         request: &EntryRequest<'_>,
         ranks: &BTreeMap<String, Priority>,
     ) -> Result<(), Shortage> {
+        let Some(route) = self.routes.get_mut(request.route) else {
+            return Ok(());
+        };
+        route.offered.add(now);
         let news = self.known_at(now, request.route, request.service);
         let Some(news) = news.filter(|news| news.is_from_outside) else {
             return Ok(());
         };
         let reached = news.leads_to.iter();
-        let reached = reached.filter(|(_, calls)| f64::from(*calls) >= CALLS_LEAST_COUNT);
+        let reached = reached.filter(|(_, calls)| *calls >= CALLS_LEAST_COUNT);
         for (service, _) in reached {
             self.admit_at(now, service, request, ranks)?;
         }
@@ -194,40 +258,45 @@
         request: &EntryRequest<'_>,
         ranks: &BTreeMap<String, Priority>,
     ) -> Result<(), Shortage> {
-        let Some(told) = self.services.get(service) else {
+        let Some((level, age)) = self.level(now, service) else {
             return Ok(());
         };
-        let level = told.at(now);
-        if level >= 1.0 {
-            return Ok(());
-        }
-        let priorities = self.priorities_at(now, service, request.priority, ranks);
-        let before_count = priorities.range(..request.priority).count();
-        let order = (before_count as f64 + request.place) / priorities.len() as f64;
-        if order < level {
+        if level >= 1.0 || self.order(now, service, request, ranks) < level {
             return Ok(());
         }
         Err(Shortage {
             service: ServiceName::from(service),
             level,
-            age: now.saturating_sub(told.told),
+            age,
         })
     }
 
-    /// Priorities of the routes from outside that lead to a service.
-    fn priorities_at(
+    /// Place of a request among all that lead to a service, from 0 to 1: the share
+    /// of the offered load that goes before it.
+    fn order(
         &self,
         now: Duration,
         service: &str,
-        own: Priority,
+        request: &EntryRequest<'_>,
         ranks: &BTreeMap<String, Priority>,
-    ) -> BTreeSet<Priority> {
-        let leading = self.routes.keys().filter(|route| {
-            let mut known = self.known(now, route);
-            known.any(|(_, news)| news.is_from_outside && news.reaches(service))
-        });
-        let priorities = leading.filter_map(|route| ranks.get(route).copied());
-        priorities.chain([own]).collect()
+    ) -> f64 {
+        let (mut before, mut beside, mut all) = (0.0, 0.0, 0.0);
+        for (route, levels) in &self.routes {
+            let Some(priority) = ranks.get(route).copied() else {
+                continue;
+            };
+            let load = levels.load_at(now, service);
+            all += load;
+            if priority < request.priority {
+                before += load;
+            } else if priority == request.priority {
+                beside += load;
+            }
+        }
+        if all <= 0.0 {
+            return request.place;
+        }
+        (before + beside * request.place) / all
     }
 
     fn known(
@@ -235,17 +304,66 @@
         now: Duration,
         route: &str,
     ) -> impl Iterator<Item = (&ServiceName, &RouteNews)> {
-        let known = self.routes.get(route).into_iter().flatten();
+        let known = self.routes.get(route).into_iter();
+        let known = known.flat_map(|route| &route.known);
         let fresh = known.filter(move |(_, known)| now < known.told + ROUTE_LAPSE);
         fresh.map(|(service, known)| (service, &known.news))
     }
 
     fn known_at(&self, now: Duration, route: &str, service: &str) -> Option<&RouteNews> {
-        let known = self.routes.get(route)?.get(service)?;
+        let known = self.routes.get(route)?.known.get(service)?;
         (now < known.told + ROUTE_LAPSE).then_some(&known.news)
     }
 }
 
+impl ServiceLevels {
+    /// The mean over the gates, by what they can run; else what others heard.
+    fn told(&self, now: Duration) -> Option<Told> {
+        let fresh = self.gates.values().filter(|gate| now < gate.told + LAPSE);
+        let (mut level, mut capacity_per_s, mut newest) = (0.0, 0.0, Duration::ZERO);
+        for gate in fresh {
+            let weight = gate.capacity_per_s.max(1.0);
+            level += weight * gate.at(now);
+            capacity_per_s += weight;
+            newest = newest.max(gate.told);
+        }
+        if capacity_per_s == 0.0 {
+            return self.heard;
+        }
+        Some(Told {
+            level: level / capacity_per_s,
+            capacity_per_s,
+            told: newest,
+        })
+    }
+}
+
+impl RouteLevels {
+    /// Load that a route offers to a service, in calls; only its proportion to the
+    /// load of other routes counts.
+    fn load_at(&self, now: Duration, service: &str) -> f64 {
+        let known = self.known.values();
+        let known = known.filter(|known| now < known.told + ROUTE_LAPSE);
+        let outside = known.filter(|known| known.news.is_from_outside);
+        let reached = outside.flat_map(|known| &known.news.leads_to);
+        let calls = reached.filter(|(reached, _)| reached == service);
+        let calls: f32 = calls.map(|(_, calls)| *calls).sum();
+        f64::from(calls) * self.offered.at(now)
+    }
+}
+
+impl Offered {
+    fn at(&self, now: Duration) -> f64 {
+        let passed_s = now.saturating_sub(self.at).as_secs_f64();
+        OFFERED_FIRST.max(self.count * 0.5_f64.powf(passed_s / OFFERED_HALF_LIFE_S))
+    }
+
+    fn add(&mut self, now: Duration) {
+        self.count = self.at(now) + 1.0;
+        self.at = now;
+    }
+}
+
 impl Told {
     fn at(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.told);
--- a/crates/kumquatquay-core/src/routed/host_gate.rs
+++ b/crates/kumquatquay-core/src/routed/host_gate.rs
@@ -19,13 +19,26 @@
 /// Waiting calls that a gate with few slots holds all the same.
 const WAITING_LEAST_COUNT: usize = 64;
 
-/// Place of a waiting call: the most important first, then the earliest.
+/// Place of a waiting call: the most important first, then the one whose answer is
+/// due first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WaitKey {
     priority: Priority,
+    due: Duration,
     sequence: u64,
 }
 
+/// A call that asks to run.
+#[derive(Clone, Copy, Debug)]
+pub struct GateCall {
+    /// Rank of its route.
+    pub priority: Priority,
+    /// When its answer is due to be worth most.
+    pub due: Duration,
+    /// When it must have ended.
+    pub deadline: Duration,
+}
+
 /// What becomes of a call that asks to run.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Admission<T> {
@@ -79,21 +92,17 @@
         self.limit_count = limit_count;
     }
 
-    /// Takes in a call that asks to run until `deadline`.
-    pub fn offer(
-        &mut self,
-        now: Duration,
-        priority: Priority,
-        deadline: Duration,
-        ticket: T,
-    ) -> Admission<T> {
+    /// Takes in a call that asks to run.
+    pub fn offer(&mut self, now: Duration, call: GateCall, ticket: T) -> Admission<T> {
+        let deadline = call.deadline;
         if self.running_count < self.limit_count && self.waiting.is_empty() {
             self.running_count += 1;
             return Admission::Run;
         }
         self.last_sequence += 1;
         let key = WaitKey {
-            priority,
+            priority: call.priority,
+            due: call.due,
             sequence: self.last_sequence,
         };
         if now + self.wait_before(key) + self.work() > deadline {
--- a/crates/kumquatquay-core/src/routed/level_setter.rs
+++ b/crates/kumquatquay-core/src/routed/level_setter.rs
@@ -1,4 +1,4 @@
-//! Sets how many whole requests are let in, from what a gate sees.
+//! Sets the share of the offered load that is let in, from what a gate sees.
 
 use std::time::Duration;
 
@@ -17,13 +17,12 @@
 /// answers, and whole requests that were let in before still make their calls.
 const RESPONSE_S: f64 = 0.6;
 
-/// Change of the level for a load that is off by the whole of it.
+/// Change of the level, within the response time, for a load that is off by the
+/// whole of what there is room for.
 ///
-/// With three ranks of requests, the one that is let in in part makes most of the
-/// load, and the level moves by a third while it goes from all to none. A third of
-/// the change that this asks for, taken within the response time, settles without
-/// swinging: an integral controller with dead time stays damped while gain times
-/// dead time is under a half.
+/// The load goes with the level, by as much as was offered: at 1.7 times the room a
+/// level that moves by 0.1 moves the load by 0.17. An integral controller with dead
+/// time doesn't swing while the product of both gains is under a half.
 const GAIN: f64 = 0.3;
 
 /// Part of [`GAIN`] with which the level goes up. Too low a level costs requests
@@ -33,7 +32,15 @@
 /// Weight of the newest span against those before.
 const NEW_WEIGHT: f64 = 0.5;
 
-/// The level of one gate: the share of ranks of requests that are let in.
+/// Part of the way that the level goes in each span towards the level that callers
+/// know of the service.
+///
+/// Callers hear of all its gates. Each gate sees another part of the load, and
+/// without this their levels would drift apart until some shut out all and others
+/// none.
+const TOGETHER_RATIO: f64 = 0.15;
+
+/// The level of one gate: the share of the offered load that there is room for.
 ///
 /// It answers the pattern in which one request from outside makes eight calls at
 /// the deepest service, which is short of slots: turned away there one call at a
@@ -44,6 +51,8 @@
     load: f64,
     window_began: Duration,
     arrivals_count: u32,
+    heard_sum: f64,
+    heard_count: u32,
 }
 
 impl Default for LevelSetter {
@@ -53,6 +62,8 @@
             load: 0.0,
             window_began: Duration::ZERO,
             arrivals_count: 0,
+            heard_sum: 0.0,
+            heard_count: 0,
         }
     }
 }
@@ -69,9 +80,12 @@
 }
 
 impl LevelSetter {
-    /// A call arrived at the gate, whatever becomes of it.
-    pub fn arrived(&mut self) {
+    /// A call arrived at the gate, whatever becomes of it; its sender knows the
+    /// service's level as `heard`.
+    pub fn arrived(&mut self, heard: f64) {
         self.arrivals_count += 1;
+        self.heard_sum += heard;
+        self.heard_count += 1;
     }
 
     /// The level, from 0 (nothing is let in) to 1 (all).
@@ -96,6 +110,16 @@
         // A standstill of this node makes a span long; the level must not jump.
         let step_s = passed_s.min(2.0 * WINDOW.as_secs_f64());
         self.move_level(step_s);
+        self.come_together();
+    }
+
+    fn come_together(&mut self) {
+        let heard_count = std::mem::take(&mut self.heard_count);
+        let heard_sum = std::mem::take(&mut self.heard_sum);
+        if heard_count > 0 {
+            let heard = heard_sum / f64::from(heard_count);
+            self.level += TOGETHER_RATIO * (heard - self.level);
+        }
     }
 
     fn move_level(&mut self, step_s: f64) {
--- a/crates/kumquatquay-core/src/routed/target_table.rs
+++ b/crates/kumquatquay-core/src/routed/target_table.rs
@@ -27,9 +27,10 @@
 
 /// Fill of the own data centre's choice above which another one's is weighed.
 ///
-/// Work that stays in its data centre costs no bytes between them; beyond this
-/// fill calls begin to wait.
-const SPILL_FILL_RATIO: f64 = 0.85;
+/// Work that stays in its data centre costs no bytes between them. Beyond this fill
+/// calls begin to wait now and then, and the gates of a service should share its
+/// load by what each can do.
+const SPILL_FILL_RATIO: f64 = 0.6;
 
 /// What a longer way costs in the comparison: a few network round trips.
 const OTHER_DATA_CENTRE_S: f64 = 0.004;
--- a/crates/kumquatquay-core/tests/routed/host_gate.rs
+++ b/crates/kumquatquay-core/tests/routed/host_gate.rs
@@ -2,18 +2,26 @@
 
 use std::time::Duration;
 
-use kumquatquay_core::routed::{Admission, HostGate};
+use kumquatquay_core::routed::{Admission, GateCall, HostGate};
 use quickcheck::quickcheck;
 
 use crate::at_ms;
 
+fn call(priority: u32, deadline: Duration) -> GateCall {
+    GateCall {
+        priority,
+        due: at_ms(150),
+        deadline,
+    }
+}
+
 /// A gate that lets `limit` calls run and has learnt that they take 20 ms.
 fn gate(limit: usize) -> HostGate<&'static str> {
     let mut gate = HostGate::default();
     gate.set_limit_count(1);
     for _ in 0..400 {
         assert_eq!(
-            gate.offer(at_ms(0), 0, at_ms(10_000), "learn"),
+            gate.offer(at_ms(0), call(0, at_ms(10_000)), "learn"),
             Admission::Run
         );
         gate.ended(Some(Duration::from_millis(20)));
@@ -25,7 +33,7 @@
 fn fill(gate: &mut HostGate<&'static str>, count: usize) {
     for _ in 0..count {
         assert_eq!(
-            gate.offer(at_ms(0), 0, at_ms(10_000), "running"),
+            gate.offer(at_ms(0), call(0, at_ms(10_000)), "running"),
             Admission::Run
         );
     }
@@ -38,7 +46,7 @@
 fn a_call_waits_for_a_slot() {
     let mut gate = gate(30);
     fill(&mut gate, 30);
-    let admission = gate.offer(at_ms(1), 2, at_ms(500), "late");
+    let admission = gate.offer(at_ms(1), call(2, at_ms(500)), "late");
     assert!(matches!(admission, Admission::Wait(_)), "{admission:?}");
     assert_eq!(gate.next(at_ms(2)), None);
     gate.ended(None);
@@ -52,7 +60,7 @@
     let mut gate = gate(1);
     fill(&mut gate, 1);
     for (priority, ticket) in [(2, "low"), (0, "first"), (1, "middle"), (0, "second")] {
-        let admission = gate.offer(at_ms(1), priority, at_ms(5_000), ticket);
+        let admission = gate.offer(at_ms(1), call(priority, at_ms(5_000)), ticket);
         assert!(matches!(admission, Admission::Wait(_)));
     }
     let order = [(); 4].map(|()| {
@@ -70,25 +78,43 @@
     let mut gate = gate(1);
     fill(&mut gate, 1);
     for _ in 0..50 {
-        gate.offer(at_ms(1), 1, at_ms(60_000), "patient");
+        gate.offer(at_ms(1), call(1, at_ms(60_000)), "patient");
     }
     assert_eq!(
-        gate.offer(at_ms(1), 1, at_ms(300), "urgent"),
+        gate.offer(at_ms(1), call(1, at_ms(300)), "urgent"),
         Admission::Refuse("urgent")
     );
     // A more important one passes those that wait.
     assert!(matches!(
-        gate.offer(at_ms(1), 0, at_ms(300), "vital"),
+        gate.offer(at_ms(1), call(0, at_ms(300)), "vital"),
         Admission::Wait(_)
     ));
 }
 
+/// Calls of one rank wait: people's status lookups that are due in 150 ms, and calls
+/// of runs under way that have 300. In the order of arrival the lookups would all be
+/// late behind a queue that the others can afford to stand in.
+#[test]
+fn among_equals_what_is_due_first_runs_first() {
+    let mut gate = gate(1);
+    fill(&mut gate, 1);
+    let due_at = |due_ms| GateCall {
+        priority: 1,
+        due: at_ms(due_ms),
+        deadline: at_ms(5_000),
+    };
+    gate.offer(at_ms(1), due_at(301), "in a run");
+    gate.offer(at_ms(2), due_at(152), "of a person");
+    gate.ended(None);
+    assert_eq!(gate.next(at_ms(3)), Some("of a person"));
+}
+
 #[test]
 fn a_call_whose_time_is_over_does_not_run() {
     let mut gate = gate(1);
     fill(&mut gate, 1);
-    gate.offer(at_ms(1), 1, at_ms(100), "late");
-    gate.offer(at_ms(1), 1, at_ms(5_000), "patient");
+    gate.offer(at_ms(1), call(1, at_ms(100)), "late");
+    gate.offer(at_ms(1), call(1, at_ms(5_000)), "patient");
     gate.ended(None);
     assert_eq!(gate.next(at_ms(200)), Some("patient"));
 }
@@ -97,7 +123,7 @@
 fn a_withdrawn_call_does_not_run() {
     let mut gate = gate(1);
     fill(&mut gate, 1);
-    let Admission::Wait(key) = gate.offer(at_ms(1), 1, at_ms(5_000), "left") else {
+    let Admission::Wait(key) = gate.offer(at_ms(1), call(1, at_ms(5_000)), "left") else {
         panic!("it waits");
     };
     assert_eq!(gate.withdraw(key), Some("left"));
@@ -110,11 +136,11 @@
     fn the_least_important_goes_first(priorities: Vec<u8>) -> bool {
         let mut gate = HostGate::default();
         gate.set_limit_count(1);
-        gate.offer(at_ms(0), 0, at_ms(100_000), 0);
+        gate.offer(at_ms(0), call(0, at_ms(100_000)), 0);
         let mut waiting: Vec<u32> = Vec::new();
         for priority in priorities.into_iter().cycle().take(200) {
             let priority = u32::from(priority % 4);
-            let gone = match gate.offer(at_ms(0), priority, at_ms(1_000_000), priority) {
+            let gone = match gate.offer(at_ms(0), call(priority, at_ms(1_000_000)), priority) {
                 Admission::Run => return false,
                 Admission::Wait(_) => None,
                 Admission::Evict(_, gone) | Admission::Refuse(gone) => Some(gone),
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -70,6 +70,10 @@
     pub attempt: String,
     /// Rank of its route.
     pub priority: Priority,
+    /// Time within which its answer is worth most, in milliseconds.
+    pub target_latency_ms: u64,
+    /// Level of the service as the sender knows it, in thousandths.
+    pub level_permille: u16,
     /// Whether it may run more than once.
     pub is_idempotent: bool,
     /// Time that is left to answer it, in milliseconds.
--- a/crates/kumquatquay-wire/src/routed/route_news.rs
+++ b/crates/kumquatquay-wire/src/routed/route_news.rs
@@ -9,17 +9,12 @@
 pub struct RouteNews {
     /// Whether outside callers use it; otherwise backend servers call it.
     pub is_from_outside: bool,
+    /// Whether enough was seen to count more than what others have learnt.
+    pub is_settled: bool,
     /// Calls that one run makes at each service, directly or by what it calls.
     pub leads_to: Vec<(ServiceName, f32)>,
 }
 
-impl RouteNews {
-    /// Whether runs of the route make calls at a service.
-    pub fn reaches(&self, service: &str) -> bool {
-        self.leads_to.iter().any(|(reached, _)| reached == service)
-    }
-}
-
 /// How much room a service has for whole requests.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServicePressure {
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -1,13 +1,14 @@
 //! Carries a call from its entry to a backend server.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{net::SocketAddr, ops::Range, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use kumquatquay_core::routed::{Choice, TableRoute, TargetEnded};
 use kumquatquay_wire::{
     ServiceName,
     routed::{
-        CallHead, HeaderField, LinkOutcome, NotRunReason, Repeat, RouteVersion, UnknownReason,
+        CallHead, HeaderField, LinkOutcome, NotRunReason, Repeat, RouteSettings, RouteVersion,
+        UnknownReason,
     },
 };
 use rand::Rng;
@@ -195,7 +196,7 @@
         send_call(node, choice.peer, head, &call.body).await
     };
     open.is_open = false;
-    learn(node, call, &answer);
+    learn(node, call, choice.control, &answer);
     let ended = ended_of(&answer.outcome);
     let mut targets = node.targets.borrow_mut();
     targets.ended(node.now(), choice.control, ended, answer.report);
@@ -203,11 +204,11 @@
 }
 
 /// Takes in what an answer tells of the services on the way.
-fn learn(node: &RoutedNode, call: &OutgoingCall, answer: &LinkAnswer) {
+fn learn(node: &RoutedNode, call: &OutgoingCall, gate: SocketAddr, answer: &LinkAnswer) {
     let now = node.now();
     let mut levels = node.levels.borrow_mut();
     if let Some(report) = answer.report {
-        levels.on_gate(now, &call.service, report.level());
+        levels.on_gate(now, &call.service, gate, &report);
     }
     if let Some(news) = &answer.news {
         let route = &call.route.settings.name;
@@ -240,6 +241,9 @@
 fn head_of(node: &RoutedNode, call: &OutgoingCall, choice: &Choice) -> CallHead {
     let settings = &call.route.settings;
     let time_left = call.deadline.saturating_sub(node.now() + ANSWER_TIME);
+    let levels = node.levels.borrow();
+    let level = levels.level(node.now(), &call.service);
+    let level = level.map_or(1.0, |(level, _)| level);
     CallHead {
         number: 0,
         route: settings.name.clone(),
@@ -248,6 +252,8 @@
         caller_service: node.settings.service.clone(),
         attempt: call.attempt.clone(),
         priority: settings.priority,
+        target_latency_ms: settings.target_latency.as_millis() as u64,
+        level_permille: (level * 1_000.0) as u16,
         is_idempotent: settings.repeat == Repeat::Idempotent,
         remaining_ms: time_left.as_millis() as u64,
         version: call.version,
@@ -257,12 +263,13 @@
     }
 }
 
-/// When a refused caller should come back: spread out, so that those who were
-/// refused together don't return together.
-pub(crate) fn retry_after(node: &RoutedNode, deadline: Duration) -> Duration {
-    let left = deadline.saturating_sub(node.now());
-    // Callers wait for a third of their time at most; later is never.
-    let longest_s = (left.as_secs_f64() / 3.0).clamp(0.02, 1.5);
-    let share = node.random.borrow_mut().random_range(0.4..0.95);
-    Duration::from_secs_f64(longest_s * share)
+/// Part of the time within which an answer is worth most that a refused caller is
+/// asked to wait, at the least and at the most: what is left is enough to be served
+/// in. Spread out, those who were refused together don't return together.
+const RETRY_RATIOS: Range<f64> = 0.35..0.7;
+
+/// When a refused caller should come back.
+pub(crate) fn retry_after(node: &RoutedNode, route: &RouteSettings) -> Duration {
+    let share = node.random.borrow_mut().random_range(RETRY_RATIOS);
+    route.target_latency.mul_f64(share)
 }
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -138,10 +138,10 @@
     };
     let admitted = node
         .levels
-        .borrow()
+        .borrow_mut()
         .admit(now, &request, table.priorities());
     let shortage = admitted.err()?;
-    let wait = retry_after(node, call.deadline);
+    let wait = retry_after(node, &call.route.settings);
     node.returning.borrow_mut().refused(now, fingerprint, wait);
     node.decisions.count("refused", "shortage");
     if node.decisions.has_line(now) {
@@ -220,7 +220,7 @@
         LinkOutcome::NotRun(reason) => {
             node.decisions.count("refused", not_run_name(*reason));
             log_ended(node, call, &carried, "refused", began);
-            let retry = Some(retry_after(node, call.deadline));
+            let retry = Some(retry_after(node, &call.route.settings));
             own_answer(StatusCode::SERVICE_UNAVAILABLE, retry, "no room\n")
         }
         LinkOutcome::Unknown(reason) => {
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -33,6 +33,10 @@
 /// milliseconds.
 const CONFIGURATION_ASK_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time after a node's start in which its word on routes counts less than that of
+/// nodes that have seen more.
+const SETTLING_TIME: Duration = Duration::from_secs(4);
+
 /// Part of a retry budget that each kind of repeat gets: half for the calls that
 /// nodes send once more, half for the calls that repeated runs make. The first kind
 /// is known where a call is sent, the second only where its cause is sent again, so
@@ -209,7 +213,9 @@
                 *leads_to.entry(service).or_default() += calls * row.calls_count as f32;
             }
         }
+        let is_young = now < SETTLING_TIME;
         RouteNews {
+            is_settled: !is_young && self.graph.borrow().is_settled(),
             is_from_outside: self
                 .census
                 .borrow()
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Method, Request, Uri};
 use http_body_util::Full;
-use kumquatquay_core::routed::{Admission, WaitKey};
+use kumquatquay_core::routed::{Admission, GateCall, WaitKey};
 use kumquatquay_wire::routed::{CallHead, LinkOutcome, NotRunReason, UnknownReason};
 use tokio::sync::oneshot;
 
@@ -28,6 +28,7 @@
 /// A call and the moment at which its time is over.
 struct Timed<'a> {
     call: &'a CallHead,
+    due: Duration,
     deadline: Duration,
 }
 
@@ -55,11 +56,17 @@
 ) -> LinkAnswer {
     let now = node.now();
     let deadline = now + Duration::from_millis(call.remaining_ms);
-    node.level.borrow_mut().arrived();
+    let heard = f64::from(call.level_permille) / 1_000.0;
+    node.level.borrow_mut().arrived(heard);
     node.census
         .borrow_mut()
         .called(now, &call.route, &call.caller_service);
-    let timed = Timed { call, deadline };
+    let due = now + Duration::from_millis(call.target_latency_ms);
+    let timed = Timed {
+        call,
+        due,
+        deadline,
+    };
     let mut cancelled = std::pin::pin!(cancelled);
     let slot = tokio::select! {
         slot = wait_for_slot(node, &timed) => slot,
@@ -174,9 +181,12 @@
 }
 
 fn offer(node: &RoutedNode, timed: &Timed<'_>, ticket: RunTicket) -> Admission<RunTicket> {
-    let latest_start = timed.deadline;
-    let mut gate = node.gate.borrow_mut();
-    gate.offer(node.now(), timed.call.priority, latest_start, ticket)
+    let call = GateCall {
+        priority: timed.call.priority,
+        due: timed.due,
+        deadline: timed.deadline,
+    };
+    node.gate.borrow_mut().offer(node.now(), call, ticket)
 }
 
 /// Whether the backend server that a call is meant for is there and takes calls.
