Fit calls with a constant, and leave out routes of people

Cause: uploads at the service beside permit checks were credited with 11 to 20 calls a run, since under overload calls are not proportional to the other runs, and were refused for a service that they never call.

--- a/crates/kumquatquay-core/src/routed/call_graph.rs
+++ b/crates/kumquatquay-core/src/routed/call_graph.rs
@@ -21,6 +21,9 @@
 /// Calls a run below which a route isn't said to lead there.
 const CALLS_LEAST_COUNT: f64 = 0.2;
 
+/// Column of the first route; before it stands the constant.
+const FIRST_ROUTE: usize = 1;
+
 /// Part of the squares that is added on the diagonal, so that routes whose runs go
 /// up and down together still give a solution.
 const RIDGE_RATIO: f64 = 0.002;
@@ -34,9 +37,13 @@
 ///
 /// No header ties a call that a backend server makes to the run that made it. What
 /// is seen is how many runs of each route and how many calls there were in each of
-/// many short spans. The calls are fitted as a sum over the runs (linear least
-/// squares, faded with age); an estimate counts as far as it lies above zero by its
-/// own error.
+/// many short spans. The calls are fitted as a sum over the runs and a constant
+/// (linear least squares, faded with age); an estimate counts if it lies above zero
+/// by twice its own error.
+///
+/// The constant is there for loads under which runs make fewer calls than usual:
+/// without it, a route whose runs are few and even would be credited with what
+/// keeps the calls from being proportional to the other runs.
 #[derive(Debug, Default)]
 pub struct CallGraph {
     span_began: Option<Duration>,
@@ -106,6 +113,7 @@
     /// What one run of a route calls.
     pub fn rows(&self, route: &str) -> Vec<GraphRow> {
         let place = self.runs.iter().position(|runs| runs.route == route);
+        let place = place.map(|place| place + FIRST_ROUTE);
         let Some(place) = place.filter(|_| self.is_settled()) else {
             return Vec::new();
         };
@@ -125,7 +133,7 @@
         let products = self.padded(&calls.products);
         let fitted: Vec<f64> = inverse.iter().map(|row| dot(row, &products)).collect();
         let left = (calls.square - dot(&fitted, &products)).max(0.0);
-        let free_count = (self.spans_count - self.runs.len() as f64).max(1.0);
+        let free_count = (self.spans_count - self.columns_count() as f64).max(1.0);
         let error = (left / free_count * inverse[place][place]).max(0.0).sqrt();
         if fitted[place] > CAUTION * error {
             fitted[place]
@@ -159,7 +167,7 @@
         // A run has two edges; where they fall into two spans, so do its calls.
         let runs = self.runs.iter_mut();
         let runs = runs.map(|runs| f64::from(std::mem::take(&mut runs.edges_count)) / 2.0);
-        let runs: Vec<f64> = runs.collect();
+        let runs: Vec<f64> = [1.0].into_iter().chain(runs).collect();
         self.spans_count = self.spans_count * FADE_RATIO + 1.0;
         self.squares.resize(runs.len(), Vec::new());
         for (row, squares) in self.squares.iter_mut().enumerate() {
@@ -180,7 +188,7 @@
 
     /// The squares, with a little more on the diagonal.
     fn ridged(&self) -> Vec<Vec<f64>> {
-        let routes_count = self.runs.len();
+        let routes_count = self.columns_count();
         let mut matrix: Vec<Vec<f64>> = self.squares.iter().map(|row| self.padded(row)).collect();
         matrix.resize(routes_count, vec![0.0; routes_count]);
         let trace: f64 = (0..routes_count).map(|place| matrix[place][place]).sum();
@@ -192,9 +200,14 @@
 
     fn padded(&self, row: &[f64]) -> Vec<f64> {
         let mut row = row.to_vec();
-        row.resize(self.runs.len(), 0.0);
+        row.resize(self.columns_count(), 0.0);
         row
     }
+
+    /// Columns of the fit: the constant and the routes.
+    fn columns_count(&self) -> usize {
+        FIRST_ROUTE + self.runs.len()
+    }
 }
 
 fn dot(a: &[f64], b: &[f64]) -> f64 {
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -209,6 +209,10 @@
         let levels = self.levels.borrow();
         let mut leads_to = BTreeMap::from([(self.settings.service.clone(), 1.0)]);
         for row in self.graph.borrow().rows(route) {
+            // Before it was known that people use a route, its calls were counted.
+            if levels.is_from_outside(now, &row.route) != Some(false) {
+                continue;
+            }
             for (service, calls) in levels.leads_to_all(now, &row.route) {
                 *leads_to.entry(service).or_default() += calls * row.calls_count as f32;
             }
