Set the level from the load that an earlier level let in

Cause: the level of a gate went to zero whenever load rose, since its effect shows half a second later and the same excess was corrected in each span. The level is now that of five spans ago times room over load. Before enough was seen, calls are credited to the one route that makes nearly all runs, so a surge with the first requests is met within a second.

--- a/crates/kumquatquay-core/src/routed/call_graph.rs
+++ b/crates/kumquatquay-core/src/routed/call_graph.rs
@@ -5,13 +5,13 @@
 /// Length of the spans that are compared with each other.
 ///
 /// Longer than most runs, so that a run and its calls mostly fall into one span.
-const SPAN: Duration = Duration::from_millis(200);
+const SPAN: Duration = Duration::from_millis(400);
 
 /// How much each span counts against the one after it; the mean span is 10 s old.
-const FADE_RATIO: f64 = 0.98;
+const FADE_RATIO: f64 = 0.96;
 
 /// Spans before anything is said.
-const SPANS_LEAST_COUNT: f64 = 8.0;
+const SPANS_LEAST_COUNT: f64 = 5.0;
 
 /// Standard errors that are taken off an estimate. Routes whose runs make no calls
 /// but happen beside others that do come out as noise around zero; this keeps
@@ -21,6 +21,11 @@
 /// Calls a run below which a route isn't said to lead there.
 const CALLS_LEAST_COUNT: f64 = 0.2;
 
+/// Share of all runs that one route must have before enough was seen, and begins and
+/// ends of its runs.
+const FIRST_RATIO: f64 = 0.7;
+const FIRST_EDGES_LEAST_COUNT: u32 = 20;
+
 /// Column of the first route; before it stands the constant.
 const FIRST_ROUTE: usize = 1;
 
@@ -61,11 +66,15 @@
     route: String,
     /// Begins and ends of runs in this span.
     edges_count: u32,
+    /// Those of all spans, until enough was seen.
+    all_count: u32,
 }
 
 #[derive(Debug, Default)]
 struct Calls {
     count: u32,
+    /// Those of all spans, until enough was seen.
+    all_count: u32,
     /// Sums of products with the runs of each route.
     products: Vec<f64>,
     square: f64,
@@ -96,9 +105,11 @@
         self.close_span(now);
         if let Some(calls) = self.calls.get_mut(callee) {
             calls.count += 1;
+            calls.all_count = calls.all_count.saturating_add(1);
         } else if self.calls.len() < ROUTES_LIMIT_COUNT {
             let calls = Calls {
                 count: 1,
+                all_count: 1,
                 ..Calls::default()
             };
             self.calls.insert(String::from(callee), calls);
@@ -113,8 +124,11 @@
     /// What one run of a route calls.
     pub fn rows(&self, route: &str) -> Vec<GraphRow> {
         let place = self.runs.iter().position(|runs| runs.route == route);
+        if !self.is_settled() {
+            return self.first_rows(route);
+        }
         let place = place.map(|place| place + FIRST_ROUTE);
-        let Some(place) = place.filter(|_| self.is_settled()) else {
+        let Some(place) = place else {
             return Vec::new();
         };
         let Some(inverse) = inverse_of(&self.ridged()) else {
@@ -128,6 +142,27 @@
             .collect()
     }
 
+    /// What is said before enough was seen: where nearly all runs are of one route,
+    /// the calls are taken to be its own. A surge may come with the very first
+    /// requests, and until something is known all of them are let in.
+    fn first_rows(&self, route: &str) -> Vec<GraphRow> {
+        let all_count: u32 = self.runs.iter().map(|runs| runs.all_count).sum();
+        let runs = self.runs.iter().find(|runs| runs.route == route);
+        let Some(runs) = runs.filter(|runs| runs.all_count >= FIRST_EDGES_LEAST_COUNT) else {
+            return Vec::new();
+        };
+        if f64::from(runs.all_count) < FIRST_RATIO * f64::from(all_count) {
+            return Vec::new();
+        }
+        let runs_count = f64::from(runs.all_count) / 2.0;
+        let rows = self.calls.iter().map(|(callee, calls)| GraphRow {
+            route: callee.clone(),
+            calls_count: f64::from(calls.all_count) / runs_count,
+        });
+        rows.filter(|row| row.calls_count >= CALLS_LEAST_COUNT)
+            .collect()
+    }
+
     /// Calls that a run makes, where that is surely above zero.
     fn estimate(&self, calls: &Calls, inverse: &[Vec<f64>], place: usize) -> f64 {
         let products = self.padded(&calls.products);
@@ -146,10 +181,12 @@
         self.close_span(now);
         if let Some(runs) = self.runs.iter_mut().find(|runs| runs.route == route) {
             runs.edges_count += 1;
+            runs.all_count = runs.all_count.saturating_add(1);
         } else if self.runs.len() < ROUTES_LIMIT_COUNT {
             self.runs.push(RouteRuns {
                 route: String::from(route),
                 edges_count: 1,
+                all_count: 1,
             });
         }
     }
--- a/crates/kumquatquay-core/src/routed/level_setter.rs
+++ b/crates/kumquatquay-core/src/routed/level_setter.rs
@@ -1,6 +1,6 @@
 //! Sets the share of the offered load that is let in, from what a gate sees.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 /// Length of the span over which a gate counts before it acts.
 const WINDOW: Duration = Duration::from_millis(100);
@@ -13,24 +13,24 @@
 /// Time in which a queue that has formed is to be worked off.
 const DRAIN_S: f64 = 0.4;
 
-/// Time after which a change of the level shows at the gate: the news goes up with
+/// Spans after which a change of the level shows at the gate: the news goes up with
 /// answers, and whole requests that were let in before still make their calls.
-const RESPONSE_S: f64 = 0.6;
+const RESPONSE_SPANS: usize = 5;
 
-/// Change of the level, within the response time, for a load that is off by the
-/// whole of what there is room for.
-///
-/// The load goes with the level, by as much as was offered: at 1.7 times the room a
-/// level that moves by 0.1 moves the load by 0.17. An integral controller with dead
-/// time doesn't swing while the product of both gains is under a half.
-const GAIN: f64 = 0.3;
+/// Part of the way to the wanted level that is gone in each span. The wanted level
+/// comes from one noisy span; over five of them the noise is halved.
+const STEP_RATIO: f64 = 0.2;
+
+/// Least and greatest change that is wanted at once. A load that is off by more than
+/// this is mostly a short clump, or belongs to what the level doesn't govern.
+const CHANGE_LEAST: f64 = 0.4;
+const CHANGE_GREATEST: f64 = 1.25;
 
-/// Part of [`GAIN`] with which the level goes up. Too low a level costs requests
-/// that would have fitted; too high a one costs all that are half done.
-const UP_RATIO: f64 = 0.6;
+/// The level never falls below this, so that it can rise again by its own share.
+const LEVEL_LEAST: f64 = 0.02;
 
 /// Weight of the newest span against those before.
-const NEW_WEIGHT: f64 = 0.5;
+const NEW_WEIGHT: f64 = 0.4;
 
 /// Part of the way that the level goes in each span towards the level that callers
 /// know of the service.
@@ -53,6 +53,8 @@
     arrivals_count: u32,
     heard_sum: f64,
     heard_count: u32,
+    /// Levels of the last spans, the oldest first.
+    past: VecDeque<f64>,
 }
 
 impl Default for LevelSetter {
@@ -64,6 +66,7 @@
             arrivals_count: 0,
             heard_sum: 0.0,
             heard_count: 0,
+            past: VecDeque::new(),
         }
     }
 }
@@ -107,10 +110,25 @@
         let queue_s = gate.waiting_count as f64 * work_s / slots;
         let load = asked + queue_s / DRAIN_S;
         self.load += NEW_WEIGHT * (load - self.load);
-        // A standstill of this node makes a span long; the level must not jump.
-        let step_s = passed_s.min(2.0 * WINDOW.as_secs_f64());
-        self.move_level(step_s);
+        self.move_level();
         self.come_together();
+        self.past.push_back(self.level);
+        if self.past.len() > RESPONSE_SPANS {
+            self.past.pop_front();
+        }
+    }
+
+    /// The load that is seen now was let in by the level of some spans ago, and goes
+    /// in proportion to it: that level times what there is room for over what there
+    /// is gives the level that fits. Taking the present level in place of the past
+    /// one would correct the same excess again in each span until the correction
+    /// shows, and swing between shutting out all and none.
+    fn move_level(&mut self) {
+        let past = self.past.front().copied().unwrap_or(self.level);
+        let change = TARGET_RATIO / self.load.max(1e-3);
+        let wanted = past * change.clamp(CHANGE_LEAST, CHANGE_GREATEST);
+        let level = self.level + STEP_RATIO * (wanted - self.level);
+        self.level = level.clamp(LEVEL_LEAST, 1.0);
     }
 
     fn come_together(&mut self) {
@@ -121,11 +139,4 @@
             self.level += TOGETHER_RATIO * (heard - self.level);
         }
     }
-
-    fn move_level(&mut self, step_s: f64) {
-        let excess = self.load - TARGET_RATIO;
-        let gain = if excess > 0.0 { GAIN } else { GAIN * UP_RATIO };
-        let level = self.level - gain * excess * step_s / RESPONSE_S;
-        self.level = level.clamp(0.0, 1.0);
-    }
 }
--- /dev/null
+++ b/crates/kumquatquay-core/tests/routed/entry_levels.rs
@@ -0,0 +1,138 @@
+//! Which whole requests are let in.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use kumquatquay_core::routed::{EntryLevels, EntryRequest};
+use kumquatquay_wire::routed::{GateReport, RouteNews};
+
+use crate::at_ms;
+
+const ROUTES: [(&str, &str, u32, bool); 4] = [
+    ("history", "archive", 2, true),
+    ("settle", "settlement", 0, true),
+    ("upload", "survey", 1, true),
+    ("lookup", "register", 1, false),
+];
+
+fn ranks() -> BTreeMap<String, u32> {
+    let ranks = ROUTES.map(|(route, _, priority, _)| (String::from(route), priority));
+    BTreeMap::from(ranks)
+}
+
+/// History and settlements make eight calls each at the register, uploads none.
+fn levels() -> EntryLevels {
+    let mut levels = EntryLevels::default();
+    for (route, service, _, is_from_outside) in ROUTES {
+        let mut leads_to = vec![(String::from(service), 1.0)];
+        if route == "history" || route == "settle" {
+            leads_to.push((String::from("register"), 8.0));
+        }
+        let news = RouteNews {
+            is_from_outside,
+            is_settled: true,
+            leads_to,
+        };
+        levels.on_route(at_ms(0), route, service, news);
+    }
+    levels
+}
+
+fn tell(levels: &mut EntryLevels, at: u64, gate: u16, level: f64) {
+    let report = GateReport {
+        limit_count: 30,
+        work_us: 22_000,
+        level_permille: (level * 1_000.0) as u16,
+        ..GateReport::default()
+    };
+    let gate = SocketAddr::from(([10, 0, 0, 1], gate));
+    levels.on_gate(at_ms(at), "register", gate, &report);
+}
+
+fn is_let_in(levels: &mut EntryLevels, at: u64, route: &str, place: f64) -> bool {
+    let (_, service, priority, _) = ROUTES
+        .into_iter()
+        .find(|(name, ..)| *name == route)
+        .unwrap();
+    let request = EntryRequest {
+        route,
+        service,
+        priority,
+        place,
+    };
+    levels.admit(at_ms(at), &request, &ranks()).is_ok()
+}
+
+/// Two histories are offered for each settlement.
+fn offer(levels: &mut EntryLevels) {
+    for _ in 0..100 {
+        is_let_in(levels, 0, "history", 0.0);
+        is_let_in(levels, 0, "history", 0.0);
+        is_let_in(levels, 0, "settle", 0.0);
+    }
+}
+
+/// The register has room for half of what is offered: all settlements, a third of
+/// the load, and a quarter of the histories.
+#[test]
+fn the_less_important_are_refused_first() {
+    let mut levels = levels();
+    offer(&mut levels);
+    tell(&mut levels, 0, 1, 0.5);
+    assert!(is_let_in(&mut levels, 1, "settle", 0.99));
+    assert!(is_let_in(&mut levels, 1, "history", 0.2));
+    assert!(!is_let_in(&mut levels, 1, "history", 0.3));
+}
+
+#[test]
+fn a_route_is_not_refused_for_a_service_that_it_does_not_lead_to() {
+    let mut levels = levels();
+    offer(&mut levels);
+    tell(&mut levels, 0, 1, 0.02);
+    assert!(is_let_in(&mut levels, 1, "upload", 0.99));
+    assert!(!is_let_in(&mut levels, 1, "settle", 0.5));
+}
+
+/// Refused here, one of eight calls would end a whole request that was let in.
+#[test]
+fn calls_of_runs_under_way_are_let_in() {
+    let mut levels = levels();
+    offer(&mut levels);
+    tell(&mut levels, 0, 1, 0.02);
+    assert!(is_let_in(&mut levels, 1, "lookup", 0.99));
+}
+
+#[test]
+fn the_gates_of_a_service_count_by_what_they_can_run() {
+    let mut levels = levels();
+    tell(&mut levels, 0, 1, 0.2);
+    tell(&mut levels, 0, 2, 0.6);
+    let (level, _) = levels.level(at_ms(1), "register").unwrap();
+    assert!((level - 0.4).abs() < 0.01, "{level}");
+}
+
+/// Nobody reaches the register any more, and its last word was that it has no room.
+/// Shutting requests out for good would keep anybody from finding out more.
+#[test]
+fn an_old_level_fades() {
+    let mut levels = levels();
+    offer(&mut levels);
+    tell(&mut levels, 0, 1, 0.02);
+    assert!(!is_let_in(&mut levels, 500, "history", 0.9));
+    assert!(is_let_in(&mut levels, 2_100, "history", 0.9));
+}
+
+/// A node that has just started hasn't seen yet where a route leads. Its word must
+/// not open the entries to what they have learnt to hold back.
+#[test]
+fn a_young_nodes_word_does_not_replace_what_is_known() {
+    let mut levels = levels();
+    offer(&mut levels);
+    let news = RouteNews {
+        is_from_outside: false,
+        is_settled: false,
+        leads_to: vec![(String::from("archive"), 1.0)],
+    };
+    levels.on_route(at_ms(100), "history", "archive", news);
+    tell(&mut levels, 100, 1, 0.02);
+    assert!(!is_let_in(&mut levels, 101, "history", 0.9));
+}
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -1,7 +1,11 @@
 //! Decisions for calls on configured routes, without a network.
 
 mod backend_lives;
+mod call_graph;
+mod caller_census;
+mod entry_levels;
 mod host_gate;
+mod level_setter;
 mod retry_window;
 mod route_table;
 mod split;
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -7,10 +7,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use kumquatquay_core::routed::{EntryRequest, RouteTable, TableRoute};
-use kumquatquay_wire::{
-    Fingerprint,
-    routed::{LinkOutcome, NotRunReason, UnknownReason},
-};
+use kumquatquay_wire::routed::{LinkOutcome, NotRunReason, UnknownReason};
 use rand::Rng;
 
 use super::{
@@ -123,13 +120,7 @@
         return None;
     }
     let table = node.routes()?;
-    let fingerprint = fingerprint_of(call);
-    let returns = node.returning.borrow_mut().returns(now, fingerprint);
-    let place = if returns {
-        0.0
-    } else {
-        node.random.borrow_mut().random()
-    };
+    let place = node.random.borrow_mut().random();
     let request = EntryRequest {
         route: &route.name,
         service: &call.service,
@@ -142,7 +133,6 @@
         .admit(now, &request, table.priorities());
     let shortage = admitted.err()?;
     let wait = retry_after(node, &call.route.settings);
-    node.returning.borrow_mut().refused(now, fingerprint, wait);
     node.decisions.count("refused", "shortage");
     if node.decisions.has_line(now) {
         let why = format!(
@@ -161,18 +151,6 @@
     ))
 }
 
-/// What stays the same when a caller sends a request again.
-fn fingerprint_of(call: &OutgoingCall) -> Fingerprint {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(call.route.settings.name.as_bytes());
-    hasher.update(call.method.as_bytes());
-    hasher.update(call.target.as_bytes());
-    hasher.update(&call.body);
-    let hash = hasher.finalize();
-    let first = hash.as_bytes()[..8].try_into();
-    Fingerprint::from_le_bytes(first.expect("a BLAKE3 hash has 32 bytes"))
-}
-
 fn find_route<'a>(table: &'a RouteTable, parts: &Parts) -> Option<&'a Arc<TableRoute>> {
     let host = parts.headers.get(header::HOST);
     let host = host.and_then(|host| host.to_str().ok());
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -13,7 +13,7 @@
     Clock,
     routed::{
         BackendLives, CallGraph, CallerCensus, EntryLevels, HostGate, LevelSetter, RetryWindow,
-        Returning, RouteTable, TargetTable,
+        RouteTable, TargetTable,
     },
 };
 use kumquatquay_wire::{
@@ -91,8 +91,6 @@
     pub(crate) graph: RefCell<CallGraph>,
     /// What is known of the pressure on services and of where routes lead.
     pub(crate) levels: RefCell<EntryLevels>,
-    /// Requests that were refused and told when to come back.
-    pub(crate) returning: RefCell<Returning>,
     pub(crate) backend: BackendPool,
     pub(crate) decisions: Decisions,
     /// Requests at the entry that have no answer yet.
@@ -137,7 +135,6 @@
             census: RefCell::default(),
             graph: RefCell::default(),
             levels: RefCell::default(),
-            returning: RefCell::default(),
             decisions: Decisions::new(),
             in_flight_count: Cell::new(0),
             nodes_count: Cell::new(1),
