--- a/crates/kumquatquay-core/src/routed/level_setter.rs
+++ b/crates/kumquatquay-core/src/routed/level_setter.rs
@@ -15,7 +15,7 @@
 
 /// Spans after which a change of the level shows at the gate: the news goes up with
 /// answers, and whole requests that were let in before still make their calls.
-const RESPONSE_SPANS: usize = 5;
+const RESPONSE_SPANS: usize = 6;
 
 /// Part of the way to the wanted level that is gone in each span. The wanted level
 /// comes from one noisy span; over five of them the noise is halved.
