--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -201,6 +201,12 @@
             let retry = Some(retry_after(node, &call.route.settings));
             own_answer(StatusCode::SERVICE_UNAVAILABLE, retry, "no room\n")
         }
+        LinkOutcome::Unknown(UnknownReason::NoAnswer) => {
+            node.decisions
+                .count("failed", unknown_name(UnknownReason::NoAnswer));
+            log_ended(node, call, &carried, "failed", began);
+            own_answer(StatusCode::GATEWAY_TIMEOUT, None, "no answer in time\n")
+        }
         LinkOutcome::Unknown(reason) => {
             node.decisions.count("failed", unknown_name(*reason));
             log_ended(node, call, &carried, "failed", began);
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -265,7 +265,7 @@
     });
     node.links.borrow_mut().links.insert(key, Rc::clone(&link));
     let task = keep_link(Rc::clone(node), key, Rc::clone(&link));
-    tokio::task::spawn_local(task);
+    node.tasks.spawn_local(task);
     link
 }
 
--- a/crates/kumquatquayd/src/routed/link_server.rs
+++ b/crates/kumquatquayd/src/routed/link_server.rs
@@ -103,7 +103,8 @@
     link.open.borrow_mut().insert(call.number, open);
     let node = Rc::clone(node);
     let link = Rc::clone(link);
-    tokio::task::spawn_local(async move {
+    let tasks = node.tasks.clone();
+    tasks.spawn_local(async move {
         let number = call.number;
         let route = call.route.clone();
         let answer = run_call(&node, call, Bytes::from(body), cancelled).await;
--- a/crates/kumquatquayd/src/routed/members.rs
+++ b/crates/kumquatquayd/src/routed/members.rs
@@ -4,6 +4,7 @@
 
 use kumquatquay_core::{Announcement, BackendInput, Input, routed::LifeState};
 use kumquatquay_wire::{MemberState, MeshKey};
+use rand::seq::IndexedRandom;
 use tokio::{net::UdpSocket, sync::mpsc::UnboundedReceiver};
 
 use super::{interface::PlatformStore, node::RoutedNode, run_here::turn_away_waiting};
@@ -27,6 +28,11 @@
     Duration::from_secs(10),
 ];
 
+/// How often members that are gone are looked for, and how many at a time: with
+/// 300 bytes each this is under 1 KB/s.
+const RETURNED_INTERVAL: Duration = Duration::from_secs(1);
+const RETURNED_COUNT: usize = 3;
+
 /// Pause after a call to the register that failed.
 const REGISTER_RETRY: Duration = Duration::from_millis(700);
 
@@ -92,6 +98,27 @@
     targets.rebuild(&node.settings.data_centre, members.iter());
 }
 
+/// Introduces this node to members that are gone, a few at a time.
+///
+/// A host that is started again while the store is away knows nobody, and nobody
+/// probes the address of one that left in good order. It would be alone until the
+/// store returns; an introduction brings it its peers within seconds.
+pub(crate) async fn look_for_returned(node: Rc<RoutedNode>) {
+    loop {
+        tokio::time::sleep(RETURNED_INTERVAL).await;
+        let members = node.engine.members().into_iter();
+        let gone = members.filter(|member| member.state == MemberState::Gone);
+        let gone: Vec<SocketAddr> = gone.map(|member| member.control).collect();
+        let some = gone
+            .choose_multiple(&mut *node.random.borrow_mut(), RETURNED_COUNT)
+            .copied();
+        let some: Vec<SocketAddr> = some.collect();
+        if !some.is_empty() {
+            node.engine.handle(Input::Seeds(some));
+        }
+    }
+}
+
 /// Enters this node in the register and introduces it to those found there.
 pub(crate) async fn use_register(node: Rc<RoutedNode>, store: PlatformStore) {
     let own = node.settings.listen.control;
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -27,7 +27,7 @@
     backend_pool::BackendPool, decisions::Decisions, interface::Dialect, link::Links,
     settings::RoutedSettings,
 };
-use crate::{clock::SystemClock, engine::Engine};
+use crate::{clock::SystemClock, engine::Engine, tasks::Tasks};
 
 /// Pause between questions for a configuration; a document takes a few
 /// milliseconds.
@@ -69,6 +69,7 @@
     pub(crate) settings: RoutedSettings,
     pub(crate) dialect: Dialect,
     pub(crate) engine: Arc<Engine>,
+    pub(crate) tasks: Tasks,
     clock: SystemClock,
     pub(crate) random: RefCell<StdRng>,
     /// Where this node begins to split calls by weight, from 0 to 1.
@@ -121,6 +122,7 @@
             settings,
             dialect,
             engine,
+            tasks: Tasks::default(),
             clock: SystemClock::new(),
             random: RefCell::new(random),
             routes: RefCell::default(),
--- a/crates/kumquatquayd/src/routed/start.rs
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -6,10 +6,7 @@
 use kumquatquay_core::{Input, Node, NodeSettings};
 use kumquatquay_wire::MeshKey;
 use rand::Rng;
-use tokio::{
-    net::{TcpListener, UdpSocket},
-    task::spawn_local,
-};
+use tokio::net::{TcpListener, UdpSocket};
 
 use super::{
     entry::serve_entry,
@@ -17,14 +14,14 @@
     interface::{Dialect, PlatformStore},
     link::watch_links,
     link_server::serve_link,
-    members::{carry_out, follow_members, tick, use_register},
+    members::{carry_out, follow_members, look_for_returned, tick, use_register},
     node::{RoutedNode, StopPhase},
     reports::{serve_metrics, serve_readiness, serve_report},
     routes_watch::follow_routes,
     run_here::set_level,
     settings::RoutedSettings,
 };
-use crate::{clock::incarnation, control, engine::Engine, tasks::Tasks};
+use crate::{clock::incarnation, control, engine::Engine};
 
 /// What is left of the grace when the node closes down, whatever is under way.
 const GRACE_MARGIN: Duration = Duration::from_millis(600);
@@ -58,7 +55,7 @@
     let node = RoutedNode::new(settings, dialect, Arc::clone(&engine));
     open_listeners(&node).await?;
     let control_udp = Arc::new(control_udp);
-    let tasks = Tasks::default();
+    let tasks = node.tasks.clone();
     tasks.spawn(control::receive(
         Arc::clone(&engine),
         Arc::clone(&control_udp),
@@ -72,11 +69,12 @@
     ));
     tasks.spawn(tick(Arc::clone(&engine)));
     tasks.spawn(carry_out(engine, effects, control_udp, key));
-    spawn_local(follow_members(Rc::clone(&node)));
-    spawn_local(follow_routes(Rc::clone(&node), store.clone()));
-    spawn_local(use_register(Rc::clone(&node), store));
-    spawn_local(watch_links(Rc::clone(&node)));
-    spawn_local(set_level(Rc::clone(&node)));
+    tasks.spawn_local(follow_members(Rc::clone(&node)));
+    tasks.spawn_local(follow_routes(Rc::clone(&node), store.clone()));
+    tasks.spawn_local(use_register(Rc::clone(&node), store));
+    tasks.spawn_local(look_for_returned(Rc::clone(&node)));
+    tasks.spawn_local(watch_links(Rc::clone(&node)));
+    tasks.spawn_local(set_level(Rc::clone(&node)));
     log_start(&node);
     stop.await;
     leave(&node).await;
@@ -117,18 +115,26 @@
     let entry = listen("callers", addresses.entry).await?;
     let ready = listen("readiness", addresses.ready).await?;
     let reports = listen("reports", addresses.reports).await?;
-    spawn_local(accept_all(Rc::clone(node), links, |node, stream| {
-        spawn_local(serve_link(node, stream));
-    }));
-    spawn_local(accept_all(Rc::clone(node), entry, |node, stream| {
-        spawn_local(serve_connection(node, stream, serve_entry));
-    }));
-    spawn_local(accept_all(Rc::clone(node), ready, |node, stream| {
-        spawn_local(serve_connection(node, stream, serve_readiness));
-    }));
-    spawn_local(accept_all(Rc::clone(node), reports, |node, stream| {
-        spawn_local(serve_connection(node, stream, serve_report));
-    }));
+    node.tasks
+        .spawn_local(accept_all(Rc::clone(node), links, |node, stream| {
+            let tasks = node.tasks.clone();
+            tasks.spawn_local(serve_link(node, stream));
+        }));
+    node.tasks
+        .spawn_local(accept_all(Rc::clone(node), entry, |node, stream| {
+            let tasks = node.tasks.clone();
+            tasks.spawn_local(serve_connection(node, stream, serve_entry));
+        }));
+    node.tasks
+        .spawn_local(accept_all(Rc::clone(node), ready, |node, stream| {
+            let tasks = node.tasks.clone();
+            tasks.spawn_local(serve_connection(node, stream, serve_readiness));
+        }));
+    node.tasks
+        .spawn_local(accept_all(Rc::clone(node), reports, |node, stream| {
+            let tasks = node.tasks.clone();
+            tasks.spawn_local(serve_connection(node, stream, serve_report));
+        }));
     if let Some(metrics) = addresses.metrics {
         serve_metrics_at(node, listen("metrics", metrics).await?);
     }
@@ -136,9 +142,11 @@
 }
 
 fn serve_metrics_at(node: &Rc<RoutedNode>, listener: TcpListener) {
-    spawn_local(accept_all(Rc::clone(node), listener, |node, stream| {
-        spawn_local(serve_connection(node, stream, serve_metrics));
-    }));
+    node.tasks
+        .spawn_local(accept_all(Rc::clone(node), listener, |node, stream| {
+            let tasks = node.tasks.clone();
+            tasks.spawn_local(serve_connection(node, stream, serve_metrics));
+        }));
 }
 
 /// Leaves: callers are sent elsewhere, then connections close, then the node ends
--- a/crates/kumquatquayd/src/tasks.rs
+++ b/crates/kumquatquayd/src/tasks.rs
@@ -26,6 +26,17 @@
         });
     }
 
+    /// [`Tasks::spawn`], for a task that stays on this thread.
+    pub(crate) fn spawn_local(&self, task: impl Future<Output = ()> + 'static) {
+        let ended = self.ended.clone();
+        tokio::task::spawn_local(async move {
+            tokio::select! {
+                () = task => {}
+                () = ended.cancelled() => {}
+            }
+        });
+    }
+
     /// Ends all tasks.
     pub(crate) fn end(&self) {
         self.ended.cancel();
