Notice a backend server that gives no answers

The node beside it now takes it for dead when calls are under way and nothing has come for five mean run times; calls that may run again go elsewhere.

--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -6,6 +6,7 @@
 //! no network: the daemon carries the bytes and tells the time.
 
 mod backend_lives;
+mod backend_pulse;
 mod call_graph;
 mod caller_census;
 mod entry_levels;
@@ -17,6 +18,7 @@
 mod target_table;
 
 pub use backend_lives::{BackendLives, LifeReport, LifeState};
+pub use backend_pulse::BackendPulse;
 pub use call_graph::{CallGraph, GraphRow};
 pub use caller_census::CallerCensus;
 pub use entry_levels::{EntryLevels, EntryRequest, Shortage};
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -1,6 +1,7 @@
 //! Decisions for calls on configured routes, without a network.
 
 mod backend_lives;
+mod backend_pulse;
 mod call_graph;
 mod caller_census;
 mod entry_levels;
--- a/crates/kumquatquayd/src/routed/members.rs
+++ b/crates/kumquatquayd/src/routed/members.rs
@@ -61,13 +61,16 @@
     node.engine.handle(BackendInput::Announced(announcement));
 }
 
-/// Tells the membership that the backend server of this host is dead.
-pub(crate) fn announce_death(node: &RoutedNode) {
-    if node.lives.borrow_mut().on_found_dead() {
-        log::warn!(event = "backend_dead"; "nothing listens at the backend server's address");
+/// Tells the membership that the backend server of this host is dead, until it
+/// reports again; whether that is news.
+pub(crate) fn announce_death(node: &RoutedNode, why: &str) -> bool {
+    let is_news = node.lives.borrow_mut().on_found_dead();
+    if is_news {
+        log::warn!(event = "backend_dead"; "the backend server is taken to be dead: {why}");
         node.engine.handle(BackendInput::Died);
         turn_away_waiting(node);
     }
+    is_news
 }
 
 /// Keeps the table of targets like the members.
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -12,8 +12,8 @@
 use kumquatquay_core::{
     Clock,
     routed::{
-        BackendLives, CallGraph, CallerCensus, EntryLevels, HostGate, LevelSetter, RetryWindow,
-        RouteTable, TargetTable,
+        BackendLives, BackendPulse, CallGraph, CallerCensus, EntryLevels, HostGate, LevelSetter,
+        RetryWindow, RouteTable, TargetTable,
     },
 };
 use kumquatquay_wire::{
@@ -21,7 +21,7 @@
     routed::{GateReport, RouteConfiguration, RouteNews, RouteVersion},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 
 use super::{
     backend_pool::BackendPool, decisions::Decisions, interface::Dialect, link::Links,
@@ -84,6 +84,10 @@
     pub(crate) links: RefCell<Links>,
     pub(crate) gate: RefCell<HostGate<RunTicket>>,
     pub(crate) lives: RefCell<BackendLives>,
+    /// Whether the backend server of this host gives answers.
+    pub(crate) pulse: RefCell<BackendPulse>,
+    /// Told when it has gone silent.
+    pub(crate) silence: Notify,
     /// Sets the level of the gate of this host.
     pub(crate) level: RefCell<LevelSetter>,
     /// From where routes to the backend server of this host are called.
@@ -133,6 +137,8 @@
             links: RefCell::default(),
             gate: RefCell::default(),
             lives: RefCell::default(),
+            pulse: RefCell::default(),
+            silence: Notify::new(),
             level: RefCell::default(),
             census: RefCell::default(),
             graph: RefCell::default(),
--- a/crates/kumquatquayd/src/routed/reports.rs
+++ b/crates/kumquatquayd/src/routed/reports.rs
@@ -50,6 +50,7 @@
 
 fn take_report(node: &RoutedNode, report: BackendReport) -> Response<WholeBody> {
     let now = node.now();
+    node.pulse.borrow_mut().sign(now);
     let is_change = match report {
         BackendReport::Life(life) => node.lives.borrow_mut().on_report(now, life),
         BackendReport::Leave { instance } => node.lives.borrow_mut().on_leave(now, &instance),
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -80,6 +80,8 @@
         tokio::select! {
             answer = hand_over(node, &timed, body, slot) => answer,
             () = cancelled => LinkAnswer::unknown(UnknownReason::NoAnswer),
+            // It may run again elsewhere, while there is time for it.
+            () = node.silence.notified() => LinkAnswer::unknown(UnknownReason::Silent),
         }
     } else {
         hand_over(node, &timed, body, slot).await
@@ -89,12 +91,18 @@
 /// How often the level of the gate is set.
 const LEVEL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Sets the level of the gate from what it sees.
+/// Sets the level of the gate from what it sees, and looks whether the backend
+/// server is silent.
 pub(crate) async fn set_level(node: Rc<RoutedNode>) {
     loop {
         tokio::time::sleep(LEVEL_INTERVAL).await;
+        let now = node.now();
         let state = node.gate.borrow().state();
-        node.level.borrow_mut().tick(node.now(), state);
+        let is_silent = node.pulse.borrow().is_silent(now, state.work);
+        if is_silent && announce_death(&node, "it gives no answers") {
+            node.silence.notify_waiters();
+        }
+        node.level.borrow_mut().tick(now, state);
     }
 }
 
@@ -227,13 +235,20 @@
 struct Run<'a> {
     node: &'a RoutedNode,
     call: &'a CallHead,
+    /// Whether anything came from the backend server.
+    has_sign: bool,
 }
 
 impl<'a> Run<'a> {
     fn new(node: &'a RoutedNode, call: &'a CallHead) -> Self {
         let now = node.now();
         node.graph.borrow_mut().run_began(now, &call.route);
-        Self { node, call }
+        node.pulse.borrow_mut().began(now);
+        Self {
+            node,
+            call,
+            has_sign: false,
+        }
     }
 }
 
@@ -244,6 +259,7 @@
             .graph
             .borrow_mut()
             .run_ended(now, &self.call.route);
+        self.node.pulse.borrow_mut().ended(now, self.has_sign);
     }
 }
 
@@ -257,9 +273,11 @@
     let Some(request) = request_of(node, timed, body, time_left) else {
         return LinkAnswer::not_run(NotRunReason::Unsent);
     };
-    let _run = Run::new(node, timed.call);
+    let mut run = Run::new(node, timed.call);
     let sent = node.backend.send(request, timed.call.is_idempotent);
-    let answer = match tokio::time::timeout(time_left, sent).await {
+    let sent = tokio::time::timeout(time_left, sent).await;
+    run.has_sign = sent.is_ok();
+    let answer = match sent {
         Ok(Ok(answer)) => judge(node, timed, answer),
         Ok(Err(error)) => on_send_error(node, error),
         Err(_) => LinkAnswer::unknown(UnknownReason::NoAnswer),
@@ -343,7 +361,7 @@
 fn on_send_error(node: &RoutedNode, error: SendError) -> LinkAnswer {
     match error {
         SendError::NobodyThere => {
-            announce_death(node);
+            announce_death(node, "nothing listens at its address");
             LinkAnswer::not_run(NotRunReason::Closed)
         }
         SendError::Unsent => LinkAnswer::not_run(NotRunReason::TurnedAway),
