Take nothing new in a node that is about to end

From the moment at which connections close, new requests are refused as not run, with the time to come back; calls of runs under way are still carried. A case over sockets failed first. Also: news of routes are worked out five times a second in place of for each local call.

--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -34,6 +34,16 @@
     answer
 }
 
+/// Whether this node is about to end and takes no new requests.
+///
+/// One that is taken in the last moment of the grace is cut off when it ends. Calls
+/// that backend servers make belong to requests that are under way.
+fn is_too_late(node: &RoutedNode, route: &TableRoute) -> bool {
+    let name = &route.settings.name;
+    let is_called = node.levels.borrow().is_from_outside(node.now(), name) == Some(false);
+    node.stop_phase() == StopPhase::Closing && !is_called
+}
+
 /// A request that has no answer yet; counted for a stop.
 struct InFlight<'a> {
     node: &'a RoutedNode,
@@ -66,6 +76,11 @@
         return own_answer(StatusCode::NOT_FOUND, None, "no route\n");
     };
     let route = Arc::clone(route);
+    if is_too_late(node, &route) {
+        node.decisions.count("refused", "stopping");
+        let retry = Some(retry_after(node, &route.settings));
+        return own_answer(StatusCode::SERVICE_UNAVAILABLE, retry, "this node stops\n");
+    }
     let marks = (node.dialect.read_request)(&parts.headers);
     let body = match read_body(body, table.limits().body_limit_bytes).await {
         Ok(body) => body,
--- a/crates/kumquatquayd/src/routed/http_io.rs
+++ b/crates/kumquatquayd/src/routed/http_io.rs
@@ -101,6 +101,12 @@
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    if node.stop_phase() == StopPhase::Closing {
+        // Its request is answered with a refusal. Closed unread, it would tell the
+        // caller nothing of when to come back.
+        let _ = connection.await;
+        return;
+    }
     let mut stop = node.stop.subscribe();
     tokio::select! {
         _ = connection.as_mut() => return,
--- a/crates/kumquatquayd/src/routed/members.rs
+++ b/crates/kumquatquayd/src/routed/members.rs
@@ -16,7 +16,7 @@
 };
 
 /// How often the node looks whether the members have changed.
-const REFRESH_INTERVAL: Duration = Duration::from_millis(50);
+const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Pauses between looks at the register of nodes after the start. All nodes may
 /// start at the same moment and datagrams get lost; the later looks are for those
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -37,6 +37,9 @@
 /// nodes that have seen more.
 const SETTLING_TIME: Duration = Duration::from_secs(4);
 
+/// How long news of a route that was worked out is told again.
+const NEWS_LIFETIME: Duration = Duration::from_millis(200);
+
 /// Part of a retry budget that each kind of repeat gets: half for the calls that
 /// nodes send once more, half for the calls that repeated runs make. The first kind
 /// is known where a call is sent, the second only where its cause is sent again, so
@@ -96,6 +99,8 @@
     pub(crate) graph: RefCell<CallGraph>,
     /// What is known of the pressure on services and of where routes lead.
     pub(crate) levels: RefCell<EntryLevels>,
+    /// News of routes that were worked out just now.
+    news: RefCell<HashMap<String, (Duration, RouteNews)>>,
     pub(crate) backend: BackendPool,
     pub(crate) decisions: Decisions,
     /// Requests at the entry that have no answer yet.
@@ -139,6 +144,7 @@
             lives: RefCell::default(),
             pulse: RefCell::default(),
             silence: Notify::new(),
+            news: RefCell::default(),
             level: RefCell::default(),
             census: RefCell::default(),
             graph: RefCell::default(),
@@ -208,8 +214,24 @@
     }
 
     /// What this node has learnt of a route to the backend server of this host.
+    ///
+    /// It is worked out anew a few times a second: it takes a fit over all routes of
+    /// the service, and each answer may tell it.
     pub(crate) fn route_news(&self, route: &str) -> RouteNews {
         let now = self.now();
+        if let Some((told, news)) = self.news.borrow().get(route)
+            && now < *told + NEWS_LIFETIME
+        {
+            return news.clone();
+        }
+        let news = self.fresh_news(now, route);
+        let mut known = self.news.borrow_mut();
+        known.retain(|_, (told, _)| now < *told + NEWS_LIFETIME);
+        known.insert(String::from(route), (now, news.clone()));
+        news
+    }
+
+    fn fresh_news(&self, now: Duration, route: &str) -> RouteNews {
         let services_count = self.targets.borrow().services_count();
         let levels = self.levels.borrow();
         let mut leads_to = BTreeMap::from([(self.settings.service.clone(), 1.0)]);
