Write log lines through a queue that never waits

A node wrote its log straight to standard output; a pipe that nobody reads would have stopped all its requests. Lines now go through a queue of 2,048 to a thread; what doesn't fit is counted and told. A case with a sink that takes nothing.

--- a/crates/kumquatquay-daemon/src/on_platform.rs
+++ b/crates/kumquatquay-daemon/src/on_platform.rs
@@ -1,6 +1,6 @@
 //! A node on the users' platform, from its settings file.
 
-use std::{fs, process::ExitCode};
+use std::{fs, process::ExitCode, time::Duration};
 
 use eyre::WrapErr;
 use kumquatquay_platform::{PlatformSettings, dialect, platform_store, read_settings};
@@ -12,9 +12,13 @@
 
 use crate::{EXIT_FAILED, EXIT_WRONG_SETTINGS, fail};
 
+/// How long a node that ends waits for its last log lines to be written; what is
+/// left of the grace then is twice as long.
+const LAST_LINES: Duration = Duration::from_millis(250);
+
 /// Runs the node until it is asked to stop.
 pub(crate) fn serve(path: &str) -> ExitCode {
-    kumquatquayd::init_json_log_to_stdout();
+    let lines = kumquatquayd::init_json_log_to_stdout();
     let text = match fs::read_to_string(path) {
         Ok(text) => text,
         Err(error) => return fail(EXIT_WRONG_SETTINGS, format!("{path}: {error}")),
@@ -23,7 +27,9 @@
         Ok(settings) => settings,
         Err(findings) => return fail(EXIT_WRONG_SETTINGS, format!("{path}:\n{findings}")),
     };
-    match run(settings) {
+    let ran = run(settings);
+    lines.flush_within(LAST_LINES);
+    match ran {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(EXIT_FAILED, format!("{error:#}")),
     }
--- a/crates/kumquatquayd/src/json_log.rs
+++ b/crates/kumquatquayd/src/json_log.rs
@@ -12,6 +12,8 @@
 };
 use serde_json::{Map, Value as Json};
 
+use crate::line_queue::LineQueue;
+
 /// Name of the environment variable that selects levels, such as `info`.
 const LEVEL_VARIABLE: &str = "KUMQUATQUAY_LOG_LEVEL";
 
@@ -20,9 +22,12 @@
     init_to(Target::Stderr);
 }
 
-/// [`init`], with the lines on standard output.
-pub fn init_to_stdout() {
-    init_to(Target::Stdout);
+/// [`init`], with the lines on standard output and without ever waiting for whoever
+/// reads them. The returned queue is flushed before the process ends.
+pub fn init_to_stdout() -> LineQueue {
+    let queue = LineQueue::start(io::stdout());
+    init_to(Target::Pipe(Box::new(queue.clone())));
+    queue
 }
 
 fn init_to(target: Target) {
--- a/crates/kumquatquayd/src/lib.rs
+++ b/crates/kumquatquayd/src/lib.rs
@@ -21,6 +21,7 @@
 mod health;
 mod http;
 mod json_log;
+mod line_queue;
 mod metrics;
 mod platform;
 mod reach;
@@ -31,6 +32,7 @@
 mod tasks;
 
 pub use json_log::{init as init_json_log, init_to_stdout as init_json_log_to_stdout};
+pub use line_queue::LineQueue;
 pub use reach::Reach;
 pub use running_node::{RunningNode, start};
 pub use settings::{DaemonSettings, Finding, Findings, OperatorAccount, command, from_matches};
