--- a/crates/kumquatquayd/tests/line_queue.rs
+++ b/crates/kumquatquayd/tests/line_queue.rs
@@ -56,7 +56,9 @@
     let mut queue = LineQueue::start(sink.clone());
     for line in 0..10_000 {
         // As the logger does: a line in one piece.
-        queue.write_all(format!("line {line}\n").as_bytes()).unwrap();
+        queue
+            .write_all(format!("line {line}\n").as_bytes())
+            .unwrap();
     }
     sink.open();
     queue.flush_within(Duration::from_secs(20));
