--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -1,9 +1,10 @@
 //! Decisions for calls on configured routes.
 //!
-//! A [`RouteConfiguration`](kumquatquay_wire::routed::RouteConfiguration) sends calls by host and path to services, with a
-//! timeout, a priority and a number of attempts each. This module decides where
-//! each call goes, who waits, who is refused and what is sent once more. It needs
-//! no network: the daemon carries the bytes and tells the time.
+//! A [`RouteConfiguration`](kumquatquay_wire::routed::RouteConfiguration) sends calls
+//! by host and path to services, with a timeout, a priority and a number of attempts
+//! each. This module decides where each call goes, who waits, who is refused and what
+//! is sent once more. It needs no network: the daemon carries the bytes and tells the
+//! time.
 
 mod backend_lives;
 mod backend_pulse;
