Tell of a call how far it came; draw from the register at random

- A request whose time ran out on the way told neither the node at which it waited nor what it had tried; its line now does.
- Introductions took the first 64 unknown addresses of the register; entries of removed hosts could keep a node alone.
- An interface function that nothing called is gone.

--- a/crates/kumquatquay-core/src/membership/controller.rs
+++ b/crates/kumquatquay-core/src/membership/controller.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use kumquatquay_wire::{ControlBody, Datagram, MemberState, Rumour};
+use rand::seq::SliceRandom;
 
 use super::{
     bulk_sync, carrier, far_silence, gossip, leaving, merge, prober, replay_windows::Freshness,
@@ -161,7 +162,11 @@
     }
     let own = [Rumour::Member(board.members.own().clone())];
     let unknown = seeds.iter().filter(|seed| is_unknown(board, **seed));
-    let unknown: Vec<SocketAddr> = unknown.copied().take(INTRODUCTIONS_COUNT).collect();
+    // Entries of hosts that are gone for good stay in a register. Taken in its order,
+    // they could keep this node from ever reaching the others.
+    let mut unknown: Vec<SocketAddr> = unknown.copied().collect();
+    unknown.shuffle(&mut board.random);
+    unknown.truncate(INTRODUCTIONS_COUNT);
     for to in unknown {
         sender::send_far(board, now, to, ControlBody::Introduce, &own, out);
     }
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -1,6 +1,6 @@
 //! Carries a call from its entry to a backend server.
 
-use std::{net::SocketAddr, ops::Range, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, ops::Range, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use kumquatquay_core::routed::{Choice, TableRoute, TargetEnded};
@@ -45,13 +45,14 @@
     pub(crate) target: String,
     pub(crate) headers: Vec<HeaderField>,
     pub(crate) body: Bytes,
+    /// How far it has come; also told of a call whose time ran out on the way.
+    pub(crate) progress: Cell<Progress>,
 }
 
-/// How a call ended, and what it took.
-#[derive(Debug)]
-pub(crate) struct Carried {
-    pub(crate) answer: LinkAnswer,
-    /// Backend servers to which it was sent.
+/// What a call went through so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Progress {
+    /// Backend servers to which it was sent and which have answered or are lost.
     pub(crate) sends_count: u32,
     /// Nodes that had no room for it.
     pub(crate) refusals_count: usize,
@@ -60,7 +61,7 @@
 }
 
 /// Carries a call until it is answered, refused or given up.
-pub(crate) async fn carry(node: &Rc<RoutedNode>, call: &OutgoingCall) -> Carried {
+pub(crate) async fn carry(node: &Rc<RoutedNode>, call: &OutgoingCall) -> LinkAnswer {
     node.count_request(&call.route.settings.name, &call.service);
     let mut course = Course::default();
     loop {
@@ -76,22 +77,24 @@
             return course.end(LinkAnswer::not_run(NotRunReason::Full));
         };
         course.asked.push(choice.control);
-        course.last = Some(choice.control);
+        course.progress.last = Some(choice.control);
+        call.progress.set(course.progress);
         let answer = attempt(node, call, &choice).await;
-        match course.judge(node, call, &answer) {
+        let verdict = course.judge(node, call, &answer);
+        call.progress.set(course.progress);
+        match verdict {
             Verdict::Final => return course.end(answer),
             Verdict::Elsewhere => {}
         }
     }
 }
 
-/// What a call went through so far.
+/// The attempts of a call so far.
 #[derive(Debug, Default)]
 struct Course {
+    /// Control addresses of the nodes that were asked.
     asked: Vec<SocketAddr>,
-    sends_count: u32,
-    refusals_count: usize,
-    last: Option<SocketAddr>,
+    progress: Progress,
     /// An attempt of which it isn't known whether it ran.
     unknown: Option<UnknownReason>,
 }
@@ -106,15 +109,15 @@
         match &answer.outcome {
             LinkOutcome::Answered { .. } => Verdict::Final,
             LinkOutcome::NotRun(NotRunReason::TurnedAway) => {
-                self.sends_count += 1;
+                self.progress.sends_count += 1;
                 self.once_more(node, call)
             }
             LinkOutcome::NotRun(_) => {
-                self.refusals_count += 1;
+                self.progress.refusals_count += 1;
                 Verdict::Elsewhere
             }
             LinkOutcome::Unknown(reason) => {
-                self.sends_count += 1;
+                self.progress.sends_count += 1;
                 self.unknown = Some(*reason);
                 if call.route.settings.repeat == Repeat::AtMostOnce {
                     return Verdict::Final;
@@ -126,7 +129,7 @@
 
     /// Whether a call that a backend server has seen is sent to another one.
     fn once_more(&self, node: &RoutedNode, call: &OutgoingCall) -> Verdict {
-        let is_allowed = self.sends_count < call.route.settings.attempts_count;
+        let is_allowed = self.progress.sends_count < call.route.settings.attempts_count;
         if is_allowed && node.take_repeat(&call.route.settings.name, &call.service) {
             node.decisions.count("repeat", "sent");
             Verdict::Elsewhere
@@ -139,20 +142,14 @@
     /// may be one that was not found yet.
     fn can_look_again(&self, node: &RoutedNode, call: &OutgoingCall) -> bool {
         let has_time = node.now() + LOOK_AGAIN + LAST_ATTEMPT < call.deadline;
-        has_time && self.refusals_count < ASKED_LIMIT_COUNT
+        has_time && self.progress.refusals_count < ASKED_LIMIT_COUNT
     }
 
-    fn end(self, answer: LinkAnswer) -> Carried {
-        // A later refusal says nothing of an earlier attempt that may have run.
-        let answer = match (&answer.outcome, self.unknown) {
+    /// A later refusal says nothing of an earlier attempt that may have run.
+    fn end(self, answer: LinkAnswer) -> LinkAnswer {
+        match (&answer.outcome, self.unknown) {
             (LinkOutcome::NotRun(_), Some(reason)) => LinkAnswer::unknown(reason),
             _ => answer,
-        };
-        Carried {
-            answer,
-            sends_count: self.sends_count,
-            refusals_count: self.refusals_count,
-            last: self.last,
         }
     }
 }
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -1,19 +1,20 @@
 //! The entry listener: calls of callers and of the backend server on this host.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use kumquatquay_core::routed::{EntryRequest, RouteTable, TableRoute};
-use kumquatquay_wire::routed::{LinkOutcome, NotRunReason, UnknownReason};
+use kumquatquay_wire::routed::{GateReport, LinkOutcome, NotRunReason, UnknownReason};
 use rand::Rng;
 
 use super::{
-    carry::{Carried, OutgoingCall, carry, retry_after},
+    carry::{OutgoingCall, Progress, carry, retry_after},
     http_io::{Caller, WholeBody, fields_of, headers_of, own_answer},
     interface::RequestMarks,
+    link::LinkAnswer,
     node::{RoutedNode, StopPhase},
 };
 
@@ -106,16 +107,17 @@
         headers: fields_of(&parts.headers),
         body,
         route,
+        progress: Cell::new(Progress::default()),
     };
     if let Some(refusal) = refuse_for_shortage(node, &call, began) {
         return refusal;
     }
     let wait = call.deadline.saturating_sub(node.now());
     match tokio::time::timeout(wait, carry(node, &call)).await {
-        Ok(carried) => answer_carried(node, &call, carried, began),
+        Ok(answer) => answer_carried(node, &call, answer, began),
         Err(_) => {
             node.decisions.count("failed", "deadline");
-            log_failed(node, &call, "deadline", None, began);
+            log_unless_many(node, &call, "failed", "deadline", None, began);
             own_answer(StatusCode::GATEWAY_TIMEOUT, None, "no answer in time\n")
         }
     }
@@ -195,36 +197,37 @@
 fn answer_carried(
     node: &RoutedNode,
     call: &OutgoingCall,
-    carried: Carried,
+    answer: LinkAnswer,
     began: Duration,
 ) -> Response<WholeBody> {
-    match &carried.answer.outcome {
+    match &answer.outcome {
         LinkOutcome::Answered { status, headers } => {
             let latency = node.now().saturating_sub(began);
             node.decisions.served(latency);
             if node.decisions.samples_served(node.now()) {
-                log_ended(node, call, &carried, "served", began);
+                log_ended(node, call, &answer, "served", began);
             }
-            let mut answer = Response::new(Full::new(carried.answer.body));
-            *answer.status_mut() = StatusCode::from_u16(*status).unwrap_or(StatusCode::BAD_GATEWAY);
-            *answer.headers_mut() = headers_of(headers);
-            answer
+            let mut response = Response::new(Full::new(answer.body));
+            *response.status_mut() =
+                StatusCode::from_u16(*status).unwrap_or(StatusCode::BAD_GATEWAY);
+            *response.headers_mut() = headers_of(headers);
+            response
         }
         LinkOutcome::NotRun(reason) => {
             node.decisions.count("refused", not_run_name(*reason));
-            log_ended(node, call, &carried, "refused", began);
+            log_ended(node, call, &answer, "refused", began);
             let retry = Some(retry_after(node, &call.route.settings));
             own_answer(StatusCode::SERVICE_UNAVAILABLE, retry, "no room\n")
         }
         LinkOutcome::Unknown(UnknownReason::NoAnswer) => {
             node.decisions
                 .count("failed", unknown_name(UnknownReason::NoAnswer));
-            log_ended(node, call, &carried, "failed", began);
+            log_ended(node, call, &answer, "failed", began);
             own_answer(StatusCode::GATEWAY_TIMEOUT, None, "no answer in time\n")
         }
         LinkOutcome::Unknown(reason) => {
             node.decisions.count("failed", unknown_name(*reason));
-            log_ended(node, call, &carried, "failed", began);
+            log_ended(node, call, &answer, "failed", began);
             own_answer(StatusCode::BAD_GATEWAY, None, "no whole answer\n")
         }
     }
@@ -254,30 +257,33 @@
 fn log_ended(
     node: &RoutedNode,
     call: &OutgoingCall,
-    carried: &Carried,
+    answer: &LinkAnswer,
     outcome: &'static str,
     began: Duration,
 ) {
-    let why = match &carried.answer.outcome {
+    let why = match &answer.outcome {
         LinkOutcome::Answered { status, .. } => status.to_string(),
         LinkOutcome::NotRun(reason) => reason.to_string(),
         LinkOutcome::Unknown(reason) => reason.to_string(),
     };
-    if outcome != "served" && !node.decisions.has_line(node.now()) {
-        return;
+    if outcome == "served" {
+        log_line(node, call, outcome, &why, answer.report, began);
+    } else {
+        log_unless_many(node, call, outcome, &why, answer.report, began);
     }
-    log_line(node, call, outcome, &why, Some(carried), began);
 }
 
-fn log_failed(
+/// Writes a line on a request, unless this second has had its lines.
+fn log_unless_many(
     node: &RoutedNode,
     call: &OutgoingCall,
+    outcome: &'static str,
     why: &str,
-    carried: Option<&Carried>,
+    report: Option<GateReport>,
     began: Duration,
 ) {
     if node.decisions.has_line(node.now()) {
-        log_line(node, call, "failed", why, carried, began);
+        log_line(node, call, outcome, why, report, began);
     }
 }
 
@@ -286,23 +292,18 @@
     call: &OutgoingCall,
     outcome: &'static str,
     why: &str,
-    carried: Option<&Carried>,
+    report: Option<GateReport>,
     began: Duration,
 ) {
     let now = node.now();
-    let caller = call
-        .caller
-        .map(|caller| caller.to_string())
-        .unwrap_or_default();
-    let last = carried.and_then(|carried| carried.last);
-    let last = last.map(|last| last.to_string()).unwrap_or_default();
-    let report = carried
-        .and_then(|carried| carried.answer.report)
-        .unwrap_or_default();
+    let progress = call.progress.get();
+    let caller = call.caller.map(|caller| caller.to_string());
+    let last = progress.last.map(|last| last.to_string());
+    let report = report.unwrap_or_default();
     log::info!(
         event = "request",
         request = call.attempt.as_str(),
-        caller = caller.as_str(),
+        caller = caller.as_deref().unwrap_or_default(),
         route = call.route.settings.name.as_str(),
         service = call.service.as_str(),
         outcome = outcome,
@@ -310,9 +311,9 @@
         version = call.version,
         took_ms = now.saturating_sub(began).as_millis() as u64,
         left_ms = call.deadline.saturating_sub(now).as_millis() as u64,
-        sends = carried.map_or(0, |carried| carried.sends_count),
-        refusals = carried.map_or(0, |carried| carried.refusals_count as u64),
-        last_node = last.as_str(),
+        sends = progress.sends_count,
+        refusals = progress.refusals_count as u64,
+        last_node = last.as_deref().unwrap_or_default(),
         gate_running = report.running_count,
         gate_waiting = report.waiting_count,
         gate_limit = report.limit_count;
--- a/crates/kumquatquayd/src/routed/interface.rs
+++ b/crates/kumquatquayd/src/routed/interface.rs
@@ -92,8 +92,6 @@
     pub nodes: Arc<dyn Fn() -> StoreFuture<Vec<SocketAddr>>>,
     /// Enters this node.
     pub enter_node: Arc<dyn Fn(SocketAddr) -> StoreFuture<()>>,
-    /// Takes this node out.
-    pub remove_node: Arc<dyn Fn(SocketAddr) -> StoreFuture<()>>,
 }
 
 impl fmt::Debug for PlatformStore {
