Tell in a refusal the chance of its rank and how long the shortage has lasted

An engineer who reads the line of a refused request could not see whether it was unlucky or shut out. The level is now called what it is, a share of the offered load.

Tried and left out: telling callers with little chance to come back later (one over the chance, at most as long as the shortage has lasted).

--- a/crates/kumquatquay-core/src/routed/entry_levels.rs
+++ b/crates/kumquatquay-core/src/routed/entry_levels.rs
@@ -1,6 +1,7 @@
 //! Decides at the entry which whole requests are let in.
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     time::Duration,
@@ -24,6 +25,10 @@
 /// Calls at a service by one request from which on its level counts for a route.
 const CALLS_LEAST_COUNT: f32 = 0.2;
 
+/// Level below which a service counts as short; above it the noise of a gate's level
+/// would count as the end of a shortage.
+const SHORT_LEVEL: f64 = 0.97;
+
 /// Services and routes that are remembered, of each.
 const LIMIT_COUNT: usize = 1_024;
 
@@ -53,6 +58,8 @@
 struct ServiceLevels {
     gates: HashMap<SocketAddr, Told>,
     heard: Option<Told>,
+    /// Since when the service is short without a break, as this entry has seen it.
+    short_since: Cell<Option<Duration>>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -114,6 +121,20 @@
     pub level: f64,
     /// How old it is.
     pub age: Duration,
+    /// Share of the requests of the same rank that are let in.
+    pub chance: f64,
+    /// How long the service has been short.
+    pub lasts: Duration,
+}
+
+/// Where a request stands among all that lead to a service: shares of the offered
+/// load.
+#[derive(Clone, Copy, Debug)]
+struct Standing {
+    /// What is more important.
+    before: f64,
+    /// What has the same rank.
+    beside: f64,
 }
 
 impl EntryLevels {
@@ -261,25 +282,41 @@
         let Some((level, age)) = self.level(now, service) else {
             return Ok(());
         };
-        if level >= 1.0 || self.order(now, service, request, ranks) < level {
+        let lasts = self.short_for(now, service, level);
+        if level >= 1.0 {
+            return Ok(());
+        }
+        let standing = self.standing(now, service, request, ranks);
+        if standing.before + standing.beside * request.place < level {
             return Ok(());
         }
         Err(Shortage {
             service: ServiceName::from(service),
             level,
             age,
+            chance: ((level - standing.before) / standing.beside).clamp(0.0, 1.0),
+            lasts,
         })
     }
 
-    /// Place of a request among all that lead to a service, from 0 to 1: the share
-    /// of the offered load that goes before it.
-    fn order(
+    /// How long a service that has this level now has been short.
+    fn short_for(&self, now: Duration, service: &str, level: f64) -> Duration {
+        let Some(known) = self.services.get(service) else {
+            return Duration::ZERO;
+        };
+        let is_short = level < SHORT_LEVEL;
+        let since = is_short.then(|| known.short_since.get().unwrap_or(now));
+        known.short_since.set(since);
+        since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
+
+    fn standing(
         &self,
         now: Duration,
         service: &str,
         request: &EntryRequest<'_>,
         ranks: &BTreeMap<String, Priority>,
-    ) -> f64 {
+    ) -> Standing {
         let (mut before, mut beside, mut all) = (0.0, 0.0, 0.0);
         for (route, levels) in &self.routes {
             let Some(priority) = ranks.get(route).copied() else {
@@ -293,10 +330,17 @@
                 beside += load;
             }
         }
-        if all <= 0.0 {
-            return request.place;
+        if beside <= 0.0 {
+            // Nothing is known of the load: it stands alone.
+            return Standing {
+                before: 0.0,
+                beside: 1.0,
+            };
+        }
+        Standing {
+            before: before / all,
+            beside: beside / all,
         }
-        (before + beside * request.place) / all
     }
 
     fn known(
--- a/crates/kumquatquay-core/tests/routed/entry_levels.rs
+++ b/crates/kumquatquay-core/tests/routed/entry_levels.rs
@@ -1,8 +1,8 @@
 //! Which whole requests are let in.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use kumquatquay_core::routed::{EntryLevels, EntryRequest};
+use kumquatquay_core::routed::{EntryLevels, EntryRequest, Shortage};
 use kumquatquay_wire::routed::{GateReport, RouteNews};
 
 use crate::at_ms;
@@ -65,12 +65,16 @@
 /// Two histories are offered for each settlement.
 fn offer(levels: &mut EntryLevels) {
     for _ in 0..100 {
-        is_let_in(levels, 0, "history", 0.0);
-        is_let_in(levels, 0, "history", 0.0);
-        is_let_in(levels, 0, "settle", 0.0);
+        offer_at(levels, 0);
     }
 }
 
+fn offer_at(levels: &mut EntryLevels, at: u64) {
+    is_let_in(levels, at, "history", 0.0);
+    is_let_in(levels, at, "history", 0.0);
+    is_let_in(levels, at, "settle", 0.0);
+}
+
 /// The register has room for half of what is offered: all settlements, a third of
 /// the load, and a quarter of the histories.
 #[test]
@@ -110,6 +114,48 @@
     assert!((level - 0.4).abs() < 0.01, "{level}");
 }
 
+/// Why the last of a rank is refused.
+fn refusal(levels: &mut EntryLevels, at: u64, route: &str) -> Shortage {
+    let (_, service, priority, _) = ROUTES
+        .into_iter()
+        .find(|(name, ..)| *name == route)
+        .unwrap();
+    let request = EntryRequest {
+        route,
+        service,
+        priority,
+        place: 0.999,
+    };
+    levels.admit(at_ms(at), &request, &ranks()).unwrap_err()
+}
+
+/// An engineer asks why a history was refused: three quarters of them are, and the
+/// register has been short for ten seconds.
+#[test]
+fn a_refusal_tells_the_chance_and_how_long_the_shortage_lasts() {
+    let mut levels = levels();
+    for at in (0..=10_000).step_by(100) {
+        offer_at(&mut levels, at);
+        tell(&mut levels, at, 1, 0.5);
+    }
+    let shortage = refusal(&mut levels, 10_000, "history");
+    assert!((shortage.chance - 0.25).abs() < 0.02, "{shortage:?}");
+    assert!(shortage.lasts >= Duration::from_millis(9_900));
+}
+
+#[test]
+fn a_shortage_that_was_over_begins_anew() {
+    let mut levels = levels();
+    offer(&mut levels);
+    for (at, level) in [(0, 0.1), (5_000, 1.0), (6_000, 0.1)] {
+        tell(&mut levels, at, 1, level);
+        is_let_in(&mut levels, at, "history", 0.9);
+    }
+    tell(&mut levels, 6_300, 1, 0.1);
+    let shortage = refusal(&mut levels, 6_300, "history");
+    assert_eq!(shortage.lasts, Duration::from_millis(300));
+}
+
 /// Nobody reaches the register any more, and its last word was that it has no room.
 /// Shutting requests out for good would keep anybody from finding out more.
 #[test]
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -153,10 +153,13 @@
     node.decisions.count("refused", "shortage");
     if node.decisions.has_line(now) {
         let why = format!(
-            "{} has room for {:.2} of the ranks, told {} ms ago",
+            "{} has room for {:.2} of the offered load, told {} ms ago, short for {} ms; \
+             {:.2} of this rank are let in",
             shortage.service,
             shortage.level,
-            shortage.age.as_millis()
+            shortage.age.as_millis(),
+            shortage.lasts.as_millis(),
+            shortage.chance
         );
         log_line(node, call, "refused", &why, None, began);
     }
