Hand a shed call over once more at its gate

A gate now hands a call that its backend server turned away, unrun, to it once more, within its own part of the budget (0.3; 0.35 and 0.25 stay for what entries send once more and for calls of repeated runs).

A test over sockets on a route of one attempt failed before (503) and passes (200).

--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -5,6 +5,7 @@
 mod call_graph;
 mod caller_census;
 mod entry_levels;
+mod gate_repeats;
 mod host_gate;
 mod level_setter;
 mod retry_window;
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -12,8 +12,8 @@
 use kumquatquay_core::{
     Clock,
     routed::{
-        BackendLives, BackendPulse, CallGraph, CallerCensus, EntryLevels, HostGate, LevelSetter,
-        RetryWindow, RouteTable, TargetTable,
+        BackendLives, BackendPulse, CallGraph, CallerCensus, EntryLevels, GateRepeats, HostGate,
+        LevelSetter, RetryWindow, RouteTable, TargetTable,
     },
 };
 use kumquatquay_wire::{
@@ -40,11 +40,14 @@
 /// How long news of a route that was worked out is told again.
 const NEWS_LIFETIME: Duration = Duration::from_millis(200);
 
-/// Part of a retry budget that each kind of repeat gets: half for the calls that
-/// nodes send once more, half for the calls that repeated runs make. The first kind
-/// is known where a call is sent, the second only where its cause is sent again, so
-/// neither can count the other.
-const REPEATS_RATIO: f64 = 0.45;
+/// Parts of a retry budget: for calls that nodes send once more, for calls that
+/// repeated runs make, and for calls that a gate hands over once more. The first kind
+/// is known where a call is sent, the second where its cause is sent again, the third
+/// at the gate, so none can count the others. A tenth is left for what is counted
+/// differently elsewhere.
+const OWN_RATIO: f64 = 0.35;
+const CAUSED_RATIO: f64 = 0.25;
+const AT_GATE_RATIO: f64 = 0.3;
 
 /// Repeats of this node, by service.
 #[derive(Debug, Default)]
@@ -84,6 +87,8 @@
     next_ask: Cell<Duration>,
     pub(crate) targets: RefCell<TargetTable>,
     retries: RefCell<Retries>,
+    /// Calls that the gate of this host hands over once more.
+    pub(crate) gate_repeats: RefCell<GateRepeats>,
     pub(crate) links: RefCell<Links>,
     pub(crate) gate: RefCell<HostGate<RunTicket>>,
     pub(crate) lives: RefCell<BackendLives>,
@@ -123,6 +128,10 @@
 impl RoutedNode {
     pub(crate) fn new(settings: RoutedSettings, dialect: Dialect, engine: Arc<Engine>) -> Rc<Self> {
         let mut random = StdRng::from_os_rng();
+        let budget = settings.retry_budget;
+        // Its part of the extra repeats is left out: there are few gates to a service,
+        // and how many isn't known for sure.
+        let at_gate = RetryWindow::new(budget.window, budget.ratio * AT_GATE_RATIO, 0.0);
         Rc::new(Self {
             backend: BackendPool::new(settings.backend),
             phase: random.random(),
@@ -137,6 +146,7 @@
             next_ask: Cell::default(),
             targets: RefCell::default(),
             retries: RefCell::default(),
+            gate_repeats: RefCell::new(GateRepeats::new(at_gate)),
             links: RefCell::default(),
             gate: RefCell::default(),
             lives: RefCell::default(),
@@ -305,14 +315,14 @@
         act: impl FnOnce(&mut RetryWindow) -> T,
     ) -> T {
         let budget = self.settings.retry_budget;
-        let extra_count = budget.extra_count * REPEATS_RATIO / self.nodes_count.get() as f64;
         let mut retries = self.retries.borrow_mut();
-        let windows = match kind {
-            Repeats::Own => &mut retries.own,
-            Repeats::Caused => &mut retries.caused,
+        let (windows, part) = match kind {
+            Repeats::Own => (&mut retries.own, OWN_RATIO),
+            Repeats::Caused => (&mut retries.caused, CAUSED_RATIO),
         };
+        let extra_count = budget.extra_count * part / self.nodes_count.get() as f64;
         if !windows.contains_key(service) {
-            let ratio = budget.ratio * REPEATS_RATIO;
+            let ratio = budget.ratio * part;
             let window = RetryWindow::new(budget.window, ratio, extra_count);
             windows.insert(ServiceName::from(service), window);
         }
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Method, Request, Uri};
 use http_body_util::Full;
-use kumquatquay_core::routed::{Admission, GateCall, WaitKey};
+use kumquatquay_core::routed::{Admission, GateCall, TurnedAwayCall, WaitKey};
 use kumquatquay_wire::routed::{CallHead, LinkOutcome, NotRunReason, UnknownReason};
 use tokio::sync::oneshot;
 
@@ -262,27 +262,68 @@
     }
 }
 
+/// What came of one hand-over to the backend server.
+enum HandedOver {
+    /// This is what becomes of the call.
+    Ended(LinkAnswer),
+    /// The backend server says that it has no room and has not run it.
+    TurnedAway,
+}
+
+/// Hands a call to the backend server, once more if it was turned away and that is
+/// worth a part of the retry budget.
 async fn hand_over(
     node: &Rc<RoutedNode>,
     timed: &Timed<'_>,
     body: Bytes,
     mut slot: Slot,
 ) -> LinkAnswer {
+    node.gate_repeats.borrow_mut().on_call(node.now());
+    for hand_overs_count in 1.. {
+        slot.began = node.now();
+        let handed_over = hand_over_once(node, timed, body.clone()).await;
+        let is_turned_away = matches!(handed_over, HandedOver::TurnedAway);
+        node.gate_repeats.borrow_mut().on_result(is_turned_away);
+        if let HandedOver::Ended(answer) = handed_over {
+            slot.counts_work = matches!(answer.outcome, LinkOutcome::Answered { .. });
+            return answer;
+        }
+        if !is_handed_over_again(node, timed, hand_overs_count) {
+            break;
+        }
+        node.decisions.count("repeat", "at_gate");
+    }
+    LinkAnswer::not_run(NotRunReason::TurnedAway)
+}
+
+fn is_handed_over_again(node: &RoutedNode, timed: &Timed<'_>, hand_overs_count: u32) -> bool {
+    let now = node.now();
+    if check_open(node, timed).is_err() || now > timed.latest_start(node) {
+        return false;
+    }
+    let services_count = node.targets.borrow().services_count();
+    let census = node.census.borrow();
+    let call = TurnedAwayCall {
+        is_from_outside: census.is_from_outside(now, &timed.call.route, services_count),
+        hand_overs_count,
+    };
+    node.gate_repeats.borrow_mut().take(now, call)
+}
+
+async fn hand_over_once(node: &Rc<RoutedNode>, timed: &Timed<'_>, body: Bytes) -> HandedOver {
     let time_left = timed.deadline.saturating_sub(node.now());
     let Some(request) = request_of(node, timed, body, time_left) else {
-        return LinkAnswer::not_run(NotRunReason::Unsent);
+        return HandedOver::Ended(LinkAnswer::not_run(NotRunReason::Unsent));
     };
     let mut run = Run::new(node, timed.call);
     let sent = node.backend.send(request, timed.call.is_idempotent);
     let sent = tokio::time::timeout(time_left, sent).await;
     run.has_sign = sent.is_ok();
-    let answer = match sent {
+    match sent {
         Ok(Ok(answer)) => judge(node, timed, answer),
-        Ok(Err(error)) => on_send_error(node, error),
-        Err(_) => LinkAnswer::unknown(UnknownReason::NoAnswer),
-    };
-    slot.counts_work = matches!(answer.outcome, LinkOutcome::Answered { .. });
-    answer
+        Ok(Err(error)) => HandedOver::Ended(on_send_error(node, error)),
+        Err(_) => HandedOver::Ended(LinkAnswer::unknown(UnknownReason::NoAnswer)),
+    }
 }
 
 fn request_of(
@@ -310,7 +351,7 @@
 /// A connection may bring the late answer to an earlier request, bytes that no
 /// backend server vouches for, or a refusal without the promise. None of these may
 /// reach a caller as the answer to its request.
-fn judge(node: &RoutedNode, timed: &Timed<'_>, answer: BackendAnswer) -> LinkAnswer {
+fn judge(node: &RoutedNode, timed: &Timed<'_>, answer: BackendAnswer) -> HandedOver {
     let marks = (node.dialect.read_answer)(&answer.headers);
     if let Some(load) = marks.load {
         node.gate.borrow_mut().on_backend_load(load);
@@ -322,7 +363,7 @@
     if is_other {
         node.decisions.count("garbled", "other_request");
         answer.discard();
-        return LinkAnswer::unknown(UnknownReason::Garbled);
+        return HandedOver::Ended(LinkAnswer::unknown(UnknownReason::Garbled));
     }
     if answer.status == 421 {
         if let Some(instance) = &marks.instance
@@ -331,11 +372,11 @@
             announce(node);
         }
         answer.keep(marks.kept_open);
-        return LinkAnswer::not_run(NotRunReason::TurnedAway);
+        return HandedOver::Ended(LinkAnswer::not_run(NotRunReason::TurnedAway));
     }
     if marks.is_not_run {
         answer.keep(marks.kept_open);
-        return LinkAnswer::not_run(NotRunReason::TurnedAway);
+        return HandedOver::TurnedAway;
     }
     let is_encoded = answer.headers.contains_key(http::header::CONTENT_ENCODING);
     let is_success = (200..300).contains(&answer.status);
@@ -344,20 +385,20 @@
     if (is_success && !is_own) || is_hollow_promise {
         node.decisions.count("garbled", "unsigned");
         answer.discard();
-        return LinkAnswer::unknown(UnknownReason::Garbled);
+        return HandedOver::Ended(LinkAnswer::unknown(UnknownReason::Garbled));
     }
     let outcome = LinkOutcome::Answered {
         status: answer.status,
         headers: fields_of(&answer.headers),
     };
     let body = answer.keep(marks.kept_open);
-    LinkAnswer {
+    HandedOver::Ended(LinkAnswer {
         outcome,
         body,
         report: None,
         news: None,
         pressures: Vec::new(),
-    }
+    })
 }
 
 fn on_send_error(node: &RoutedNode, error: SendError) -> LinkAnswer {
