Give an attempt that hangs up in time for another one

The entry waited until the deadline, lost the call and the whole request, and counted nothing against the host.

An idempotent call's attempt without an answer is now given up after ten mean run times (200 ms at least), or at the last moment for another attempt, counted as a failure of the host, and sent elsewhere within the retry budget.

--- a/crates/kumquatquay-core/src/routed/target_table.rs
+++ b/crates/kumquatquay-core/src/routed/target_table.rs
@@ -85,6 +85,8 @@
     pub peer: SocketAddr,
     /// The backend server's life.
     pub instance: Option<InstanceId>,
+    /// Mean time that it takes to run a call.
+    pub work: Duration,
 }
 
 /// How a call to a target ended.
@@ -187,6 +189,7 @@
             control,
             peer: target.peer,
             instance: target.instance.clone(),
+            work: Duration::from_secs_f64(target.work_s()),
         })
     }
 
@@ -270,14 +273,19 @@
         own.max(self.report.fill_ratio() + sent)
     }
 
-    /// Time until the answer to one more call, with failures counted as delay.
-    fn cost_s(&self, now: Duration) -> f64 {
+    /// Mean time to run a call, as the gate has told.
+    fn work_s(&self) -> f64 {
         let told_work_s = self.report.work().as_secs_f64();
-        let work_s = if told_work_s > 0.0 {
+        if told_work_s > 0.0 {
             told_work_s
         } else {
             FIRST_WORK_S
-        };
+        }
+    }
+
+    /// Time until the answer to one more call, with failures counted as delay.
+    fn cost_s(&self, now: Duration) -> f64 {
+        let work_s = self.work_s();
         let fill = self.fill_ratio(now);
         let wait_s = work_s * (fill - 1.0).max(0.0);
         let crowded = (fill - CROWDED_FILL_RATIO).max(0.0);
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -32,6 +32,16 @@
 /// Time from the deadline in which no further attempt is begun.
 const LAST_ATTEMPT: Duration = Duration::from_millis(18);
 
+/// Mean times to run a call that are kept for another attempt, when one gives no
+/// answer. Most runs take less than three of them.
+const LAST_CHANCE_WORKS: u32 = 3;
+
+/// Mean times to run a call, and the least time, after which an attempt without an
+/// answer is taken to hang. A call waits for two of them at a gate, and the longest of
+/// a hundred runs take five.
+const HANGS_WORKS: u32 = 10;
+const HANGS_LEAST: Duration = Duration::from_millis(200);
+
 /// A call of this host.
 #[derive(Debug)]
 pub(crate) struct OutgoingCall {
@@ -79,7 +89,8 @@
         course.asked.push(choice.control);
         course.progress.last = Some(choice.control);
         call.progress.set(course.progress);
-        let answer = attempt(node, call, &choice).await;
+        let time = course.time_for_attempt(node, call, &choice);
+        let answer = attempt(node, call, &choice, time).await;
         let verdict = course.judge(node, call, &answer);
         call.progress.set(course.progress);
         match verdict {
@@ -127,6 +138,28 @@
         }
     }
 
+    /// How long an attempt may go without an answer; `None` if there can't be another.
+    ///
+    /// Some backend servers take calls and never answer, for one of two of them or
+    /// for all. Waited for until the deadline, each is lost, and with it the whole
+    /// request. The attempt is given up when it takes longer than any sound run does,
+    /// or at the last moment at which another one can still answer in time.
+    fn time_for_attempt(
+        &self,
+        node: &RoutedNode,
+        call: &OutgoingCall,
+        choice: &Choice,
+    ) -> Option<Duration> {
+        let settings = &call.route.settings;
+        let may_repeat = settings.repeat == Repeat::Idempotent
+            && self.progress.sends_count + 1 < settings.attempts_count;
+        let kept = choice.work * LAST_CHANCE_WORKS + ANSWER_TIME + LAST_ATTEMPT;
+        let last_moment = call.deadline.saturating_sub(node.now() + kept);
+        let hangs = HANGS_LEAST.max(choice.work * HANGS_WORKS);
+        let least = choice.work * LAST_CHANCE_WORKS;
+        (may_repeat && last_moment > least).then_some(last_moment.min(hangs))
+    }
+
     /// Whether a call that a backend server has seen is sent to another one.
     fn once_more(&self, node: &RoutedNode, call: &OutgoingCall) -> Verdict {
         let is_allowed = self.progress.sends_count < call.route.settings.attempts_count;
@@ -177,21 +210,23 @@
     }
 }
 
-async fn attempt(node: &Rc<RoutedNode>, call: &OutgoingCall, choice: &Choice) -> LinkAnswer {
+async fn attempt(
+    node: &Rc<RoutedNode>,
+    call: &OutgoingCall,
+    choice: &Choice,
+    time: Option<Duration>,
+) -> LinkAnswer {
     let mut open = OpenAttempt {
         node,
         control: choice.control,
         is_open: true,
     };
-    let head = head_of(node, call, choice);
-    let answer = if choice.peer == node.links_address() {
-        let mut answer = run_here(node, &head, call.body.clone(), std::future::pending()).await;
-        answer.report = Some(node.gate_report());
-        answer.news = Some(node.route_news(&head.route));
-        answer
-    } else {
-        send_call(node, choice.peer, head, &call.body).await
+    let sent = send(node, call, choice);
+    let answer = match time {
+        Some(time) => tokio::time::timeout(time, sent).await,
+        None => Ok(sent.await),
     };
+    let answer = answer.unwrap_or_else(|_| LinkAnswer::unknown(UnknownReason::NoAnswer));
     open.is_open = false;
     learn(node, call, choice.control, &answer);
     let ended = ended_of(&answer.outcome);
@@ -200,6 +235,18 @@
     answer
 }
 
+/// Sends a call to its target, which may be on this host.
+async fn send(node: &Rc<RoutedNode>, call: &OutgoingCall, choice: &Choice) -> LinkAnswer {
+    let head = head_of(node, call, choice);
+    if choice.peer != node.links_address() {
+        return send_call(node, choice.peer, head, &call.body).await;
+    }
+    let mut answer = run_here(node, &head, call.body.clone(), std::future::pending()).await;
+    answer.report = Some(node.gate_report());
+    answer.news = Some(node.route_news(&head.route));
+    answer
+}
+
 /// Takes in what an answer tells of the services on the way.
 fn learn(node: &RoutedNode, call: &OutgoingCall, gate: SocketAddr, answer: &LinkAnswer) {
     let now = node.now();
