Name the fields of one connection once; take out what nothing calls

The node on routes had its own list, read only the first Connection field and passed Proxy-Connection on. It now asks the module of the other node, which reads all of them; what each hop writes anew stays a list of its own.

Taken out: the frame Hello, which nobody sent, and four readers without a caller.

--- a/crates/kumquatquay-core/src/routed/route_table.rs
+++ b/crates/kumquatquay-core/src/routed/route_table.rs
@@ -6,7 +6,7 @@
 };
 
 use kumquatquay_wire::routed::{
-    CallerLimits, Priority, RouteConfiguration, RouteSettings, RouteVersion, ServiceSettings,
+    CallerLimits, Priority, RouteConfiguration, RouteSettings, RouteVersion,
 };
 
 use super::Split;
@@ -20,7 +20,6 @@
     version: RouteVersion,
     limits: CallerLimits,
     hosts: HashMap<String, HashMap<String, Arc<TableRoute>>>,
-    services: HashMap<String, ServiceSettings>,
     priorities: BTreeMap<String, Priority>,
 }
 
@@ -51,15 +50,11 @@
             });
             (host.host.to_ascii_lowercase(), routes.collect())
         });
-        let services = configuration.services.into_iter();
         Self {
             version: configuration.version,
             limits: configuration.limits,
             priorities,
             hosts: hosts.collect(),
-            services: services
-                .map(|service| (service.name.clone(), service))
-                .collect(),
         }
     }
 
@@ -73,21 +68,11 @@
         self.limits
     }
 
-    /// What holds for the backend servers of a service.
-    pub fn service(&self, name: &str) -> Option<&ServiceSettings> {
-        self.services.get(name)
-    }
-
     /// The rank of each route, by its name.
     pub fn priorities(&self) -> &BTreeMap<String, Priority> {
         &self.priorities
     }
 
-    /// All routes.
-    pub fn routes(&self) -> impl Iterator<Item = &Arc<TableRoute>> {
-        self.hosts.values().flat_map(HashMap::values)
-    }
-
     /// The route of a call: the longest prefix of its host that begins the path.
     ///
     /// `host` may carry a port. Prefixes end with a slash, so only the parts of the
--- a/crates/kumquatquay-core/src/routed/target_table.rs
+++ b/crates/kumquatquay-core/src/routed/target_table.rs
@@ -138,24 +138,11 @@
         }
     }
 
-    /// Whether any backend server of a service is known.
-    pub fn knows(&self, service: &str) -> bool {
-        self.services.contains_key(service)
-    }
-
     /// Services that are known.
     pub fn services_count(&self) -> usize {
         self.services.len()
     }
 
-    /// Slots of all backend servers of a service.
-    pub fn slots_count(&self, service: &str) -> u32 {
-        let controls = self.services.get(service).into_iter().flatten();
-        controls
-            .map(|control| self.targets[control].slots_count)
-            .sum()
-    }
-
     /// The best backend server of a service for a call that was not yet sent to
     /// those in `excluded`; it counts as sent.
     pub fn choose(
--- a/crates/kumquatquay-core/tests/routed/target_table.rs
+++ b/crates/kumquatquay-core/tests/routed/target_table.rs
@@ -148,7 +148,8 @@
     let mut table = TargetTable::default();
     let members = [member(1, "near", MemberState::Draining)];
     table.rebuild("near", members.iter());
-    assert!(!table.knows("archive"));
+    let mut random = StdRng::seed_from_u64(1);
+    assert_eq!(table.choose(at_ms(0), "archive", &[], &mut random), None);
 }
 
 /// A backend server was replaced at the same address. What was learnt of the one
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -1,7 +1,5 @@
 //! Frames on a link between two nodes.
 
-use std::net::SocketAddr;
-
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
@@ -23,11 +21,6 @@
 /// What a frame says; a body may follow it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FrameHead {
-    /// The first frame of who made the link.
-    Hello {
-        /// Control address of the sender.
-        control: SocketAddr,
-    },
     /// A call; its request body follows.
     Call(CallHead),
     /// The caller has left or the time is over: the answer is not wanted.
--- a/crates/kumquatquayd/src/http/headers.rs
+++ b/crates/kumquatquayd/src/http/headers.rs
@@ -46,23 +46,27 @@
 /// those in a backend server's answer may be its child's: a parent that ran and
 /// passes on its child's `not-run` must not look as if it had not run.
 pub(crate) fn forward_headers(headers: &HeaderMap) -> HeaderMap {
-    let named_by_connection = connection_options(headers);
+    let options = connection_options(headers);
     let mut forwarded = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
-        let is_for_connection = CONNECTION_HEADERS.contains(name)
-            || name.as_str() == "keep-alive"
-            || name.as_str() == "proxy-connection"
-            || named_by_connection
-                .iter()
-                .any(|option| option == name.as_str());
-        if !is_for_connection && !is_own_header(name) && name != header::HOST {
+        if !is_for_connection(name, &options) && !is_own_header(name) && name != header::HOST {
             forwarded.append(name.clone(), value.clone());
         }
     }
     forwarded
 }
 
-fn connection_options(headers: &HeaderMap) -> Vec<String> {
+/// Whether a header concerns one connection only; `options` are those that the message
+/// names as such.
+pub(crate) fn is_for_connection(name: &HeaderName, options: &[String]) -> bool {
+    CONNECTION_HEADERS.contains(name)
+        || name.as_str() == "keep-alive"
+        || name.as_str() == "proxy-connection"
+        || options.iter().any(|option| option == name.as_str())
+}
+
+/// The headers that a message names as those of its connection.
+pub(crate) fn connection_options(headers: &HeaderMap) -> Vec<String> {
     let values = headers.get_all(header::CONNECTION).iter();
     values
         .filter_map(|value| value.to_str().ok())
--- a/crates/kumquatquayd/src/routed/http_io.rs
+++ b/crates/kumquatquayd/src/routed/http_io.rs
@@ -12,25 +12,13 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::node::{RoutedNode, StopPhase};
+use crate::http::{connection_options, is_for_connection};
 
 /// A body that is held as a whole.
 pub(crate) type WholeBody = Full<Bytes>;
 
-/// Fields that concern one connection only.
-const CONNECTION_FIELDS: [HeaderName; 9] = [
-    header::CONNECTION,
-    header::CONTENT_LENGTH,
-    header::EXPECT,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
-/// The one field of its kind that the HTTP library has no name for.
-const KEEP_ALIVE: &str = "keep-alive";
+/// Fields that each hop writes anew for its own message.
+const REWRITTEN_FIELDS: [HeaderName; 2] = [header::CONTENT_LENGTH, header::EXPECT];
 
 /// Pause after an accept that failed, mostly for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -119,27 +107,14 @@
 
 /// The fields of a message that concern more than its connection.
 pub(crate) fn fields_of(headers: &HeaderMap) -> Vec<HeaderField> {
-    let named = headers
-        .get(header::CONNECTION)
-        .and_then(|value| value.to_str().ok());
-    let named = named.unwrap_or_default();
+    let options = connection_options(headers);
     let kept = headers
         .iter()
-        .filter(|(name, _)| !is_of_connection(name, named));
+        .filter(|(name, _)| !is_for_connection(name, &options) && !REWRITTEN_FIELDS.contains(name));
     let kept = kept.map(|(name, value)| (String::from(name.as_str()), value.as_bytes().to_vec()));
     kept.collect()
 }
 
-/// Whether a field concerns one connection only; `named` is what its connection
-/// field names besides.
-fn is_of_connection(name: &HeaderName, named: &str) -> bool {
-    CONNECTION_FIELDS.contains(name)
-        || name.as_str() == KEEP_ALIVE
-        || named
-            .split(',')
-            .any(|token| token.trim().eq_ignore_ascii_case(name.as_str()))
-}
-
 /// Fields as the HTTP library holds them; ones that it can't hold are left out.
 pub(crate) fn headers_of(fields: &[HeaderField]) -> HeaderMap {
     let mut headers = HeaderMap::with_capacity(fields.len() + 4);
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -322,7 +322,7 @@
         }
         FrameHead::Configuration => on_configuration(node, &body),
         FrameHead::ConfigurationAsk => tell_configuration(node, &link.frames),
-        FrameHead::Hello { .. } | FrameHead::Call(_) | FrameHead::Cancel { .. } => {
+        FrameHead::Call(_) | FrameHead::Cancel { .. } => {
             log::warn!(event = "link_confused"; "a frame came from the wrong side of a link");
         }
     }
--- a/crates/kumquatquayd/src/routed/link_server.rs
+++ b/crates/kumquatquayd/src/routed/link_server.rs
@@ -93,7 +93,7 @@
         }
         FrameHead::ConfigurationAsk => tell_configuration(node, &link.frames),
         FrameHead::Configuration => on_configuration(node, &body),
-        FrameHead::Hello { .. } | FrameHead::Pong { .. } | FrameHead::Answer(_) => {}
+        FrameHead::Pong { .. } | FrameHead::Answer(_) => {}
     }
 }
 
