Let go of a link's buffer once its long body was taken

Cause: the buffer of each link grew to the longest body that it ever carried and stayed. Nodes of the grown sites had 60 to 95 MB resident, of 160 that a host gives; beyond that the process is ended.

A buffer over 32 KB is let go when nothing waits in it, and 16 KB are read at once in place of 32.

--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -18,6 +18,13 @@
 /// The longest frame, in bytes; a body may take nearly all of it.
 const FRAME_LIMIT_BYTES: usize = 80 * 1024 * 1024;
 
+/// Bytes of a link's buffer that are kept while nothing waits in it.
+///
+/// A node keeps two links to each peer in each direction. Each buffer grows to the
+/// longest body that it ever carried; kept, 240 of them hold up to 100 MB, and a host
+/// gives its node 160.
+const KEPT_BYTES: usize = 32 * 1024;
+
 /// What a frame says; a body may follow it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FrameHead {
@@ -181,6 +188,9 @@
             self.bytes.drain(..self.read);
             self.read = 0;
         }
+        if self.bytes.is_empty() && self.bytes.capacity() > KEPT_BYTES {
+            self.bytes = Vec::new();
+        }
         &mut self.bytes
     }
 
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -51,8 +51,8 @@
 /// How often links are looked at.
 const WATCH_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Bytes read at once.
-const READ_BYTES: usize = 32 * 1024;
+/// Bytes read at once: a few frames of calls. Each link holds so much.
+const READ_BYTES: usize = 16 * 1024;
 
 /// Which of the two links to a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
