Keep what is known of runs only once it is good, and while much fails

Cause: kept from two seconds and a tenth of failed calls on, the graph held on to the guesses of a surge's first seconds.

--- a/crates/kumquatquay-core/src/routed/call_graph.rs
+++ b/crates/kumquatquay-core/src/routed/call_graph.rs
@@ -16,21 +16,28 @@
 
 /// Standard errors that are taken off an estimate. Routes whose runs make no calls
 /// but happen beside others that do come out as noise around zero; this keeps
-/// them from being taken for routes that lead somewhere. With two, 7 of 280 looks at
-/// uploads beside runs that slow down took them for callers; with three, none did.
-const CAUTION: f64 = 3.0;
+/// them from being taken for routes that lead somewhere. With three, what leads somewhere
+/// is found too late in a surge: searches let in for want of it kept the deepest service's
+/// queue full for ten seconds.
+const CAUTION: f64 = 2.2;
 
 /// Calls a run below which a route isn't said to lead there: half of its runs making
 /// one call is the least that is told from noise.
 const CALLS_LEAST_COUNT: f64 = 0.5;
 
 /// Share of failed calls above which runs say nothing of what they make when all is
-/// well: a run that loses one of its first calls ends and makes no others.
-const FAILED_RATIO: f64 = 0.1;
+/// well: a run that loses one of its first calls ends and makes no others. In an
+/// overload that the entries hold back a tenth fail at times; that is learnt from.
+const FAILED_RATIO: f64 = 0.25;
 
 /// Weight of the newest span's share of failed calls against those before.
 const FAILED_WEIGHT: f64 = 0.2;
 
+/// Spans after which what was learnt is good enough to be kept: nine seconds of them.
+/// The first two seconds of a surge are not: kept, they let in too much for as long as
+/// it lasted.
+const KEPT_SPANS_COUNT: f64 = 120.0;
+
 /// Time for which what was learnt is kept like that. What fails for longer is taken
 /// for how things are.
 const KEPT_LONGEST: Duration = Duration::from_secs(30);
@@ -254,7 +261,7 @@
             let observed = f64::from(failed_count) / f64::from(calls_count);
             self.failed_ratio += FAILED_WEIGHT * (observed.min(1.0) - self.failed_ratio);
         }
-        if self.failed_ratio < FAILED_RATIO || !self.is_settled() {
+        if self.failed_ratio < FAILED_RATIO || self.spans_count < KEPT_SPANS_COUNT {
             self.kept_since = None;
             return false;
         }
