Send a call beside an attempt that hangs, and end none for its silence

The attempt goes on now, and another one is made beside it if the budget has room; the first whole answer counts, and the other attempt ends then. A host whose attempt hung when the other answered counts as failing.

Ruled out: the stop of the node itself (the entry had not begun to close), and the silence watch of the backend server (its run was ended by a cancel of the entry).

a_call_that_is_only_slow_is_answered failed before (504) and passes.

--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -1,6 +1,6 @@
 //! Carries a call from its entry to a backend server.
 
-use std::{cell::Cell, net::SocketAddr, ops::Range, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, ops::Range, pin::pin, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use kumquatquay_core::routed::{Choice, TableRoute, TargetEnded};
@@ -32,10 +32,6 @@
 /// Time from the deadline in which no further attempt is begun.
 const LAST_ATTEMPT: Duration = Duration::from_millis(18);
 
-/// Mean times to run a call that are kept for another attempt, when one gives no
-/// answer. Most runs take less than three of them.
-const LAST_CHANCE_WORKS: u32 = 3;
-
 /// Mean times to run a call, and the least time, after which an attempt without an
 /// answer is taken to hang. A call waits for two of them at a gate, and the longest of
 /// a hundred runs take five.
@@ -89,8 +85,7 @@
         course.asked.push(choice.control);
         course.progress.last = Some(choice.control);
         call.progress.set(course.progress);
-        let time = course.time_for_attempt(node, call, &choice);
-        let answer = attempt(node, call, &choice, time).await;
+        let answer = course.attempt(node, call, &choice).await;
         let verdict = course.judge(node, call, &answer);
         call.progress.set(course.progress);
         match verdict {
@@ -138,26 +133,57 @@
         }
     }
 
-    /// How long an attempt may go without an answer; `None` if there can't be another.
+    /// Makes an attempt; beside one that hangs another one is made, and the first whole
+    /// answer counts.
     ///
     /// Some backend servers take calls and never answer, for one of two of them or
     /// for all. Waited for until the deadline, each is lost, and with it the whole
-    /// request. The attempt is given up when it takes longer than any sound run does,
-    /// or at the last moment at which another one can still answer in time.
-    fn time_for_attempt(
-        &self,
-        node: &RoutedNode,
+    /// request. The attempt that hangs goes on: the backend server may only be slow, and
+    /// ended without an answer in its place a request would be lost that was under way.
+    async fn attempt(
+        &mut self,
+        node: &Rc<RoutedNode>,
         call: &OutgoingCall,
         choice: &Choice,
-    ) -> Option<Duration> {
-        let settings = &call.route.settings;
-        let may_repeat = settings.repeat == Repeat::Idempotent
-            && self.progress.sends_count + 1 < settings.attempts_count;
-        let kept = choice.work * LAST_CHANCE_WORKS + ANSWER_TIME + LAST_ATTEMPT;
-        let last_moment = call.deadline.saturating_sub(node.now() + kept);
-        let hangs = HANGS_LEAST.max(choice.work * HANGS_WORKS);
-        let least = choice.work * LAST_CHANCE_WORKS;
-        (may_repeat && last_moment > least).then_some(last_moment.min(hangs))
+    ) -> LinkAnswer {
+        let open = OpenAttempt::new(node, choice);
+        let mut first = pin!(attempt(node, call, choice, &open));
+        tokio::select! {
+            answer = first.as_mut() => return answer,
+            () = tokio::time::sleep(HANGS_LEAST.max(choice.work * HANGS_WORKS)) => {}
+        }
+        let Some(other) = self.choose_beside(node, call) else {
+            return first.await;
+        };
+        open.hangs.set(true);
+        let other_open = OpenAttempt::new(node, &other);
+        let mut second = pin!(attempt(node, call, &other, &other_open));
+        tokio::select! {
+            answer = first.as_mut() => answer.or_whole(second).await,
+            answer = second.as_mut() => answer.or_whole(first).await,
+        }
+    }
+
+    /// Where a call whose attempt hangs is sent besides, if it may be sent once more.
+    fn choose_beside(&mut self, node: &RoutedNode, call: &OutgoingCall) -> Option<Choice> {
+        if call.route.settings.repeat != Repeat::Idempotent {
+            return None;
+        }
+        if self.progress.sends_count + 1 >= call.route.settings.attempts_count {
+            return None;
+        }
+        let other = choose(node, call, &self.asked)?;
+        if !node.take_repeat(&call.route.settings.name, &call.service) {
+            let mut targets = node.targets.borrow_mut();
+            targets.ended(node.now(), other.control, TargetEnded::GivenUp, None);
+            return None;
+        }
+        node.decisions.count("repeat", "beside");
+        self.progress.sends_count += 1;
+        self.asked.push(other.control);
+        self.progress.last = Some(other.control);
+        call.progress.set(self.progress);
+        Some(other)
     }
 
     /// Whether a call that a backend server has seen is sent to another one.
@@ -197,16 +223,35 @@
 struct OpenAttempt<'a> {
     node: &'a RoutedNode,
     control: SocketAddr,
-    is_open: bool,
+    is_open: Cell<bool>,
+    /// Whether another attempt was made beside it, since it gave no answer.
+    hangs: Cell<bool>,
+}
+
+impl<'a> OpenAttempt<'a> {
+    fn new(node: &'a RoutedNode, choice: &Choice) -> Self {
+        Self {
+            node,
+            control: choice.control,
+            is_open: Cell::new(true),
+            hangs: Cell::new(false),
+        }
+    }
 }
 
 impl Drop for OpenAttempt<'_> {
     fn drop(&mut self) {
-        if self.is_open {
-            let now = self.node.now();
-            let mut targets = self.node.targets.borrow_mut();
-            targets.ended(now, self.control, TargetEnded::GivenUp, None);
+        if !self.is_open.get() {
+            return;
         }
+        let ended = if self.hangs.get() {
+            TargetEnded::Failed
+        } else {
+            TargetEnded::GivenUp
+        };
+        let now = self.node.now();
+        let mut targets = self.node.targets.borrow_mut();
+        targets.ended(now, self.control, ended, None);
     }
 }
 
@@ -214,20 +259,10 @@
     node: &Rc<RoutedNode>,
     call: &OutgoingCall,
     choice: &Choice,
-    time: Option<Duration>,
+    open: &OpenAttempt<'_>,
 ) -> LinkAnswer {
-    let mut open = OpenAttempt {
-        node,
-        control: choice.control,
-        is_open: true,
-    };
-    let sent = send(node, call, choice);
-    let answer = match time {
-        Some(time) => tokio::time::timeout(time, sent).await,
-        None => Ok(sent.await),
-    };
-    let answer = answer.unwrap_or_else(|_| LinkAnswer::unknown(UnknownReason::NoAnswer));
-    open.is_open = false;
+    let answer = send(node, call, choice).await;
+    open.is_open.set(false);
     learn(node, call, choice.control, &answer);
     let ended = ended_of(&answer.outcome);
     let mut targets = node.targets.borrow_mut();
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -116,6 +116,19 @@
         matches!(self.outcome, LinkOutcome::Answered { status, .. } if status < 400)
     }
 
+    /// This answer if it is a backend server's, or else what another attempt of the same
+    /// call brings. That the other one has not run says nothing of this one.
+    pub(crate) async fn or_whole(self, other: impl Future<Output = Self>) -> Self {
+        if matches!(self.outcome, LinkOutcome::Answered { .. }) {
+            return self;
+        }
+        let other = other.await;
+        match (&self.outcome, &other.outcome) {
+            (LinkOutcome::Unknown(_), LinkOutcome::NotRun(_)) => self,
+            _ => other,
+        }
+    }
+
     fn without_body(outcome: LinkOutcome) -> Self {
         Self {
             outcome,
