--- a/crates/kumquatquay-core/tests/routed/entry_levels.rs
+++ b/crates/kumquatquay-core/tests/routed/entry_levels.rs
@@ -48,7 +48,7 @@
     levels.on_gate(at_ms(at), "register", gate, &report);
 }
 
-fn is_let_in(levels: &mut EntryLevels, at: u64, route: &str, place: f64) -> bool {
+fn admit(levels: &mut EntryLevels, at: u64, route: &str, place: f64) -> Result<(), Shortage> {
     let (_, service, priority, _) = ROUTES
         .into_iter()
         .find(|(name, ..)| *name == route)
@@ -59,7 +59,11 @@
         priority,
         place,
     };
-    levels.admit(at_ms(at), &request, &ranks()).is_ok()
+    levels.admit(at_ms(at), &request, &ranks())
+}
+
+fn is_let_in(levels: &mut EntryLevels, at: u64, route: &str, place: f64) -> bool {
+    admit(levels, at, route, place).is_ok()
 }
 
 /// Two histories are offered for each settlement.
@@ -116,17 +120,7 @@
 
 /// Why the last of a rank is refused.
 fn refusal(levels: &mut EntryLevels, at: u64, route: &str) -> Shortage {
-    let (_, service, priority, _) = ROUTES
-        .into_iter()
-        .find(|(name, ..)| *name == route)
-        .unwrap();
-    let request = EntryRequest {
-        route,
-        service,
-        priority,
-        place: 0.999,
-    };
-    levels.admit(at_ms(at), &request, &ranks()).unwrap_err()
+    admit(levels, at, route, 0.999).unwrap_err()
 }
 
 /// An engineer asks why a history was refused: three quarters of them are, and the
