--- a/crates/kumquatquay-core/src/routed/target_table.rs
+++ b/crates/kumquatquay-core/src/routed/target_table.rs
@@ -36,8 +36,7 @@
 ///
 /// A slow backend server answers later even when it is half empty. Compared by the
 /// expected time alone it stays half empty while the fast ones have queues, and
-/// their gates refuse whole requests for want of slots: of three gates two ran 71 of
-/// 73 calls with 14 waiting while the third ran 40.
+/// their gates refuse whole requests for want of slots.
 const CROWDED_FILL_RATIO: f64 = 0.8;
 
 /// What fill beyond that costs, in seconds for each whole fill: 25 ms for a
