Tell lives of a backend server by their start, and keep other writers' reports out

Cause: a life was known by its id alone. A backend server that starts again under its id kept the leaving of the life before, and its first reports looked late, so no caller reached it again.

Change: BackendLife (id and start) goes with reports, member records, calls and choices. The life that started last counts in whatever order the words arrive; a call meant for another one is refused as not run. A leaving is kept though its life isn't known yet. Reports are checked for each field, refused with 400 and the reason, and tell one line a second.

Ruled out: ordering lives by the time of day of the node, which may be off by seconds.

--- a/crates/kumquatquay-cli/tests/commands/fake_node.rs
+++ b/crates/kumquatquay-cli/tests/commands/fake_node.rs
@@ -103,7 +103,7 @@
             is_log_down: false,
         };
         let announcement = Announcement {
-            instance: None,
+            life: None,
             service: String::from("settlement"),
             address: "127.0.0.1:8000".parse().unwrap(),
             slots_count: 140,
--- a/crates/kumquatquay-core/benches/decision.rs
+++ b/crates/kumquatquay-core/benches/decision.rs
@@ -72,7 +72,7 @@
             services_count,
         };
         let announcement = Announcement {
-            instance: None,
+            life: None,
             service: String::from("service-0"),
             address: address(0, 8000),
             slots_count: 1_000_000,
@@ -101,7 +101,7 @@
             peer: address(number, 7001),
             data_centre: format!("hall-{}", number % 20),
             service: Some(format!("service-{}", number % self.services_count)),
-            instance: None,
+            life: None,
             incarnation: 1,
             revision: 1,
             state: MemberState::Serving,
--- a/crates/kumquatquay-core/examples/control_cost.rs
+++ b/crates/kumquatquay-core/examples/control_cost.rs
@@ -158,7 +158,7 @@
         peer: SocketAddr::new(control.ip(), control.port() + 1),
         data_centre: data_centre(place),
         service: Some(service(place, host)),
-        instance: None,
+        life: None,
         incarnation: 1_000_000,
         revision: 1,
         state: MemberState::Serving,
--- a/crates/kumquatquay-core/src/input/backend_input.rs
+++ b/crates/kumquatquay-core/src/input/backend_input.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use kumquatquay_wire::{InstanceId, MemberState, ServiceName};
+use kumquatquay_wire::{BackendLife, MemberState, ServiceName};
 use serde::{Deserialize, Serialize};
 
 /// What the backend server does.
@@ -25,11 +25,11 @@
 pub struct Announcement {
     /// Service that it belongs to.
     pub service: ServiceName,
-    /// Its life, if it names it; see [`MemberRecord::instance`].
+    /// Its life, if it names it; see [`MemberRecord::life`].
     ///
-    /// [`MemberRecord::instance`]: kumquatquay_wire::MemberRecord::instance
+    /// [`MemberRecord::life`]: kumquatquay_wire::MemberRecord::life
     #[serde(default)]
-    pub instance: Option<InstanceId>,
+    pub life: Option<BackendLife>,
     /// Where its node reaches it.
     pub address: SocketAddr,
     /// Requests that it can run at the same time.
--- a/crates/kumquatquay-core/src/membership/leaving.rs
+++ b/crates/kumquatquay-core/src/membership/leaving.rs
@@ -133,7 +133,7 @@
     let mut record = board.members.own().clone();
     if let Some(announced) = announced {
         record.service = Some(announced.service.clone());
-        record.instance.clone_from(&announced.instance);
+        record.life.clone_from(&announced.life);
         record.slots_count = announced.slots_count;
     }
     record.state = if is_leaving {
--- a/crates/kumquatquay-core/src/membership/member_table.rs
+++ b/crates/kumquatquay-core/src/membership/member_table.rs
@@ -305,7 +305,7 @@
         peer: settings.peer,
         data_centre: settings.data_centre.clone(),
         service: None,
-        instance: None,
+        life: None,
         incarnation: settings.incarnation,
         revision: 0,
         state: MemberState::Idle,
--- a/crates/kumquatquay-core/src/routed/backend_lives.rs
+++ b/crates/kumquatquay-core/src/routed/backend_lives.rs
@@ -2,7 +2,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use kumquatquay_wire::{InstanceId, ServiceName};
+use derive_more::{Display, Error};
+use kumquatquay_wire::{BackendLife, ServiceName};
 
 /// Lives that are remembered; a host starts few backend servers in its own life.
 const LIVES_LIMIT_COUNT: usize = 256;
@@ -11,7 +12,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LifeReport {
     /// Which life says it.
-    pub instance: InstanceId,
+    pub life: BackendLife,
     /// Service that it belongs to.
     pub service: ServiceName,
     /// Calls that it runs at the same time.
@@ -35,82 +36,110 @@
     Gone,
 }
 
+/// A report that can't be of the backend server of this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+pub enum ReportRefusal {
+    /// It doesn't tell the start of its life, as those before did.
+    #[display("it doesn't tell when its life began, as the reports before did")]
+    StartUntold,
+}
+
 /// The lives of the backend server of this host, and the one that counts.
 ///
 /// A report of a life that has ended may arrive late, after the next life's first.
 /// Taken for news it would send calls to a life that isn't there, each of them
-/// turned away. So lives are ordered by their first report here, and one that
-/// another has displaced doesn't come back by a report: only an answer that the
-/// backend server itself gives brings it back ([`BackendLives::on_answered_as`]).
+/// turned away; where the lives share their id, a leaving of the one before would
+/// keep the next one from ever being called. So a life is told by its id and its
+/// start, and the one that started last counts. Those that don't tell their start are
+/// ordered by their first report here. One that another has displaced doesn't come
+/// back by a report: only an answer that the backend server itself gives brings it
+/// back ([`BackendLives::on_answered_as`]).
 #[derive(Debug, Default)]
 pub struct BackendLives {
-    lives: HashMap<InstanceId, Life>,
+    lives: HashMap<BackendLife, Life>,
     current: Option<LifeReport>,
     leaving_since: Option<Duration>,
+    /// The latest start of a life that has counted.
+    last_born_unix_ms: Option<u64>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Life {
-    sequence: u64,
     leaving_since: Option<Duration>,
-    report: LifeReport,
+    /// The newest report; none where only its leaving was heard of.
+    report: Option<LifeReport>,
     is_displaced: bool,
 }
 
 impl BackendLives {
     /// Takes in a report; whether it changes what counts.
-    pub fn on_report(&mut self, now: Duration, report: LifeReport) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// Why it can't be of this backend server; nothing has changed then.
+    pub fn on_report(&mut self, now: Duration, report: LifeReport) -> Result<bool, ReportRefusal> {
+        if report.life.born_unix_ms.is_none() && self.last_born_unix_ms.is_some() {
+            return Err(ReportRefusal::StartUntold);
+        }
         self.make_room();
-        let is_new = !self.lives.contains_key(&report.instance);
-        let life = self.lives.entry(report.instance.clone()).or_insert(Life {
-            sequence: report.sequence,
-            leaving_since: None,
-            report: report.clone(),
-            is_displaced: false,
-        });
-        let is_late = !is_new && report.sequence < life.sequence;
+        let id = report.life.clone();
+        let is_of_the_past = id.born_unix_ms < self.last_born_unix_ms;
+        let life = self.lives.entry(id.clone()).or_default();
+        let is_late = life.is_newer_than(&report);
         let is_leaving = report.state > LifeState::Serving;
         if is_leaving {
             life.leaving_since.get_or_insert(now);
         }
         if is_late && !is_leaving {
-            return false;
-        }
-        life.sequence = life.sequence.max(report.sequence);
-        life.report.clone_from(&report);
-        if life.leaving_since.is_some() && life.report.state == LifeState::Serving {
-            life.report.state = LifeState::Draining;
+            return Ok(false);
         }
+        life.take_report(report);
+        life.is_displaced |= is_of_the_past;
         if life.is_displaced {
-            return false;
+            return Ok(false);
         }
-        self.make_current(&report.instance)
+        Ok(self.make_current(&id))
     }
 
     /// A life says that it leaves, without more about itself; whether it was known.
-    pub fn on_leave(&mut self, now: Duration, instance: &str) -> bool {
-        let Some(life) = self.lives.get_mut(instance) else {
-            return false;
+    ///
+    /// A leaving that doesn't tell the start of its life is of the last one with that
+    /// id. It is kept though the life isn't known yet: a report that it sent before may
+    /// still be on its way.
+    pub fn on_leave(&mut self, now: Duration, life: &BackendLife) -> bool {
+        self.make_room();
+        let id = match life.born_unix_ms {
+            Some(_) => life.clone(),
+            None => self.last_life_of(&life.instance).unwrap_or(life).clone(),
         };
+        let is_known = self.lives.contains_key(&id);
+        let life = self.lives.entry(id.clone()).or_default();
         life.leaving_since.get_or_insert(now);
-        life.report.state = LifeState::Gone;
-        if self.is_current(instance) {
-            self.make_current(&InstanceId::from(instance));
+        if let Some(report) = &mut life.report {
+            report.state = LifeState::Gone;
+        }
+        if self.is_current(&id) {
+            self.make_current(&id);
         }
-        true
+        is_known
     }
 
-    /// The backend server answered in the name of a life; whether that changes
-    /// what counts.
+    /// The backend server answered in the name of an id; whether that changes what
+    /// counts.
     pub fn on_answered_as(&mut self, instance: &str) -> bool {
-        if self.is_current(instance) {
+        let current = self.current.as_ref();
+        if current.is_some_and(|current| current.life.instance == instance) {
             return false;
         }
-        let Some(life) = self.lives.get_mut(instance) else {
+        let Some(id) = self.last_life_of(instance).cloned() else {
             return false;
         };
-        life.is_displaced = false;
-        self.make_current(&InstanceId::from(instance))
+        // What the backend server says itself goes before the order of the starts.
+        self.last_born_unix_ms = id.born_unix_ms;
+        if let Some(life) = self.lives.get_mut(&id) {
+            life.is_displaced = false;
+        }
+        self.make_current(&id)
     }
 
     /// Nothing listens at the backend server's address any more; whether that
@@ -127,36 +156,43 @@
 
     /// Whether calls for a life may be handed to the backend server, which goes on
     /// for `drain` after it has said that it leaves.
-    pub fn may_run(&self, now: Duration, instance: Option<&str>, drain: Duration) -> bool {
+    pub fn may_run(&self, now: Duration, life: Option<&BackendLife>, drain: Duration) -> bool {
         let Some(current) = &self.current else {
             return false;
         };
-        let is_meant = instance.is_none_or(|instance| instance == current.instance);
+        let is_meant = life.is_none_or(|life| *life == current.life);
         is_meant && self.leaving_since.is_none_or(|since| now < since + drain)
     }
 
-    fn is_current(&self, instance: &str) -> bool {
+    fn is_current(&self, life: &BackendLife) -> bool {
         let current = self.current.as_ref();
-        current.is_some_and(|current| current.instance == instance)
+        current.is_some_and(|current| current.life == *life)
     }
 
-    fn make_current(&mut self, instance: &InstanceId) -> bool {
+    /// The life with this id that started last.
+    fn last_life_of(&self, instance: &str) -> Option<&BackendLife> {
+        let lives = self.lives.keys().filter(|life| life.instance == instance);
+        lives.max_by_key(|life| life.born_unix_ms)
+    }
+
+    fn make_current(&mut self, life: &BackendLife) -> bool {
+        let Some(Some(report)) = self.lives.get(life).map(|life| life.report.clone()) else {
+            return false;
+        };
         if let Some(current) = &self.current
-            && current.instance != *instance
-            && let Some(displaced) = self.lives.get_mut(&current.instance)
+            && current.life != *life
+            && let Some(displaced) = self.lives.get_mut(&current.life)
         {
             displaced.is_displaced = true;
         }
-        let Some(life) = self.lives.get(instance) else {
-            return false;
-        };
-        self.leaving_since = life.leaving_since;
+        self.leaving_since = self.lives[life].leaving_since;
+        self.last_born_unix_ms = self.last_born_unix_ms.max(life.born_unix_ms);
         let is_change = self.current.as_ref().is_none_or(|current| {
-            current.instance != life.report.instance
-                || current.state != life.report.state
-                || current.slots_count != life.report.slots_count
+            current.life != report.life
+                || current.state != report.state
+                || current.slots_count != report.slots_count
         });
-        self.current = Some(life.report.clone());
+        self.current = Some(report);
         is_change
     }
 
@@ -164,11 +200,27 @@
         if self.lives.len() < LIVES_LIMIT_COUNT {
             return;
         }
-        let current = self
-            .current
-            .as_ref()
-            .map(|current| current.instance.clone());
-        self.lives
-            .retain(|instance, life| !life.is_displaced || Some(instance) == current.as_ref());
+        let current = self.current.as_ref().map(|current| current.life.clone());
+        self.lives.retain(|id, life| {
+            let is_of_use = !life.is_displaced && life.report.is_some();
+            is_of_use || Some(id) == current.as_ref()
+        });
+    }
+}
+
+impl Life {
+    fn is_newer_than(&self, report: &LifeReport) -> bool {
+        let known = self.report.as_ref();
+        known.is_some_and(|known| report.sequence < known.sequence)
+    }
+
+    fn take_report(&mut self, mut report: LifeReport) {
+        if let Some(known) = &self.report {
+            report.sequence = report.sequence.max(known.sequence);
+        }
+        if self.leaving_since.is_some() && report.state == LifeState::Serving {
+            report.state = LifeState::Draining;
+        }
+        self.report = Some(report);
     }
 }
--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -19,7 +19,7 @@
 mod split;
 mod target_table;
 
-pub use backend_lives::{BackendLives, LifeReport, LifeState};
+pub use backend_lives::{BackendLives, LifeReport, LifeState, ReportRefusal};
 pub use backend_pulse::BackendPulse;
 pub use call_graph::{CallGraph, GraphRow};
 pub use caller_census::CallerCensus;
--- a/crates/kumquatquay-core/src/routed/route_table.rs
+++ b/crates/kumquatquay-core/src/routed/route_table.rs
@@ -1,12 +1,13 @@
 //! Finds the route of a call.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
 
-use kumquatquay_wire::routed::{
-    CallerLimits, Priority, RouteConfiguration, RouteSettings, RouteVersion,
+use kumquatquay_wire::{
+    ServiceName,
+    routed::{CallerLimits, Priority, RouteConfiguration, RouteSettings, RouteVersion},
 };
 
 use super::Split;
@@ -21,6 +22,7 @@
     limits: CallerLimits,
     hosts: HashMap<String, HashMap<String, Arc<TableRoute>>>,
     priorities: BTreeMap<String, Priority>,
+    services: BTreeSet<ServiceName>,
 }
 
 /// A route and how its calls are split among services.
@@ -42,6 +44,11 @@
         let priorities = routes
             .map(|route| (route.name.clone(), route.priority))
             .collect();
+        let named = configuration.services.iter().map(|service| &service.name);
+        let routes = configuration.hosts.iter().flat_map(|host| &host.routes);
+        let destinations = routes.flat_map(|route| &route.destinations);
+        let called = destinations.map(|destination| &destination.service);
+        let services = named.chain(called).cloned().collect();
         let hosts = configuration.hosts.into_iter().map(|host| {
             let routes = host.routes.into_iter().map(|settings| {
                 let split = Split::new(&settings.destinations, phase);
@@ -55,6 +62,7 @@
             limits: configuration.limits,
             priorities,
             hosts: hosts.collect(),
+            services,
         }
     }
 
@@ -68,6 +76,11 @@
         self.limits
     }
 
+    /// Whether a service is named in this configuration.
+    pub fn has_service(&self, service: &str) -> bool {
+        self.services.contains(service)
+    }
+
     /// The rank of each route, by its name.
     pub fn priorities(&self) -> &BTreeMap<String, Priority> {
         &self.priorities
--- a/crates/kumquatquay-core/src/routed/target_table.rs
+++ b/crates/kumquatquay-core/src/routed/target_table.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use kumquatquay_wire::{InstanceId, MemberRecord, MemberState, ServiceName, routed::GateReport};
+use kumquatquay_wire::{BackendLife, MemberRecord, MemberState, ServiceName, routed::GateReport};
 use rand::{Rng, seq::IndexedRandom};
 
 /// How long a gate's report counts; after that only this node's own calls do.
@@ -63,7 +63,7 @@
     /// Where the node takes calls from other nodes.
     pub peer: SocketAddr,
     /// The backend server's life.
-    pub instance: Option<InstanceId>,
+    pub life: Option<BackendLife>,
     is_own_data_centre: bool,
     slots_count: u32,
     outstanding_count: u32,
@@ -83,7 +83,7 @@
     /// Where the node takes calls from other nodes.
     pub peer: SocketAddr,
     /// The backend server's life.
-    pub instance: Option<InstanceId>,
+    pub life: Option<BackendLife>,
     /// Mean time that it takes to run a call.
     pub work: Duration,
 }
@@ -129,7 +129,7 @@
             };
             let same_life = known
                 .remove(&record.control)
-                .filter(|target| target.instance == record.instance && target.peer == record.peer);
+                .filter(|target| target.life == record.life && target.peer == record.peer);
             let target = same_life.unwrap_or_else(|| Target::new(record, own_data_centre));
             self.targets.insert(record.control, target);
             let controls = self.services.entry(service.clone()).or_default();
@@ -174,7 +174,7 @@
         Some(Choice {
             control,
             peer: target.peer,
-            instance: target.instance.clone(),
+            life: target.life.clone(),
             work: Duration::from_secs_f64(target.work_s()),
         })
     }
@@ -230,7 +230,7 @@
     fn new(record: &MemberRecord, own_data_centre: &str) -> Self {
         Self {
             peer: record.peer,
-            instance: record.instance.clone(),
+            life: record.life.clone(),
             is_own_data_centre: record.data_centre == own_data_centre,
             slots_count: record.slots_count,
             outstanding_count: 0,
--- a/crates/kumquatquay-core/tests/configuration/mesh.rs
+++ b/crates/kumquatquay-core/tests/configuration/mesh.rs
@@ -122,7 +122,7 @@
         self.hosts.insert(String::from(name), host);
         if let Some(service) = service {
             let announcement = Announcement {
-                instance: None,
+                life: None,
                 service: String::from(service),
                 address: peer,
                 slots_count: 10,
--- a/crates/kumquatquay-core/tests/leaving.rs
+++ b/crates/kumquatquay-core/tests/leaving.rs
@@ -38,7 +38,7 @@
 
     fn announce(&mut self, state: MemberState) {
         let announcement = Announcement {
-            instance: None,
+            life: None,
             service: String::from("archive"),
             address: "127.0.0.1:8000".parse().unwrap(),
             slots_count: 2,
--- a/crates/kumquatquay-core/tests/membership_properties.rs
+++ b/crates/kumquatquay-core/tests/membership_properties.rs
@@ -45,7 +45,7 @@
         peer: SocketAddr::from(([10, 0, 0, member + 1], 7001)),
         data_centre: String::from(if member < 2 { "hall-a" } else { "hall-b" }),
         service: Some(String::from("archive")),
-        instance: None,
+        life: None,
         incarnation: 1 + u64::arbitrary(random) % 3,
         revision,
         state: if is_gone {
--- a/crates/kumquatquay-core/tests/operations/support/mesh.rs
+++ b/crates/kumquatquay-core/tests/operations/support/mesh.rs
@@ -130,7 +130,7 @@
     /// The backend server of a host announces itself.
     pub(crate) fn announce(&mut self, index: usize) {
         let announcement = Announcement {
-            instance: None,
+            life: None,
             service: String::from("settlement"),
             address: "127.0.0.1:8000".parse().unwrap(),
             slots_count: 64,
@@ -166,7 +166,7 @@
             peer: peer_of(index),
             data_centre: host.data_centre.clone(),
             service: Some(String::from("settlement")),
-            instance: None,
+            life: None,
             incarnation: host.incarnation,
             revision: 1,
             state: if host.is_up {
--- a/crates/kumquatquay-core/tests/overload/mesh.rs
+++ b/crates/kumquatquay-core/tests/overload/mesh.rs
@@ -217,7 +217,7 @@
         .policy(self.policy);
         let peer = settings.peer;
         let announcement = Announcement {
-            instance: None,
+            life: None,
             service: String::from(service),
             address: address(30_000 + number),
             slots_count: behaviour.announced_count as u32,
--- a/crates/kumquatquay-core/tests/overload/properties.rs
+++ b/crates/kumquatquay-core/tests/overload/properties.rs
@@ -206,7 +206,7 @@
             is_fair: true,
         };
         let announcement = Announcement {
-            instance: None,
+            life: None,
             service: String::from("archive"),
             address: address(8000),
             slots_count: 2,
--- a/crates/kumquatquay-core/tests/overload/step_script.rs
+++ b/crates/kumquatquay-core/tests/overload/step_script.rs
@@ -146,7 +146,7 @@
             peer: settings.peer,
             data_centre,
             service: Some(service.clone()),
-            instance: None,
+            life: None,
             incarnation: 1,
             revision: 1,
             state: MemberState::Serving,
@@ -156,7 +156,7 @@
         self.nodes.insert(name.clone(), Node::new(settings));
         self.records.insert(name.clone(), record);
         let announcement = Announcement {
-            instance: None,
+            life: None,
             service,
             address: address(30_000 + number),
             slots_count,
--- a/crates/kumquatquay-core/tests/routed/target_table.rs
+++ b/crates/kumquatquay-core/tests/routed/target_table.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use kumquatquay_core::routed::{TargetEnded, TargetTable};
-use kumquatquay_wire::{MemberRecord, MemberState, routed::GateReport};
+use kumquatquay_wire::{BackendLife, MemberRecord, MemberState, routed::GateReport};
 use rand::{SeedableRng, rngs::StdRng};
 
 use crate::at_ms;
@@ -18,7 +18,7 @@
         peer: address(host),
         data_centre: String::from(data_centre),
         service: Some(String::from("archive")),
-        instance: Some(format!("life-{host}")),
+        life: Some(BackendLife::untold(format!("life-{host}"))),
         incarnation: 1,
         revision: 0,
         state,
@@ -159,8 +159,8 @@
     let (mut table, mut random) = table();
     table.ended(at_ms(0), address(1), TargetEnded::Lost, None);
     let mut replaced = member(1, "near", MemberState::Serving);
-    replaced.instance = Some(String::from("new"));
+    replaced.life = Some(BackendLife::untold("new"));
     table.rebuild("near", [replaced].iter());
     let choice = table.choose(at_ms(1), "archive", &[], &mut random).unwrap();
-    assert_eq!(choice.instance.as_deref(), Some("new"));
+    assert_eq!(choice.life, Some(BackendLife::untold("new")));
 }
--- a/crates/kumquatquay-core/tests/support/mesh.rs
+++ b/crates/kumquatquay-core/tests/support/mesh.rs
@@ -162,7 +162,7 @@
     /// The backend server of a host announces itself.
     pub(crate) fn announce(&mut self, control: SocketAddr, service: &str, state: MemberState) {
         let announcement = Announcement {
-            instance: None,
+            life: None,
             service: service.to_owned(),
             address: SocketAddr::new(control.ip(), 8000),
             slots_count: 10,
--- a/crates/kumquatquay-core/tests/thin_path.rs
+++ b/crates/kumquatquay-core/tests/thin_path.rs
@@ -30,7 +30,7 @@
 fn announced() -> Node {
     let mut node = node();
     let announcement = Announcement {
-        instance: None,
+        life: None,
         service: String::from("archive"),
         address: "127.0.0.1:8000".parse().unwrap(),
         slots_count: 1,
--- a/crates/kumquatquay-standins/src/backend/running_backend_server.rs
+++ b/crates/kumquatquay-standins/src/backend/running_backend_server.rs
@@ -164,7 +164,7 @@
         }
         let is_drained = self.lock().drained.is_some();
         Some(Announcement {
-            instance: None,
+            life: None,
             service: self.settings.service.clone(),
             address: self.listening.address(),
             slots_count: self.settings.slots_count,
--- a/crates/kumquatquay-wire/src/control/member_record.rs
+++ b/crates/kumquatquay-wire/src/control/member_record.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::{DataCentreName, Incarnation, InstanceId, ServiceName, TableDigest};
+use crate::{BackendLife, DataCentreName, Incarnation, ServiceName, TableDigest};
 
 /// State of a backend server and its node, in the order they pass through it.
 #[derive(
@@ -46,7 +46,7 @@
     pub service: Option<ServiceName>,
     /// Life of the backend server, where it names its lives; an address may be
     /// taken over by another one.
-    pub instance: Option<InstanceId>,
+    pub life: Option<BackendLife>,
     /// Life of the node.
     pub incarnation: Incarnation,
     /// Number of the change within the incarnation.
--- a/crates/kumquatquay-wire/src/ids.rs
+++ b/crates/kumquatquay-wire/src/ids.rs
@@ -6,7 +6,7 @@
 /// Name of a caller: a person's or program's account outside the mesh.
 pub type CallerName = String;
 
-/// One life of a backend server, as it names itself.
+/// Id of a backend server, as it names itself.
 pub type InstanceId = String;
 
 /// Name of a data centre.
--- a/crates/kumquatquay-wire/src/lib.rs
+++ b/crates/kumquatquay-wire/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 mod answer_context;
+mod backend_life;
 mod bulk;
 mod caller_proof;
 mod configuration;
@@ -23,6 +24,7 @@
 mod size;
 
 pub use answer_context::{AnswerContext, LoadReport};
+pub use backend_life::BackendLife;
 pub use bulk::{BulkAnswer, BulkQuestion, DataCentreDigest, DataCentreMembers};
 pub use caller_proof::CallerProof;
 pub use configuration::{
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{GateReport, Priority, RouteNews, RouteVersion, ServicePressure};
-use crate::{InstanceId, ServiceName, WireError};
+use crate::{BackendLife, ServiceName, WireError};
 
 /// Names a call on one link, in the direction from the node that sent it.
 pub type CallNumber = u64;
@@ -63,7 +63,7 @@
     /// Service that is to run it.
     pub service: ServiceName,
     /// Life of the backend server that is meant.
-    pub instance: Option<InstanceId>,
+    pub life: Option<BackendLife>,
     /// Service on the host where the call began.
     pub caller_service: ServiceName,
     /// The id that the caller gave it.
--- a/crates/kumquatquay-wire/tests/support/values.rs
+++ b/crates/kumquatquay-wire/tests/support/values.rs
@@ -4,8 +4,8 @@
 
 use arbitrary::{Result, Unstructured};
 use kumquatquay_wire::{
-    BulkAnswer, BulkQuestion, ControlBody, DataCentreDigest, DataCentreMembers, Datagram,
-    Importance, MemberRecord, MemberState, MemberStatus, Rumour, ServiceLevel,
+    BackendLife, BulkAnswer, BulkQuestion, ControlBody, DataCentreDigest, DataCentreMembers,
+    Datagram, Importance, MemberRecord, MemberState, MemberStatus, Rumour, ServiceLevel,
 };
 
 /// Elements of a collection, at most.
@@ -100,6 +100,15 @@
     })
 }
 
+fn life(bytes: &mut Unstructured<'_>) -> Result<Option<BackendLife>> {
+    let instance: Option<String> = bytes.arbitrary()?;
+    let born_unix_ms = bytes.arbitrary()?;
+    Ok(instance.map(|instance| BackendLife {
+        instance,
+        born_unix_ms,
+    }))
+}
+
 fn record(bytes: &mut Unstructured<'_>) -> Result<MemberRecord> {
     let states = [
         MemberState::Idle,
@@ -113,7 +122,7 @@
         peer: address(bytes)?,
         data_centre: bytes.arbitrary()?,
         service: bytes.arbitrary()?,
-        instance: bytes.arbitrary()?,
+        life: life(bytes)?,
         incarnation: bytes.arbitrary()?,
         revision: bytes.arbitrary()?,
         state: *bytes.choose(&states)?,
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -327,7 +327,7 @@
         number: 0,
         route: settings.name.clone(),
         service: call.service.clone(),
-        instance: choice.instance.clone(),
+        life: choice.life.clone(),
         caller_service: node.settings.service.clone(),
         attempt: call.attempt.clone(),
         priority: settings.priority,
--- a/crates/kumquatquayd/src/routed/interface.rs
+++ b/crates/kumquatquayd/src/routed/interface.rs
@@ -5,7 +5,7 @@
 use derive_more::{Display, Error};
 use http::HeaderMap;
 use kumquatquay_core::routed::{BackendLoad, LifeReport};
-use kumquatquay_wire::{InstanceId, routed::RouteConfiguration};
+use kumquatquay_wire::{BackendLife, InstanceId, routed::RouteConfiguration};
 
 /// How requests, answers and reports are written on this platform.
 ///
@@ -74,11 +74,16 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BackendReport {
     /// How it is.
-    Life(LifeReport),
+    Life {
+        /// What it says.
+        report: LifeReport,
+        /// Where it takes calls.
+        address: SocketAddr,
+    },
     /// It leaves.
     Leave {
         /// The life that leaves.
-        instance: InstanceId,
+        life: BackendLife,
     },
 }
 
--- a/crates/kumquatquayd/src/routed/members.rs
+++ b/crates/kumquatquayd/src/routed/members.rs
@@ -47,12 +47,12 @@
         LifeState::Serving => MemberState::Warming,
         LifeState::Draining | LifeState::Gone => MemberState::Draining,
     };
-    log::info!(event = "backend", instance = current.instance.as_str(), state:% = state,
+    log::info!(event = "backend", life:% = current.life, state:% = state,
         slots = current.slots_count, sequence = current.sequence;
         "the backend server of this host told how it is");
     let announcement = Announcement {
         service: current.service.clone(),
-        instance: Some(current.instance.clone()),
+        life: Some(current.life.clone()),
         address: node.settings.backend,
         slots_count: current.slots_count as u32,
         connections_count: 0,
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -106,6 +106,8 @@
     news: RefCell<HashMap<String, (Duration, RouteNews)>>,
     pub(crate) backend: BackendPool,
     pub(crate) decisions: Decisions,
+    /// Second of the node's life in which the last line on a refused report was written.
+    pub(crate) refused_report_second: Cell<Option<u64>>,
     /// Requests at the entry that have no answer yet.
     pub(crate) in_flight_count: Cell<usize>,
     /// Nodes that are known, this one included; at least one.
@@ -157,6 +159,7 @@
             graph: RefCell::default(),
             levels: RefCell::default(),
             decisions: Decisions::new(),
+            refused_report_second: Cell::new(None),
             in_flight_count: Cell::new(0),
             nodes_count: Cell::new(1),
             stop: watch::Sender::new(StopPhase::Serving),
--- a/crates/kumquatquayd/src/routed/reports.rs
+++ b/crates/kumquatquayd/src/routed/reports.rs
@@ -1,11 +1,12 @@
 //! Listeners for reports of the backend server, for readiness and for metrics.
 
-use std::rc::Rc;
+use std::{net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use kumquatquay_core::routed::LifeReport;
 
 use super::{
     http_io::{WholeBody, own_answer},
@@ -33,37 +34,75 @@
     let (parts, body) = request.into_parts();
     let body = match Limited::new(body, REPORT_LIMIT_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
-        Err(error) => return bad_report(format!("the body can't be read: {error}")),
+        Err(error) => return bad_report(&node, format!("the body can't be read: {error}")),
     };
-    match (node.dialect.read_report)(&parts, &body) {
-        Ok(report) => take_report(&node, report),
-        Err(reason) => bad_report(reason),
+    let report = (node.dialect.read_report)(&parts, &body);
+    match report.and_then(|report| take_report(&node, report)) {
+        Ok(()) => acknowledged(),
+        Err(reason) => bad_report(&node, reason),
     }
 }
 
-fn bad_report(reason: String) -> Response<WholeBody> {
-    log::warn!(event = "report_refused"; "{reason}");
+/// Refuses a report that can't be used; the backend server that is known holds.
+///
+/// Whoever writes such reports may write thousands: a line a second tells of them.
+fn bad_report(node: &RoutedNode, reason: String) -> Response<WholeBody> {
+    node.decisions.count("report", "refused");
+    let second = node.now().as_secs();
+    if node.refused_report_second.replace(Some(second)) != Some(second) {
+        log::warn!(event = "report_refused"; "{reason}");
+    }
     let mut answer = Response::new(Full::new(Bytes::from(reason)));
     *answer.status_mut() = StatusCode::BAD_REQUEST;
     answer
 }
 
-fn take_report(node: &RoutedNode, report: BackendReport) -> Response<WholeBody> {
+fn acknowledged() -> Response<WholeBody> {
+    let mut answer = own_answer(StatusCode::OK, None, "{}");
+    let json = http::HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, json);
+    answer
+}
+
+/// Takes in a report.
+///
+/// # Errors
+///
+/// Why it can't be of the backend server on this host.
+fn take_report(node: &RoutedNode, report: BackendReport) -> Result<(), String> {
     let now = node.now();
-    node.pulse.borrow_mut().sign(now);
     let is_change = match report {
-        BackendReport::Life(life) => node.lives.borrow_mut().on_report(now, life),
-        BackendReport::Leave { instance } => node.lives.borrow_mut().on_leave(now, &instance),
+        BackendReport::Life { report, address } => {
+            check_origin(node, &report, address)?;
+            let change = node.lives.borrow_mut().on_report(now, report);
+            change.map_err(|refusal| refusal.to_string())?
+        }
+        BackendReport::Leave { life } => node.lives.borrow_mut().on_leave(now, &life),
     };
+    node.pulse.borrow_mut().sign(now);
     if is_change {
         set_limit(node);
         announce(node);
         admit_waiting(node);
     }
-    let mut answer = own_answer(StatusCode::OK, None, "{}");
-    let json = http::HeaderValue::from_static("application/json");
-    answer.headers_mut().insert(header::CONTENT_TYPE, json);
-    answer
+    Ok(())
+}
+
+/// Whether a report can be of the backend server on this host: it stands at the address
+/// that calls go to, and belongs to a service that there is.
+fn check_origin(node: &RoutedNode, report: &LifeReport, address: SocketAddr) -> Result<(), String> {
+    let own = node.settings.backend;
+    if address != own {
+        return Err(format!(
+            "address: {address} is not {own}, that of this host"
+        ));
+    }
+    let routes = node.routes();
+    let is_known = routes.is_none_or(|routes| routes.has_service(&report.service));
+    if !is_known && report.service != node.settings.service {
+        return Err(format!("service: {:?} is not known", report.service));
+    }
+    Ok(())
 }
 
 fn set_limit(node: &RoutedNode) {
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -207,8 +207,8 @@
         .current()
         .is_some_and(|current| current.service == timed.call.service);
     let drain = node.settings.bounds.drain.mul_f64(DRAIN_RATIO);
-    let instance = timed.call.instance.as_deref();
-    if is_served && lives.may_run(now, instance, drain) {
+    let life = timed.call.life.as_ref();
+    if is_served && lives.may_run(now, life, drain) {
         Ok(())
     } else {
         Err(NotRunReason::Closed)
@@ -339,7 +339,7 @@
     *request.headers_mut() = headers_of(&call.headers);
     let hand_over = HandOver {
         time_left,
-        instance: call.instance.as_ref(),
+        instance: call.life.as_ref().map(|life| &life.instance),
         caller_service: &call.caller_service,
     };
     (node.dialect.write_hand_over)(request.headers_mut(), &hand_over);
