--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -43,7 +43,7 @@
 
 fn announcement() -> Announcement {
     Announcement {
-        instance: None,
+        life: None,
         service: String::from("archive"),
         address: "127.0.0.1:8080".parse().expect("an address"),
         slots_count: 90,
