Find silent links by their round trip; hand over at-most-once calls by commit

Cause: a link that went silent was found out after 2.0 s and tried again with a real call, which hung as long; runs that waited for such calls filled the slots of their services. A call that may run once and waited at a far gate or on such a link ended in 502 or 504 though it never ran, and its caller could not come back.

A lost peer is tried with pings until it answers. Idempotent calls on a silent link are made beside at once. Calls that may run once wait for a grant and a commit; before the commit they go elsewhere or are refused as not run.

Ruled out: giving links up earlier, which loses what is under way to hosts that were only paused.

--- a/crates/kumquatquay-core/src/routed/target_table.rs
+++ b/crates/kumquatquay-core/src/routed/target_table.rs
@@ -73,6 +73,8 @@
     failed_ratio: f64,
     closed_until: Duration,
     lost_pause: Duration,
+    /// Whether its node can't be reached.
+    is_lost: bool,
 }
 
 /// The host that a call goes to.
@@ -152,9 +154,10 @@
         random: &mut impl Rng,
     ) -> Option<Choice> {
         let controls = self.services.get(service)?;
-        let open = controls.iter().copied().filter(|control| {
-            !excluded.contains(control) && self.targets[control].closed_until <= now
-        });
+        let open = controls
+            .iter()
+            .copied()
+            .filter(|control| !excluded.contains(control) && self.targets[control].is_open(now));
         let (near, far): (Vec<_>, Vec<_>) =
             open.partition(|control| self.targets[control].is_own_data_centre);
         let best_near = self.best_of_some(now, &near, random);
@@ -211,6 +214,29 @@
         }
     }
 
+    /// A node can't be reached; it gets no calls until it is [`reached`](Self::reached).
+    /// Whether it is known here.
+    pub fn lost(&mut self, peer: SocketAddr) -> bool {
+        let mut is_known = false;
+        for target in self.targets.values_mut() {
+            if target.peer == peer {
+                target.is_lost = true;
+                is_known = true;
+            }
+        }
+        is_known
+    }
+
+    /// A node that could not be reached has answered.
+    pub fn reached(&mut self, peer: SocketAddr) {
+        let targets = self.targets.values_mut();
+        for target in targets.filter(|target| target.peer == peer) {
+            target.is_lost = false;
+            target.closed_until = Duration::ZERO;
+            target.lost_pause = LOST_PAUSE;
+        }
+    }
+
     fn best_of_some(
         &self,
         now: Duration,
@@ -240,9 +266,14 @@
             failed_ratio: 0.0,
             closed_until: Duration::ZERO,
             lost_pause: LOST_PAUSE,
+            is_lost: false,
         }
     }
 
+    fn is_open(&self, now: Duration) -> bool {
+        !self.is_lost && self.closed_until <= now
+    }
+
     /// Calls at the backend server over those that it runs, as far as is known:
     /// the last report with what was sent since, and never less than what this
     /// node itself has there.
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -8,6 +8,7 @@
 mod gate_repeats;
 mod host_gate;
 mod level_setter;
+mod link_health;
 mod retry_window;
 mod route_table;
 mod split;
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -35,6 +35,17 @@
         /// The call.
         number: CallNumber,
     },
+    /// There is room for a call that may run once at most, which is handed over as soon
+    /// as its sender commits to it.
+    Granted {
+        /// The call.
+        number: CallNumber,
+    },
+    /// The call may be handed over now; before this it has not run.
+    Commit {
+        /// The call.
+        number: CallNumber,
+    },
     /// The answer to a call; its response body follows.
     Answer(AnswerHead),
     /// Asks for a [`FrameHead::Pong`], which shows that the link still works.
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -14,7 +14,7 @@
 use rand::Rng;
 
 use super::{
-    link::{LinkAnswer, send_call},
+    link::{HandedOver, LinkAnswer, send_call, silence_of},
     node::RoutedNode,
     run_here::run_here,
 };
@@ -53,6 +53,8 @@
     pub(crate) body: Bytes,
     /// How far it has come; also told of a call whose time ran out on the way.
     pub(crate) progress: Cell<Progress>,
+    /// Whether a backend server may have it.
+    pub(crate) handed_over: HandedOver,
 }
 
 /// What a call went through so far.
@@ -116,10 +118,12 @@
             LinkOutcome::Answered { .. } => Verdict::Final,
             LinkOutcome::NotRun(NotRunReason::TurnedAway) => {
                 self.progress.sends_count += 1;
+                self.forget_hand_over(call);
                 self.once_more(node, call)
             }
             LinkOutcome::NotRun(_) => {
                 self.progress.refusals_count += 1;
+                self.forget_hand_over(call);
                 Verdict::Elsewhere
             }
             LinkOutcome::Unknown(reason) => {
@@ -133,6 +137,13 @@
         }
     }
 
+    /// The last attempt has not run, so the call has not, unless an earlier one may have.
+    fn forget_hand_over(&self, call: &OutgoingCall) {
+        if self.unknown.is_none() {
+            call.handed_over.clear();
+        }
+    }
+
     /// Makes an attempt; beside one that hangs another one is made, and the first whole
     /// answer counts.
     ///
@@ -151,6 +162,7 @@
         tokio::select! {
             answer = first.as_mut() => return answer,
             () = tokio::time::sleep(HANGS_LEAST.max(choice.work * HANGS_WORKS)) => {}
+            () = silence_on_the_way(node, call, choice) => {}
         }
         let Some(other) = self.choose_beside(node, call) else {
             return first.await;
@@ -213,6 +225,14 @@
     }
 }
 
+/// Waits until the link to a choice has gone silent.
+async fn silence_on_the_way(node: &Rc<RoutedNode>, call: &OutgoingCall, choice: &Choice) {
+    if choice.peer == node.links_address() {
+        return std::future::pending().await;
+    }
+    silence_of(node, choice.peer, call.body.len()).await;
+}
+
 fn choose(node: &RoutedNode, call: &OutgoingCall, asked: &[SocketAddr]) -> Option<Choice> {
     let mut random = node.random.borrow_mut();
     let mut targets = node.targets.borrow_mut();
@@ -274,9 +294,14 @@
 async fn send(node: &Rc<RoutedNode>, call: &OutgoingCall, choice: &Choice) -> LinkAnswer {
     let head = head_of(node, call, choice);
     if choice.peer != node.links_address() {
-        return send_call(node, choice.peer, head, &call.body).await;
+        return send_call(node, choice.peer, head, &call.body, &call.handed_over).await;
     }
-    let mut answer = run_here(node, &head, call.body.clone(), std::future::pending()).await;
+    let confirmed = async {
+        call.handed_over.set();
+        true
+    };
+    let never = std::future::pending();
+    let mut answer = run_here(node, &head, call.body.clone(), confirmed, never).await;
     answer.report = Some(node.gate_report());
     answer.news = Some(node.route_news(&head.route));
     answer
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -14,7 +14,7 @@
     carry::{OutgoingCall, Progress, carry, retry_after},
     http_io::{Caller, WholeBody, fields_of, headers_of, own_answer},
     interface::RequestMarks,
-    link::LinkAnswer,
+    link::{HandedOver, LinkAnswer},
     node::{RoutedNode, StopPhase},
 };
 
@@ -108,6 +108,7 @@
         body,
         route,
         progress: Cell::new(Progress::default()),
+        handed_over: HandedOver::default(),
     };
     if let Some(refusal) = refuse_for_shortage(node, &call, began) {
         return refusal;
@@ -119,6 +120,10 @@
     }
     match carried {
         Ok(answer) => answer_carried(node, &call, answer, began),
+        Err(_) if !call.handed_over.get() => {
+            let late = LinkAnswer::not_run(NotRunReason::Late);
+            answer_carried(node, &call, late, began)
+        }
         Err(_) => {
             node.decisions.count("failed", "deadline");
             log_unless_many(node, &call, "failed", "deadline", None, began);
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     io,
     net::SocketAddr,
     rc::Rc,
@@ -10,6 +10,7 @@
 };
 
 use bytes::Bytes;
+use kumquatquay_core::routed::{LinkHealth, LinkStep};
 use kumquatquay_wire::routed::{
     AnswerHead, CallHead, CallNumber, FrameHead, FrameReader, GateReport, LinkOutcome,
     NotRunReason, RouteNews, RouteVersion, ServicePressure, UnknownReason, encode_frame,
@@ -20,7 +21,7 @@
         TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
-    sync::{Notify, oneshot},
+    sync::{Notify, oneshot, watch},
 };
 
 use super::node::RoutedNode;
@@ -32,24 +33,16 @@
 /// Bytes that may wait for a peer that doesn't read; no call is added beyond.
 const UNWRITTEN_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 
-/// Time without a byte from the peer after which it is asked for a sign of life,
-/// while calls wait for it.
-const QUIET_TIME: Duration = Duration::from_millis(400);
-
-/// [`QUIET_TIME`] while no call waits; it also carries versions around.
-const IDLE_QUIET_TIME: Duration = Duration::from_millis(1_500);
-
-/// Time without a byte from the peer after which the link is given up.
-///
-/// Connections go silent without a reset when a network part fails; a host that is
-/// merely slow still answers a ping within a few hundred milliseconds.
-const SILENT_TIME: Duration = Duration::from_millis(1_600);
-
-/// How long a connection may take to be made.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long a connection may take to be made: many round trips. A lost opening packet
+/// is sent again after a second by the kernel; another connection is there sooner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// How often links are looked at.
-const WATCH_INTERVAL: Duration = Duration::from_millis(200);
+const WATCH_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Pause between attempts to reach a peer whose link was lost; one costs a few hundred
+/// bytes.
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
 
 /// Bytes read at once: a few frames of calls. Each link holds so much.
 const READ_BYTES: usize = 16 * 1024;
@@ -65,6 +58,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Links {
     links: HashMap<(SocketAddr, LinkKind), Rc<Link>>,
+    /// Peers whose link was lost and that are tried until they answer.
+    probed: HashSet<SocketAddr>,
     last_number: CallNumber,
 }
 
@@ -78,18 +73,46 @@
 /// One link that this node has made.
 #[derive(Debug)]
 pub(crate) struct Link {
+    peer: SocketAddr,
     pub(crate) frames: FrameWriter,
     pending: RefCell<HashMap<CallNumber, Pending>>,
-    last_heard: Cell<Duration>,
-    pinged: Cell<Option<Duration>>,
+    health: RefCell<LinkHealth>,
+    /// Whether new calls should go elsewhere.
+    is_silent: watch::Sender<bool>,
+    /// Told of each frame from the peer, and of the link's end.
+    news: Notify,
+    has_heard: Cell<bool>,
     end: Notify,
 }
 
 #[derive(Debug)]
 struct Pending {
     answer: oneshot::Sender<LinkAnswer>,
-    /// Bytes of the link up to the end of the call.
+    /// Bytes of the link up to the end of the frame that lets the call run.
     end_bytes: u64,
+    /// Whether it may run only once this node has committed to it.
+    needs_commit: bool,
+    handed_over: HandedOver,
+}
+
+/// Whether a call may have been handed to a backend server. While it may not, its caller
+/// can be told truly that it has not run.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct HandedOver(Rc<Cell<bool>>);
+
+impl HandedOver {
+    pub(crate) fn set(&self) {
+        self.0.set(true);
+    }
+
+    /// The backend server has said that it did not run the call.
+    pub(crate) fn clear(&self) {
+        self.0.set(false);
+    }
+
+    pub(crate) fn get(&self) -> bool {
+        self.0.get()
+    }
 }
 
 /// What came of a call that was sent over a link.
@@ -213,12 +236,20 @@
 
 /// Sends a call to another node and waits for what comes of it.
 ///
-/// Dropped before that, it tells the other node that nobody waits any more.
+/// A call that may run once at most is handed over there only after this node has
+/// committed to it, which it does when there is room. Without that, a call that waited
+/// at a gate, or in a connection that went silent, could not be told from one that has
+/// run: its caller would be told nothing, and could not send it again. It costs a round
+/// trip for these calls. So one whose link goes silent before has not run, and goes
+/// elsewhere.
+///
+/// Dropped before the end, it tells the other node that nobody waits any more.
 pub(crate) async fn send_call(
     node: &Rc<RoutedNode>,
     peer: SocketAddr,
     mut call: CallHead,
     body: &Bytes,
+    handed_over: &HandedOver,
 ) -> LinkAnswer {
     let link = link_to(node, peer, body.len());
     if !link.frames.has_room() {
@@ -226,21 +257,49 @@
     }
     call.number = next_number(node);
     let number = call.number;
-    let (sender, receiver) = oneshot::channel();
+    let needs_commit = !call.is_idempotent;
+    if !needs_commit {
+        handed_over.set();
+    }
+    let (sender, mut receiver) = oneshot::channel();
     let end_bytes = link.frames.push(&FrameHead::Call(call), body);
     let pending = Pending {
         answer: sender,
         end_bytes,
+        needs_commit,
+        handed_over: handed_over.clone(),
     };
     link.pending.borrow_mut().insert(number, pending);
+    link.health.borrow_mut().sent(node.now());
     let _canceller = Canceller {
         link: &link,
         number,
     };
-    let answer = receiver.await;
+    let answer = tokio::select! {
+        answer = &mut receiver => answer,
+        () = silence(&link) => {
+            if needs_commit && !handed_over.get() {
+                return LinkAnswer::not_run(NotRunReason::Unsent);
+            }
+            receiver.await
+        }
+    };
     answer.unwrap_or_else(|_| LinkAnswer::unknown(UnknownReason::LinkLost))
 }
 
+/// Waits until a link has gone silent.
+async fn silence(link: &Link) {
+    let mut is_silent = link.is_silent.subscribe();
+    // The link outlives the wait, and with it the sender.
+    let _ = is_silent.wait_for(|is_silent| *is_silent).await;
+}
+
+/// Waits until the link over which a call goes has gone silent.
+pub(crate) async fn silence_of(node: &Rc<RoutedNode>, peer: SocketAddr, body_bytes: usize) {
+    let link = link_to(node, peer, body_bytes);
+    silence(&link).await;
+}
+
 /// Tells the other node that the answer to a call isn't wanted any more, unless
 /// it has come.
 struct Canceller<'a> {
@@ -275,10 +334,13 @@
         return Rc::clone(link);
     }
     let link = Rc::new(Link {
+        peer,
         frames: FrameWriter::default(),
         pending: RefCell::default(),
-        last_heard: Cell::new(node.now()),
-        pinged: Cell::new(None),
+        health: RefCell::new(LinkHealth::new(node.now())),
+        is_silent: watch::Sender::new(false),
+        news: Notify::new(),
+        has_heard: Cell::new(false),
         end: Notify::new(),
     });
     node.links.borrow_mut().links.insert(key, Rc::clone(&link));
@@ -298,11 +360,15 @@
     node.links.borrow_mut().links.remove(&key);
     let pending = std::mem::take(&mut *link.pending.borrow_mut());
     let lost_count = pending.len();
+    link.news.notify_waiters();
+    reach_again(&node, peer);
     node.decisions.count("link_ended", "lost");
     log::info!(event = "link_ended", peer:% = peer, calls = lost_count; "{why}");
     for pending in pending.into_values() {
-        // A frame that was not written to its end was never understood.
-        let answer = if link.frames.has_written_to(pending.end_bytes) {
+        // A frame that was not written to its end was never understood, and one that
+        // waits for this node to commit has not run.
+        let is_sent = link.frames.has_written_to(pending.end_bytes);
+        let answer = if is_sent && !pending.needs_commit {
             LinkAnswer::unknown(UnknownReason::LinkLost)
         } else {
             LinkAnswer::not_run(NotRunReason::Unsent)
@@ -315,7 +381,6 @@
     let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer));
     let stream = connect.await.map_err(|_| io::ErrorKind::TimedOut)??;
     stream.set_nodelay(true)?;
-    link.last_heard.set(node.now());
     let (read, write) = stream.into_split();
     let take = |head, body| on_frame(node, link, head, body);
     tokio::select! {
@@ -326,19 +391,67 @@
 }
 
 fn on_frame(node: &Rc<RoutedNode>, link: &Rc<Link>, head: FrameHead, body: Vec<u8>) {
-    link.last_heard.set(node.now());
-    link.pinged.set(None);
     match head {
         FrameHead::Answer(answer) => on_answer(node, link, answer, body),
+        FrameHead::Granted { number } => on_granted(link, number),
         FrameHead::Pong { version } | FrameHead::Ping { version } => {
             on_version(node, &link.frames, version);
         }
         FrameHead::Configuration => on_configuration(node, &body),
         FrameHead::ConfigurationAsk => tell_configuration(node, &link.frames),
-        FrameHead::Call(_) | FrameHead::Cancel { .. } => {
+        FrameHead::Call(_) | FrameHead::Cancel { .. } | FrameHead::Commit { .. } => {
             log::warn!(event = "link_confused"; "a frame came from the wrong side of a link");
         }
     }
+    on_sign_of_life(node, link);
+}
+
+fn on_sign_of_life(node: &RoutedNode, link: &Link) {
+    let is_waited_for = !link.pending.borrow().is_empty();
+    link.health.borrow_mut().heard(node.now(), is_waited_for);
+    if link.is_silent.send_replace(false) {
+        node.targets.borrow_mut().reached(link.peer);
+    }
+    if !link.has_heard.replace(true) {
+        link.news.notify_waiters();
+    }
+}
+
+/// There is room for a call: commits to it, unless nobody waits for it any more.
+fn on_granted(link: &Link, number: CallNumber) {
+    if let Some(pending) = link.pending.borrow_mut().get_mut(&number) {
+        pending.needs_commit = false;
+        pending.handed_over.set();
+        pending.end_bytes = link.frames.push(&FrameHead::Commit { number }, &[]);
+    }
+}
+
+/// Tries to reach a peer whose link was lost, until it answers or isn't a target any more.
+///
+/// Tried with a call, a peer that is cut off would take that call with it each time.
+fn reach_again(node: &Rc<RoutedNode>, peer: SocketAddr) {
+    if !node.links.borrow_mut().probed.insert(peer) {
+        return;
+    }
+    let node = Rc::clone(node);
+    let tasks = node.tasks.clone();
+    tasks.spawn_local(async move {
+        while node.targets.borrow_mut().lost(peer) && !answers(&node, peer).await {
+            tokio::time::sleep(PROBE_PAUSE).await;
+        }
+        node.targets.borrow_mut().reached(peer);
+        node.links.borrow_mut().probed.remove(&peer);
+    });
+}
+
+/// Whether a peer answers on a link of now.
+async fn answers(node: &Rc<RoutedNode>, peer: SocketAddr) -> bool {
+    let link = link_to(node, peer, 0);
+    let news = link.news.notified();
+    let version = node.route_version();
+    link.frames.push(&FrameHead::Ping { version }, &[]);
+    let _ = tokio::time::timeout(CONNECT_TIMEOUT, news).await;
+    link.has_heard.get() && !*link.is_silent.borrow()
 }
 
 fn on_answer(node: &RoutedNode, link: &Link, answer: AnswerHead, body: Vec<u8>) {
@@ -393,21 +506,22 @@
 }
 
 fn watch_link(node: &RoutedNode, link: &Link) {
-    let now = node.now();
-    let quiet = now.saturating_sub(link.last_heard.get());
     let is_waited_for = !link.pending.borrow().is_empty();
-    let patience = if is_waited_for {
-        QUIET_TIME
-    } else {
-        IDLE_QUIET_TIME
-    };
-    match link.pinged.get() {
-        None if quiet >= patience => {
-            link.pinged.set(Some(now));
+    let mut health = link.health.borrow_mut();
+    match health.look(node.now(), WATCH_INTERVAL, is_waited_for) {
+        LinkStep::Keep => {}
+        LinkStep::Ask => {
             let version = node.route_version();
             link.frames.push(&FrameHead::Ping { version }, &[]);
         }
-        Some(pinged) if now >= pinged + SILENT_TIME => link.end.notify_one(),
-        _ => {}
+        LinkStep::Avoid => {
+            node.targets.borrow_mut().lost(link.peer);
+            if !link.is_silent.send_replace(true) {
+                node.decisions.count("link", "silent");
+                log::info!(event = "link_silent", peer:% = link.peer;
+                    "no sign of life: calls go elsewhere");
+            }
+        }
+        LinkStep::GiveUp => link.end.notify_one(),
     }
 }
--- a/crates/kumquatquayd/src/routed/link_server.rs
+++ b/crates/kumquatquayd/src/routed/link_server.rs
@@ -25,14 +25,26 @@
 #[derive(Debug, Default)]
 struct ServedLink {
     frames: FrameWriter,
-    /// Calls that have no answer yet; dropping a sender cancels its call.
-    open: RefCell<HashMap<CallNumber, oneshot::Sender<()>>>,
+    /// Calls that have no answer yet.
+    open: RefCell<HashMap<CallNumber, OpenCall>>,
     /// When each route's news was told last.
     news_told: RefCell<HashMap<String, Duration>>,
     /// When pressures were told last.
     pressures_told: Cell<Duration>,
 }
 
+/// A call that has no answer yet; dropping it cancels the call.
+#[derive(Debug)]
+struct OpenCall {
+    _cancel: oneshot::Sender<()>,
+    /// Tells it that its sender has committed to it.
+    commit: Option<oneshot::Sender<()>>,
+}
+
+/// How long room is kept for a call until its sender commits to it: a round trip, and
+/// the pauses of two hosts whose share of a processor is a quota.
+const COMMIT_PATIENCE: Duration = Duration::from_millis(300);
+
 /// How often news of a route is told on a link; it changes slowly.
 const NEWS_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -86,6 +98,14 @@
         FrameHead::Cancel { number } => {
             link.open.borrow_mut().remove(&number);
         }
+        FrameHead::Commit { number } => {
+            let mut open = link.open.borrow_mut();
+            let commit = open.get_mut(&number).and_then(|open| open.commit.take());
+            if let Some(commit) = commit {
+                // Room that was kept too long is gone; the answer says so.
+                let _ = commit.send(());
+            }
+        }
         FrameHead::Ping { version } => {
             on_version(node, &link.frames, version);
             let version = node.route_version();
@@ -93,13 +113,18 @@
         }
         FrameHead::ConfigurationAsk => tell_configuration(node, &link.frames),
         FrameHead::Configuration => on_configuration(node, &body),
-        FrameHead::Pong { .. } | FrameHead::Answer(_) => {}
+        FrameHead::Pong { .. } | FrameHead::Answer(_) | FrameHead::Granted { .. } => {}
     }
 }
 
 fn on_call(node: &Rc<RoutedNode>, link: &Rc<ServedLink>, call: CallHead, body: Vec<u8>) {
     on_version(node, &link.frames, call.version);
-    let (open, cancelled) = oneshot::channel();
+    let (cancel, cancelled) = oneshot::channel();
+    let (commit, committed) = oneshot::channel();
+    let open = OpenCall {
+        _cancel: cancel,
+        commit: Some(commit),
+    };
     link.open.borrow_mut().insert(call.number, open);
     let node = Rc::clone(node);
     let link = Rc::clone(link);
@@ -107,7 +132,19 @@
     tasks.spawn_local(async move {
         let number = call.number;
         let route = call.route.clone();
-        let answer = run_call(&node, call, Bytes::from(body), cancelled).await;
+        let is_idempotent = call.is_idempotent;
+        let confirmed = async {
+            is_idempotent || {
+                link.frames.push(&FrameHead::Granted { number }, &[]);
+                let committed = tokio::time::timeout(COMMIT_PATIENCE, committed);
+                matches!(committed.await, Ok(Ok(())))
+            }
+        };
+        let cancelled = async {
+            // The sender is only ever dropped, which says that the call is cancelled.
+            let _ = cancelled.await;
+        };
+        let answer = run_here(&node, &call, Bytes::from(body), confirmed, cancelled).await;
         let is_wanted = link.open.borrow_mut().remove(&number).is_some();
         if is_wanted {
             tell_answer(&node, &link, number, &route, &answer);
@@ -115,20 +152,6 @@
     });
 }
 
-/// Runs a call; one that may run again ends when it is cancelled.
-async fn run_call(
-    node: &Rc<RoutedNode>,
-    call: CallHead,
-    body: Bytes,
-    cancelled: oneshot::Receiver<()>,
-) -> LinkAnswer {
-    run_here(node, &call, body, async {
-        // The sender is only ever dropped, which says that the call is cancelled.
-        let _ = cancelled.await;
-    })
-    .await
-}
-
 fn tell_answer(
     node: &RoutedNode,
     link: &ServedLink,
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -46,12 +46,14 @@
 
 /// Runs a call at the backend server of this host, once there is room for it.
 ///
-/// When `cancelled` is done, a call that waits is taken out, and one that runs is
-/// given up if it may run again; one that may not is let run to its end.
+/// When there is room, `confirmed` tells whether the call is still to be run. When
+/// `cancelled` is done, a call that waits is taken out, and one that runs is given up if
+/// it may run again; one that may not is let run to its end.
 pub(crate) async fn run_here(
     node: &Rc<RoutedNode>,
     call: &CallHead,
     body: Bytes,
+    confirmed: impl Future<Output = bool>,
     cancelled: impl Future<Output = ()>,
 ) -> LinkAnswer {
     let now = node.now();
@@ -69,7 +71,7 @@
     };
     let mut cancelled = std::pin::pin!(cancelled);
     let slot = tokio::select! {
-        slot = wait_for_slot(node, &timed) => slot,
+        slot = wait_for_confirmed_slot(node, &timed, confirmed) => slot,
         () = cancelled.as_mut() => Err(NotRunReason::Late),
     };
     let slot = match slot {
@@ -143,6 +145,19 @@
     drop(waiting);
 }
 
+async fn wait_for_confirmed_slot(
+    node: &Rc<RoutedNode>,
+    timed: &Timed<'_>,
+    confirmed: impl Future<Output = bool>,
+) -> Result<Slot, NotRunReason> {
+    let slot = wait_for_slot(node, timed).await?;
+    if !confirmed.await {
+        return Err(NotRunReason::Late);
+    }
+    check_open(node, timed)?;
+    Ok(slot)
+}
+
 async fn wait_for_slot(node: &Rc<RoutedNode>, timed: &Timed<'_>) -> Result<Slot, NotRunReason> {
     check_open(node, timed)?;
     let (ticket, granted) = oneshot::channel();
