--- a/crates/kumquatquay-core/src/routed/entry_levels.rs
+++ b/crates/kumquatquay-core/src/routed/entry_levels.rs
@@ -142,10 +142,9 @@
 
     /// Takes in what a gate of a service tells.
     pub fn on_gate(&mut self, now: Duration, service: &str, gate: SocketAddr, report: &GateReport) {
-        let work_s = report.work().as_secs_f64().max(1e-4);
         let told = Told {
             level: report.level(),
-            capacity_per_s: f64::from(report.limit_count) / work_s,
+            capacity_per_s: self.capacity_per_s(service, report),
             told: now,
         };
         if let Some(known) = self.services.get_mut(service) {
@@ -157,6 +156,19 @@
         }
     }
 
+    /// Calls a second that a gate can run; one that has run none yet is taken to be like
+    /// the others of its service.
+    fn capacity_per_s(&self, service: &str, report: &GateReport) -> f64 {
+        let work_s = report.work().as_secs_f64();
+        if work_s > 0.0 {
+            return f64::from(report.limit_count) / work_s;
+        }
+        let gates = self.services.get(service).map(|known| &known.gates);
+        let gates = gates.into_iter().flat_map(HashMap::values);
+        let known = gates.map(|gate| gate.capacity_per_s);
+        known.fold(f64::from(report.limit_count), f64::min)
+    }
+
     /// Takes in what another node knows of a service.
     pub fn on_pressure(&mut self, now: Duration, pressure: &ServicePressure) {
         let told = now.saturating_sub(Duration::from_millis(u64::from(pressure.age_ms)));
@@ -221,6 +233,27 @@
         Some((told.at(now), now.saturating_sub(told.told)))
     }
 
+    /// The least important rank of the routes that outside callers use and that lead to
+    /// a service; `ranks` tells the priorities of all routes.
+    pub fn last_rank_at(
+        &self,
+        now: Duration,
+        service: &str,
+        ranks: &BTreeMap<String, Priority>,
+    ) -> Option<Priority> {
+        let leading = self.routes.iter();
+        let leading = leading.filter(|(_, levels)| levels.load_at(now, service) > 0.0);
+        leading
+            .filter_map(|(route, _)| ranks.get(route).copied())
+            .max()
+    }
+
+    /// Whether a service has no room for all that is offered to it.
+    pub fn is_short(&self, now: Duration, service: &str) -> bool {
+        self.level(now, service)
+            .is_some_and(|(level, _)| level < SHORT_LEVEL)
+    }
+
     /// What to tell others of the services that a route leads to.
     pub fn pressures(
         &self,
--- a/crates/kumquatquay-core/src/routed/host_gate.rs
+++ b/crates/kumquatquay-core/src/routed/host_gate.rs
@@ -90,6 +90,8 @@
     waiting: BTreeMap<WaitKey, Waiting<T>>,
     last_sequence: u64,
     work_s: f64,
+    /// Calls whose time is in the mean.
+    timed_count: u32,
 }
 
 #[derive(Debug)]
@@ -107,6 +109,7 @@
             waiting: BTreeMap::new(),
             last_sequence: 0,
             work_s: FIRST_WORK_S,
+            timed_count: 0,
         }
     }
 }
@@ -182,7 +185,10 @@
     pub fn ended(&mut self, work: Option<Duration>) {
         self.running_count = self.running_count.saturating_sub(1);
         if let Some(work) = work {
-            self.work_s += NEW_WEIGHT * (work.as_secs_f64() - self.work_s);
+            // The mean of those that there are, until there are enough.
+            self.timed_count = self.timed_count.saturating_add(1);
+            let weight = NEW_WEIGHT.max(1.0 / f64::from(self.timed_count));
+            self.work_s += weight * (work.as_secs_f64() - self.work_s);
         }
     }
 
@@ -214,14 +220,20 @@
         }
     }
 
-    /// How busy the backend server is, with the level for whole requests.
-    pub fn report(&self, level: f64) -> GateReport {
+    /// How busy the backend server is, with the level for whole requests. The calls that
+    /// it runs have been running for `age` on the mean.
+    pub fn report(&self, level: f64, age: Duration) -> GateReport {
+        let work = if self.timed_count == 0 {
+            age
+        } else {
+            self.work().max(age)
+        };
         GateReport {
             level_permille: (level * 1_000.0) as u16,
             running_count: self.running_count as u32,
             waiting_count: self.waiting.len() as u32,
             limit_count: self.limit_count() as u32,
-            work_us: self.work().as_micros() as u32,
+            work_us: work.as_micros() as u32,
         }
     }
 
--- /dev/null
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -0,0 +1,117 @@
+//! Mechanisms that decide, each of which can be switched off.
+
+use std::str::FromStr;
+
+use derive_more::{Display, Error};
+
+/// A mechanism that decides about calls on routes.
+///
+/// Each can be switched off by itself, to measure what it is worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum Mechanism {
+    /// Whole requests are refused at the entry while a service on their way is short.
+    #[display("entry-levels")]
+    EntryLevels,
+    /// What is known of runs is kept while the calls that they make fail.
+    #[display("kept-graph")]
+    KeptGraph,
+    /// Calls that backend servers make don't go before what people sent, at a gate.
+    #[display("one-order")]
+    OneOrder,
+    /// A gate hands over more calls for those on their way.
+    #[display("transit")]
+    Transit,
+    /// A call that was turned away is handed over again at its gate.
+    #[display("gate-repeats")]
+    GateRepeats,
+    /// Beside an attempt that hangs another one is made.
+    #[display("beside")]
+    Beside,
+    /// An idempotent run that its backend server failed is made once more.
+    #[display("run-again")]
+    RunAgain,
+    /// A backend server that gives no answers is taken to be dead.
+    #[display("silent-backend")]
+    SilentBackend,
+    /// A link without a sign of life is avoided.
+    #[display("silent-links")]
+    SilentLinks,
+    /// A call that may run once at most is handed over once its sender commits to it.
+    #[display("commit")]
+    Commit,
+    /// Crowded backend servers are compared by fill.
+    #[display("crowding")]
+    Crowding,
+    /// A backend server that hasn't told its work is taken to be like its peers.
+    #[display("peer-work")]
+    PeerWork,
+    /// A backend server that turns slow is known by the age of the calls that it runs.
+    #[display("running-ages")]
+    RunningAges,
+}
+
+impl Mechanism {
+    /// All of them.
+    pub const ALL: [Self; 13] = [
+        Self::EntryLevels,
+        Self::KeptGraph,
+        Self::OneOrder,
+        Self::Transit,
+        Self::GateRepeats,
+        Self::Beside,
+        Self::RunAgain,
+        Self::SilentBackend,
+        Self::SilentLinks,
+        Self::Commit,
+        Self::Crowding,
+        Self::PeerWork,
+        Self::RunningAges,
+    ];
+
+    fn bit(self) -> u32 {
+        1 << self as u32
+    }
+}
+
+/// A name that is no mechanism's.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[display("{name:?} is no mechanism; there are {}", Mechanism::ALL.map(|known| known.to_string()).join(", "))]
+pub struct UnknownMechanism {
+    /// The name.
+    pub name: String,
+}
+
+impl FromStr for Mechanism {
+    type Err = UnknownMechanism;
+
+    fn from_str(name: &str) -> Result<Self, Self::Err> {
+        let known = Self::ALL
+            .into_iter()
+            .find(|known| known.to_string() == name);
+        known.ok_or_else(|| UnknownMechanism {
+            name: String::from(name),
+        })
+    }
+}
+
+/// Which mechanisms are on; all of them, unless one was switched off.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Mechanisms {
+    off: u32,
+}
+
+impl Mechanisms {
+    /// All but these.
+    pub fn without(off: impl IntoIterator<Item = Mechanism>) -> Self {
+        Self {
+            off: off
+                .into_iter()
+                .fold(0, |off, mechanism| off | mechanism.bit()),
+        }
+    }
+
+    /// Whether a mechanism is on.
+    pub fn is_on(self, mechanism: Mechanism) -> bool {
+        self.off & mechanism.bit() == 0
+    }
+}
--- a/crates/kumquatquay-core/src/routed/target_table.rs
+++ b/crates/kumquatquay-core/src/routed/target_table.rs
@@ -9,6 +9,8 @@
 use kumquatquay_wire::{BackendLife, MemberRecord, MemberState, ServiceName, routed::GateReport};
 use rand::{Rng, seq::IndexedRandom};
 
+use super::{Mechanism, Mechanisms};
+
 /// How long a gate's report counts; after that only this node's own calls do.
 const REPORT_LAPSE: Duration = Duration::from_secs(1);
 
@@ -51,7 +53,7 @@
 /// slow as one that needs this many times the work.
 const FAILURE_WEIGHT: f64 = 20.0;
 
-/// Time to run a call that is assumed of a host that hasn't told.
+/// Time to run a call that is assumed while no host of a service has told.
 const FIRST_WORK_S: f64 = 0.05;
 
 /// Candidates that are compared, of each kind.
@@ -110,11 +112,20 @@
 /// The backend servers of all services.
 #[derive(Debug, Default)]
 pub struct TargetTable {
+    mechanisms: Mechanisms,
     targets: HashMap<SocketAddr, Target>,
     services: BTreeMap<ServiceName, Vec<SocketAddr>>,
 }
 
 impl TargetTable {
+    /// A table that decides by these mechanisms.
+    pub fn new(mechanisms: Mechanisms) -> Self {
+        Self {
+            mechanisms,
+            ..Self::default()
+        }
+    }
+
     /// Takes in the members as they are now; what is known of those that stay
     /// is kept.
     pub fn rebuild<'a>(
@@ -171,6 +182,7 @@
             both.min_by(|a, b| self.cost_s(now, *a).total_cmp(&self.cost_s(now, *b)))
         };
         let control = best?;
+        let work_s = self.work_s(control);
         let target = self.targets.get_mut(&control)?;
         target.outstanding_count += 1;
         target.sent_since_report_count += 1;
@@ -178,7 +190,7 @@
             control,
             peer: target.peer,
             life: target.life.clone(),
-            work: Duration::from_secs_f64(target.work_s()),
+            work: Duration::from_secs_f64(work_s),
         })
     }
 
@@ -248,7 +260,34 @@
     }
 
     fn cost_s(&self, now: Duration, control: SocketAddr) -> f64 {
-        self.targets[&control].cost_s(now)
+        let crowding = if self.mechanisms.is_on(Mechanism::Crowding) {
+            CROWDED_S
+        } else {
+            0.0
+        };
+        self.targets[&control].cost_s(now, self.work_s(control), crowding)
+    }
+
+    /// Mean time to run a call, as the gate has told, or as those of its service have.
+    ///
+    /// A backend server that has joined has told nothing. Taken to be slower than its
+    /// peers it would never be called, and so would never tell.
+    fn work_s(&self, control: SocketAddr) -> f64 {
+        let target = &self.targets[&control];
+        if let Some(told_s) = target.told_work_s() {
+            return told_s;
+        }
+        if !self.mechanisms.is_on(Mechanism::PeerWork) {
+            return FIRST_WORK_S;
+        }
+        let peers = self.services.values().find(|of| of.contains(&control));
+        let told = peers.into_iter().flatten();
+        let told = told.filter_map(|peer| self.targets[peer].told_work_s());
+        let (sum_s, count) = told.fold((0.0, 0_u32), |(sum, count), work| (sum + work, count + 1));
+        if count == 0 {
+            return FIRST_WORK_S;
+        }
+        sum_s / f64::from(count)
     }
 }
 
@@ -290,23 +329,18 @@
         own.max(self.report.fill_ratio() + sent)
     }
 
-    /// Mean time to run a call, as the gate has told.
-    fn work_s(&self) -> f64 {
-        let told_work_s = self.report.work().as_secs_f64();
-        if told_work_s > 0.0 {
-            told_work_s
-        } else {
-            FIRST_WORK_S
-        }
+    /// Mean time to run a call, if the gate has told it.
+    fn told_work_s(&self) -> Option<f64> {
+        let told_s = self.report.work().as_secs_f64();
+        (told_s > 0.0).then_some(told_s)
     }
 
     /// Time until the answer to one more call, with failures counted as delay.
-    fn cost_s(&self, now: Duration) -> f64 {
-        let work_s = self.work_s();
+    fn cost_s(&self, now: Duration, work_s: f64, crowding: f64) -> f64 {
         let fill = self.fill_ratio(now);
         let wait_s = work_s * (fill - 1.0).max(0.0);
         let crowded = (fill - CROWDED_FILL_RATIO).max(0.0);
-        let crowding_s = work_s * fill.min(1.0) / 2.0 + CROWDED_S * crowded;
+        let crowding_s = work_s * fill.min(1.0) / 2.0 + crowding * crowded;
         let failure_s = work_s * FAILURE_WEIGHT * self.failed_ratio;
         let way_s = if self.is_own_data_centre {
             0.0
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -5,12 +5,15 @@
 mod call_graph;
 mod caller_census;
 mod entry_levels;
+mod failed_runs;
 mod gate_repeats;
 mod host_gate;
 mod level_setter;
 mod link_health;
+mod mechanisms;
 mod retry_window;
 mod route_table;
+mod running_ages;
 mod split;
 mod target_table;
 
--- /dev/null
+++ b/crates/kumquatquay-core/tests/routed/mechanisms.rs
@@ -0,0 +1,24 @@
+//! Switching mechanisms off.
+
+use kumquatquay_core::routed::{Mechanism, Mechanisms};
+
+#[test]
+fn each_has_a_name_and_a_switch_of_its_own() {
+    for mechanism in Mechanism::ALL {
+        assert_eq!(mechanism.to_string().parse(), Ok(mechanism));
+        let without = Mechanisms::without([mechanism]);
+        for other in Mechanism::ALL {
+            assert_eq!(without.is_on(other), other != mechanism);
+            assert!(Mechanisms::default().is_on(other));
+        }
+    }
+}
+
+#[test]
+fn an_unknown_name_is_told_with_those_that_there_are() {
+    let error = "levels".parse::<Mechanism>().unwrap_err().to_string();
+    assert!(
+        error.contains("levels") && error.contains("entry-levels"),
+        "{error}"
+    );
+}
--- a/crates/kumquatquay-core/tests/routed/target_table.rs
+++ b/crates/kumquatquay-core/tests/routed/target_table.rs
@@ -164,3 +164,49 @@
     let choice = table.choose(at_ms(1), "archive", &[], &mut random).unwrap();
     assert_eq!(choice.life, Some(BackendLife::untold("new")));
 }
+
+/// A backend server joins a service whose others run calls in 22 ms, with some under way.
+/// Nothing is known of it; it is empty, so it gets the next calls and tells its own time.
+#[test]
+fn a_backend_server_that_has_joined_is_called_at_once() {
+    let (mut table, mut random) = table();
+    for host in [1, 2] {
+        table.ended(
+            at_ms(0),
+            address(host),
+            TargetEnded::Answered,
+            Some(report(4, 22)),
+        );
+    }
+    let members: Vec<MemberRecord> = [1, 2, 4]
+        .map(|host| member(host, "near", MemberState::Serving))
+        .into();
+    table.rebuild("near", members.iter());
+    let mut calls_count = 0;
+    for call in 0..30 {
+        let choice = table
+            .choose(at_ms(call), "archive", &[], &mut random)
+            .unwrap();
+        calls_count += u32::from(choice.control == address(4));
+        let report = (choice.control != address(4)).then(|| report(4, 22));
+        table.ended(at_ms(call), choice.control, TargetEnded::Answered, report);
+    }
+    assert!(calls_count >= 10, "{calls_count} of 30");
+}
+
+/// The link to a host goes silent. It gets no calls until it has answered, however long
+/// that takes, and then at once; a host that isn't known is not waited for.
+#[test]
+fn a_host_that_cannot_be_reached_gets_no_calls_until_it_answers() {
+    let (mut table, mut random) = table();
+    assert!(table.lost(address(1)));
+    assert!(!table.lost(address(99)));
+    for call in 0..50 {
+        let choice = table.choose(at_ms(call * 200), "archive", &[], &mut random);
+        assert_ne!(choice.unwrap().control, address(1));
+    }
+    table.reached(address(1));
+    let excluded = [address(2), address(3)];
+    let choice = table.choose(at_ms(10_000), "archive", &excluded, &mut random);
+    assert_eq!(choice.unwrap().control, address(1));
+}
--- a/crates/kumquatquay-daemon/src/main.rs
+++ b/crates/kumquatquay-daemon/src/main.rs
@@ -8,7 +8,8 @@
 
 use std::process::ExitCode;
 
-use clap::Arg;
+use clap::{Arg, ArgMatches};
+use kumquatquay_core::routed::{Mechanism, Mechanisms};
 use kumquatquay_platform::SETTINGS_VARIABLE;
 
 /// The node could not start.
@@ -20,6 +21,9 @@
 /// Name of the flag for the platform's settings file.
 const SETTINGS_FLAG: &str = "settings";
 
+/// Name of the flag that switches mechanisms off.
+const WITHOUT_FLAG: &str = "without";
+
 fn main() -> ExitCode {
     let settings = Arg::new(SETTINGS_FLAG)
         .long(SETTINGS_FLAG)
@@ -29,13 +33,35 @@
             "Settings file of the users' platform; the node then carries calls on its routes, \
              and no other flag counts",
         );
-    let matches = kumquatquayd::command().arg(settings).get_matches();
+    let without = Arg::new(WITHOUT_FLAG)
+        .long(WITHOUT_FLAG)
+        .env("KUMQUATQUAY_WITHOUT")
+        .value_name("MECHANISM,…")
+        .value_delimiter(',')
+        .value_parser(|name: &str| name.parse::<Mechanism>())
+        .help(without_help());
+    let command = kumquatquayd::command().arg(settings).arg(without);
+    let matches = command.get_matches();
     match matches.get_one::<String>(SETTINGS_FLAG) {
-        Some(path) => on_platform::serve(path),
+        Some(path) => on_platform::serve(path, mechanisms(&matches)),
         None => with_intents::serve(&matches),
     }
 }
 
+fn without_help() -> String {
+    let names = Mechanism::ALL.map(|mechanism| mechanism.to_string());
+    format!(
+        "Mechanisms that don't decide about calls on the platform's routes, to measure what \
+         each is worth; of {}",
+        names.join(", ")
+    )
+}
+
+fn mechanisms(matches: &ArgMatches) -> Mechanisms {
+    let off = matches.get_many::<Mechanism>(WITHOUT_FLAG);
+    Mechanisms::without(off.into_iter().flatten().copied())
+}
+
 /// Says on standard error why the node doesn't run.
 fn fail(code: u8, why: impl std::fmt::Display) -> ExitCode {
     eprintln!("kumquatquayd: {why}");
--- a/crates/kumquatquay-daemon/src/on_platform.rs
+++ b/crates/kumquatquay-daemon/src/on_platform.rs
@@ -3,6 +3,7 @@
 use std::{fs, process::ExitCode, time::Duration};
 
 use eyre::WrapErr;
+use kumquatquay_core::routed::Mechanisms;
 use kumquatquay_platform::{PlatformSettings, dialect, platform_store, read_settings};
 use tokio::{
     runtime::Builder,
@@ -17,16 +18,17 @@
 const LAST_LINES: Duration = Duration::from_millis(250);
 
 /// Runs the node until it is asked to stop.
-pub(crate) fn serve(path: &str) -> ExitCode {
+pub(crate) fn serve(path: &str, mechanisms: Mechanisms) -> ExitCode {
     let lines = kumquatquayd::init_json_log_to_stdout();
     let text = match fs::read_to_string(path) {
         Ok(text) => text,
         Err(error) => return fail(EXIT_WRONG_SETTINGS, format!("{path}: {error}")),
     };
-    let settings = match read_settings(&text) {
+    let mut settings = match read_settings(&text) {
         Ok(settings) => settings,
         Err(findings) => return fail(EXIT_WRONG_SETTINGS, format!("{path}:\n{findings}")),
     };
+    settings.node.mechanisms = mechanisms;
     let ran = run(settings);
     lines.flush_within(LAST_LINES);
     match ran {
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -87,6 +87,8 @@
     pub level_permille: u16,
     /// Whether it may run more than once.
     pub is_idempotent: bool,
+    /// Whether it is handed over only once its sender has committed to it.
+    pub needs_commit: bool,
     /// Time that is left to answer it, in milliseconds.
     pub remaining_ms: u64,
     /// Configuration in force at the sender.
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -6,7 +6,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use kumquatquay_core::routed::{EntryRequest, RouteTable, TableRoute};
+use kumquatquay_core::routed::{EntryRequest, Mechanism, RouteTable, TableRoute};
 use kumquatquay_wire::routed::{GateReport, LinkOutcome, NotRunReason, UnknownReason};
 use rand::Rng;
 
@@ -137,7 +137,8 @@
 fn count_failed_call(node: &RoutedNode, call: &OutgoingCall) {
     let now = node.now();
     let name = &call.route.settings.name;
-    if node.levels.borrow().is_from_outside(now, name) == Some(false) {
+    let is_called = node.levels.borrow().is_from_outside(now, name) == Some(false);
+    if is_called && node.is_on(Mechanism::KeptGraph) {
         node.graph.borrow_mut().call_failed(now);
     }
 }
@@ -155,6 +156,9 @@
         node.graph.borrow_mut().called(now, &route.name);
         return None;
     }
+    if !node.is_on(Mechanism::EntryLevels) {
+        return None;
+    }
     let table = node.routes()?;
     let place = node.random.borrow_mut().random();
     let request = EntryRequest {
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use kumquatquay_core::routed::{LinkHealth, LinkStep};
+use kumquatquay_core::routed::{LinkHealth, LinkStep, Mechanism};
 use kumquatquay_wire::routed::{
     AnswerHead, CallHead, CallNumber, FrameHead, FrameReader, GateReport, LinkOutcome,
     NotRunReason, RouteNews, RouteVersion, ServicePressure, UnknownReason, encode_frame,
@@ -257,7 +257,7 @@
     }
     call.number = next_number(node);
     let number = call.number;
-    let needs_commit = !call.is_idempotent;
+    let needs_commit = call.needs_commit;
     if !needs_commit {
         handed_over.set();
     }
@@ -430,7 +430,7 @@
 ///
 /// Tried with a call, a peer that is cut off would take that call with it each time.
 fn reach_again(node: &Rc<RoutedNode>, peer: SocketAddr) {
-    if !node.links.borrow_mut().probed.insert(peer) {
+    if !node.is_on(Mechanism::SilentLinks) || !node.links.borrow_mut().probed.insert(peer) {
         return;
     }
     let node = Rc::clone(node);
@@ -514,6 +514,7 @@
             let version = node.route_version();
             link.frames.push(&FrameHead::Ping { version }, &[]);
         }
+        LinkStep::Avoid if !node.is_on(Mechanism::SilentLinks) => {}
         LinkStep::Avoid => {
             node.targets.borrow_mut().lost(link.peer);
             if !link.is_silent.send_replace(true) {
--- a/crates/kumquatquayd/src/routed/link_server.rs
+++ b/crates/kumquatquayd/src/routed/link_server.rs
@@ -132,9 +132,9 @@
     tasks.spawn_local(async move {
         let number = call.number;
         let route = call.route.clone();
-        let is_idempotent = call.is_idempotent;
+        let needs_commit = call.needs_commit;
         let confirmed = async {
-            is_idempotent || {
+            !needs_commit || {
                 link.frames.push(&FrameHead::Granted { number }, &[]);
                 let committed = tokio::time::timeout(COMMIT_PATIENCE, committed);
                 matches!(committed.await, Ok(Ok(())))
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -12,20 +12,20 @@
 use kumquatquay_core::{
     Clock,
     routed::{
-        BackendLives, BackendPulse, CallGraph, CallerCensus, EntryLevels, GateRepeats, HostGate,
-        LevelSetter, RetryWindow, RouteTable, TargetTable,
+        BackendLives, BackendPulse, CallGraph, CallerCensus, EntryLevels, FailedRuns, GateRepeats,
+        HostGate, LevelSetter, Mechanism, RetryWindow, RouteTable, RunningAges, TargetTable,
     },
 };
 use kumquatquay_wire::{
     ServiceName,
-    routed::{GateReport, RouteConfiguration, RouteNews, RouteVersion},
+    routed::{CallHead, GateReport, Priority, RouteConfiguration, RouteNews, RouteVersion},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::sync::{oneshot, watch};
 
 use super::{
-    backend_pool::BackendPool, decisions::Decisions, interface::Dialect, link::Links,
-    settings::RoutedSettings,
+    backend_pool::BackendPool, carry::OutgoingCall, decisions::Decisions, interface::Dialect,
+    link::Links, settings::RoutedSettings,
 };
 use crate::{clock::SystemClock, engine::Engine, tasks::Tasks};
 
@@ -91,6 +91,12 @@
     pub(crate) gate_repeats: RefCell<GateRepeats>,
     pub(crate) links: RefCell<Links>,
     pub(crate) gate: RefCell<HostGate<RunTicket>>,
+    /// How long the backend server of this host has been running its calls.
+    pub(crate) ages: RefCell<RunningAges>,
+    /// How often runs of each route fail.
+    pub(crate) failed_runs: RefCell<FailedRuns>,
+    /// The least important rank that leads here, and when it was looked up.
+    last_rank: Cell<Option<(Duration, Option<Priority>)>>,
     pub(crate) lives: RefCell<BackendLives>,
     /// Whether the backend server of this host gives answers.
     pub(crate) pulse: RefCell<BackendPulse>,
@@ -137,6 +143,7 @@
         Rc::new(Self {
             backend: BackendPool::new(settings.backend),
             phase: random.random(),
+            targets: RefCell::new(TargetTable::new(settings.mechanisms)),
             settings,
             dialect,
             engine,
@@ -146,7 +153,9 @@
             routes: RefCell::default(),
             configuration: RefCell::default(),
             next_ask: Cell::default(),
-            targets: RefCell::default(),
+            ages: RefCell::default(),
+            failed_runs: RefCell::default(),
+            last_rank: Cell::default(),
             retries: RefCell::default(),
             gate_repeats: RefCell::new(GateRepeats::new(at_gate)),
             links: RefCell::default(),
@@ -220,7 +229,49 @@
     /// How busy the backend server of this host is.
     pub(crate) fn gate_report(&self) -> GateReport {
         let level = self.level.borrow().level();
-        self.gate.borrow().report(level)
+        let age = if self.is_on(Mechanism::RunningAges) {
+            self.ages.borrow().mean(self.now())
+        } else {
+            Duration::ZERO
+        };
+        self.gate.borrow().report(level, age)
+    }
+
+    /// Whether a mechanism decides here.
+    pub(crate) fn is_on(&self, mechanism: Mechanism) -> bool {
+        self.settings.mechanisms.is_on(mechanism)
+    }
+
+    /// Rank of a call in the queue of the gate on this host.
+    ///
+    /// A call that a backend server makes is part of a whole request whose rank isn't
+    /// known here; it has the least important one of those that lead here. With the rank
+    /// of its own route it would go before requests of people that were let in by theirs,
+    /// which would be turned away a second time: under 1.7 times the load three quarters
+    /// of them, while requests of the same rank that lead here by calls were served.
+    pub(crate) fn gate_rank(&self, call: &CallHead) -> Priority {
+        let now = self.now();
+        let services_count = self.targets.borrow().services_count();
+        let census = self.census.borrow();
+        let is_from_outside = census.is_from_outside(now, &call.route, services_count);
+        if is_from_outside || !self.is_on(Mechanism::OneOrder) {
+            return call.priority;
+        }
+        self.last_rank(now)
+            .map_or(call.priority, |last| last.max(call.priority))
+    }
+
+    fn last_rank(&self, now: Duration) -> Option<Priority> {
+        if let Some((looked, rank)) = self.last_rank.get()
+            && now < looked + NEWS_LIFETIME
+        {
+            return rank;
+        }
+        let routes = self.routes()?;
+        let levels = self.levels.borrow();
+        let rank = levels.last_rank_at(now, &self.settings.service, routes.priorities());
+        self.last_rank.set(Some((now, rank)));
+        rank
     }
 
     /// What this node has learnt of a route to the backend server of this host.
@@ -265,6 +316,16 @@
         }
     }
 
+    /// Whether a service on the way of a call is short of room.
+    pub(crate) fn is_short_behind(&self, call: &OutgoingCall) -> bool {
+        let now = self.now();
+        let levels = self.levels.borrow();
+        let leads_to = levels.leads_to(now, &call.route.settings.name, &call.service);
+        let behind = leads_to.iter().map(|(service, _)| service.as_str());
+        let mut reached = behind.chain([call.service.as_str()]);
+        reached.any(|service| levels.is_short(now, service))
+    }
+
     /// Counts a call for the retry budgets of its service and of those behind it.
     pub(crate) fn count_request(&self, route: &str, service: &str) {
         let now = self.now();
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Method, Request, Uri};
 use http_body_util::Full;
-use kumquatquay_core::routed::{Admission, GateCall, TurnedAwayCall, WaitKey};
+use kumquatquay_core::routed::{Admission, GateCall, Mechanism, TurnedAwayCall, WaitKey};
 use kumquatquay_wire::routed::{CallHead, LinkOutcome, NotRunReason, UnknownReason};
 use tokio::sync::oneshot;
 
@@ -99,7 +99,7 @@
         let now = node.now();
         let state = node.gate.borrow().state();
         let is_silent = node.pulse.borrow().is_silent(now, state.work);
-        if is_silent {
+        if is_silent && node.is_on(Mechanism::SilentBackend) {
             // Runs under way go on: their answers may still come.
             announce_death(&node, "it gives no answers");
         }
@@ -204,7 +204,7 @@
 
 fn offer(node: &RoutedNode, timed: &Timed<'_>, ticket: RunTicket) -> Admission<RunTicket> {
     let call = GateCall {
-        priority: timed.call.priority,
+        priority: node.gate_rank(timed.call),
         due: timed.due,
         deadline: timed.deadline,
     };
@@ -249,6 +249,7 @@
 struct Run<'a> {
     node: &'a RoutedNode,
     call: &'a CallHead,
+    began: Duration,
     /// Whether anything came from the backend server.
     has_sign: bool,
 }
@@ -258,9 +259,11 @@
         let now = node.now();
         node.graph.borrow_mut().run_began(now, &call.route);
         node.pulse.borrow_mut().began(now);
+        node.ages.borrow_mut().began(now);
         Self {
             node,
             call,
+            began: now,
             has_sign: false,
         }
     }
@@ -274,6 +277,7 @@
             .borrow_mut()
             .run_ended(now, &self.call.route);
         self.node.pulse.borrow_mut().ended(now, self.has_sign);
+        self.node.ages.borrow_mut().ended(self.began);
     }
 }
 
@@ -316,6 +320,9 @@
     if check_open(node, timed).is_err() || now > timed.latest_start(node) {
         return false;
     }
+    if !node.is_on(Mechanism::GateRepeats) {
+        return false;
+    }
     let services_count = node.targets.borrow().services_count();
     let census = node.census.borrow();
     let call = TurnedAwayCall {
@@ -368,7 +375,9 @@
 /// reach a caller as the answer to its request.
 fn judge(node: &RoutedNode, timed: &Timed<'_>, answer: BackendAnswer) -> HandedOver {
     let marks = (node.dialect.read_answer)(&answer.headers);
-    if let Some(load) = marks.load {
+    if let Some(load) = marks.load
+        && node.is_on(Mechanism::Transit)
+    {
         node.gate.borrow_mut().on_backend_load(load);
     }
     let is_other = marks
--- a/crates/kumquatquayd/src/routed/settings.rs
+++ b/crates/kumquatquayd/src/routed/settings.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use kumquatquay_core::routed::Mechanisms;
 use kumquatquay_wire::{DataCentreName, ServiceName};
 
 /// Settings of a node on configured routes, for its whole life.
@@ -25,6 +26,8 @@
     pub bounds: Bounds,
     /// What may be sent once more.
     pub retry_budget: RetryBudget,
+    /// Which mechanisms decide.
+    pub mechanisms: Mechanisms,
 }
 
 /// Addresses to listen on.
