--- a/crates/kumquatquay-core/src/routed/entry_levels.rs
+++ b/crates/kumquatquay-core/src/routed/entry_levels.rs
@@ -233,21 +233,6 @@
         Some((told.at(now), now.saturating_sub(told.told)))
     }
 
-    /// The least important rank of the routes that outside callers use and that lead to
-    /// a service; `ranks` tells the priorities of all routes.
-    pub fn last_rank_at(
-        &self,
-        now: Duration,
-        service: &str,
-        ranks: &BTreeMap<String, Priority>,
-    ) -> Option<Priority> {
-        let leading = self.routes.iter();
-        let leading = leading.filter(|(_, levels)| levels.load_at(now, service) > 0.0);
-        leading
-            .filter_map(|(route, _)| ranks.get(route).copied())
-            .max()
-    }
-
     /// Whether a service has no room for all that is offered to it.
     pub fn is_short(&self, now: Duration, service: &str) -> bool {
         self.level(now, service)
--- a/crates/kumquatquay-core/src/routed/level_setter.rs
+++ b/crates/kumquatquay-core/src/routed/level_setter.rs
@@ -87,13 +87,12 @@
 
 impl LevelSetter {
     /// A call arrived at the gate, whatever becomes of it; its sender knows the
-    /// service's level as `heard`, and has asked `asked_count` other gates before.
+    /// service's level as `heard`.
     ///
-    /// One that another gate had no room for was counted there. Counted at each gate that
-    /// it asks, a load of twice the room would look like one of six times, and the level
-    /// would shut out nearly all.
-    pub fn arrived(&mut self, heard: f64, asked_count: usize) {
-        self.arrivals_count += u32::from(asked_count == 0);
+    /// One that finds no room at several gates counts at each of them: it stands for the
+    /// further calls that its run would have made, and that aren't made now.
+    pub fn arrived(&mut self, heard: f64) {
+        self.arrivals_count += 1;
         self.heard_sum += heard;
         self.heard_count += 1;
     }
--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -15,7 +15,7 @@
     /// What is known of runs is kept while the calls that they make fail.
     #[display("kept-graph")]
     KeptGraph,
-    /// Calls that backend servers make don't go before what people sent, at a gate.
+    /// What people sent and was let in goes no later than called runs, at a gate.
     #[display("one-order")]
     OneOrder,
     /// A gate hands over more calls for those on their way.
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -83,8 +83,6 @@
     pub priority: Priority,
     /// Time within which its answer is worth most, in milliseconds.
     pub target_latency_ms: u64,
-    /// Other gates that had no room for it.
-    pub asked_count: usize,
     /// Level of the service as the sender knows it, in thousandths.
     pub level_permille: u16,
     /// Whether it may run more than once.
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -393,7 +393,6 @@
         attempt: call.attempt.clone(),
         priority: settings.priority,
         target_latency_ms: settings.target_latency.as_millis() as u64,
-        asked_count: call.progress.get().refusals_count,
         level_permille: (level * 1_000.0) as u16,
         is_idempotent: settings.repeat == Repeat::Idempotent,
         needs_commit: settings.repeat == Repeat::AtMostOnce && node.is_on(Mechanism::Commit),
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -95,8 +95,8 @@
     pub(crate) ages: RefCell<RunningAges>,
     /// How often runs of each route fail.
     pub(crate) failed_runs: RefCell<FailedRuns>,
-    /// The least important rank that leads here, and when it was looked up.
-    last_rank: Cell<Option<(Duration, Option<Priority>)>>,
+    /// Rank of the last call here that a backend server made.
+    called_rank: Cell<Option<Priority>>,
     pub(crate) lives: RefCell<BackendLives>,
     /// Whether the backend server of this host gives answers.
     pub(crate) pulse: RefCell<BackendPulse>,
@@ -155,7 +155,7 @@
             next_ask: Cell::default(),
             ages: RefCell::default(),
             failed_runs: RefCell::default(),
-            last_rank: Cell::default(),
+            called_rank: Cell::default(),
             retries: RefCell::default(),
             gate_repeats: RefCell::new(GateRepeats::new(at_gate)),
             links: RefCell::default(),
@@ -244,34 +244,22 @@
 
     /// Rank of a call in the queue of the gate on this host.
     ///
-    /// A call that a backend server makes is part of a whole request whose rank isn't
-    /// known here; it has the least important one of those that lead here. With the rank
-    /// of its own route it would go before requests of people that were let in by theirs,
-    /// which would be turned away a second time: under 1.7 times the load three quarters
-    /// of them, while requests of the same rank that lead here by calls were served.
+    /// A request of a person was let in by its rank already, against all whole requests
+    /// that lead here. In the queue it stands no lower than the calls that these make, of
+    /// whose ranks nothing is known: put behind them it would be turned away a second
+    /// time, while requests of the same rank that lead here by calls are served.
     pub(crate) fn gate_rank(&self, call: &CallHead) -> Priority {
         let now = self.now();
         let services_count = self.targets.borrow().services_count();
         let census = self.census.borrow();
         let is_from_outside = census.is_from_outside(now, &call.route, services_count);
-        if is_from_outside || !self.is_on(Mechanism::OneOrder) {
+        if !is_from_outside {
+            self.called_rank.set(Some(call.priority));
             return call.priority;
         }
-        self.last_rank(now)
-            .map_or(call.priority, |last| last.max(call.priority))
-    }
-
-    fn last_rank(&self, now: Duration) -> Option<Priority> {
-        if let Some((looked, rank)) = self.last_rank.get()
-            && now < looked + NEWS_LIFETIME
-        {
-            return rank;
-        }
-        let routes = self.routes()?;
-        let levels = self.levels.borrow();
-        let rank = levels.last_rank_at(now, &self.settings.service, routes.priorities());
-        self.last_rank.set(Some((now, rank)));
-        rank
+        let called = self.called_rank.get();
+        let called = called.filter(|_| self.is_on(Mechanism::OneOrder));
+        called.map_or(call.priority, |called| called.min(call.priority))
     }
 
     /// What this node has learnt of a route to the backend server of this host.
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -59,7 +59,7 @@
     let now = node.now();
     let deadline = now + Duration::from_millis(call.remaining_ms);
     let heard = f64::from(call.level_permille) / 1_000.0;
-    node.level.borrow_mut().arrived(heard, call.asked_count);
+    node.level.borrow_mut().arrived(heard);
     node.census
         .borrow_mut()
         .called(now, &call.route, &call.caller_service);
