Pass slow near backend servers by; take two trials out

Cause: the own data centre's backend server was chosen whatever it cost while it was less than 0.6 full.

Change: from 2.5 times the mean cost of the others on, those are weighed.

--- a/crates/kumquatquay-core/src/routed/entry_levels.rs
+++ b/crates/kumquatquay-core/src/routed/entry_levels.rs
@@ -233,12 +233,6 @@
         Some((told.at(now), now.saturating_sub(told.told)))
     }
 
-    /// Whether a service has no room for all that is offered to it.
-    pub fn is_short(&self, now: Duration, service: &str) -> bool {
-        self.level(now, service)
-            .is_some_and(|(level, _)| level < SHORT_LEVEL)
-    }
-
     /// What to tell others of the services that a route leads to.
     pub fn pressures(
         &self,
--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -15,9 +15,6 @@
     /// What is known of runs is kept while the calls that they make fail.
     #[display("kept-graph")]
     KeptGraph,
-    /// What people sent and was let in goes no later than called runs, at a gate.
-    #[display("one-order")]
-    OneOrder,
     /// A gate hands over more calls for those on their way.
     #[display("transit")]
     Transit,
@@ -27,9 +24,6 @@
     /// Beside an attempt that hangs another one is made.
     #[display("beside")]
     Beside,
-    /// An idempotent run that its backend server failed is made once more.
-    #[display("run-again")]
-    RunAgain,
     /// A backend server that gives no answers is taken to be dead.
     #[display("silent-backend")]
     SilentBackend,
@@ -51,6 +45,9 @@
     /// A node that starts asks its backend server how it is, before that reports.
     #[display("first-look")]
     FirstLook,
+    /// A backend server of the own data centre that is far slower than others is passed by.
+    #[display("slow-near")]
+    SlowNear,
     /// A node that stops goes on taking calls for its backend server at first.
     #[display("late-leaving")]
     LateLeaving,
@@ -58,14 +55,12 @@
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 14] = [
         Self::EntryLevels,
         Self::KeptGraph,
-        Self::OneOrder,
         Self::Transit,
         Self::GateRepeats,
         Self::Beside,
-        Self::RunAgain,
         Self::SilentBackend,
         Self::SilentLinks,
         Self::Commit,
@@ -73,6 +68,7 @@
         Self::PeerWork,
         Self::RunningAges,
         Self::FirstLook,
+        Self::SlowNear,
         Self::LateLeaving,
     ];
 
--- a/crates/kumquatquay-core/src/routed/target_table.rs
+++ b/crates/kumquatquay-core/src/routed/target_table.rs
@@ -34,6 +34,14 @@
 /// load by what each can do.
 const SPILL_FILL_RATIO: f64 = 0.6;
 
+/// Cost of the own data centre's choice, over the mean of the others, from which on those
+/// are weighed whatever its fill.
+///
+/// A backend server that turns twelve times slower is still half empty; chosen for being
+/// near, it takes each call into its timeout for as long as it is slow. Backend servers of
+/// one service differ by up to 2.3 when all is well.
+const SLOW_RATIO: f64 = 2.5;
+
 /// Fill above which a backend server counts as crowded.
 ///
 /// A slow backend server answers later even when it is half empty. Compared by the
@@ -172,9 +180,8 @@
         let (near, far): (Vec<_>, Vec<_>) =
             open.partition(|control| self.targets[control].is_own_data_centre);
         let best_near = self.best_of_some(now, &near, random);
-        let has_room = best_near
-            .is_some_and(|control| self.targets[&control].fill_ratio(now) < SPILL_FILL_RATIO);
-        let best = if has_room {
+        let near_will_do = best_near.is_some_and(|control| self.will_do(now, control, &far));
+        let best = if near_will_do {
             best_near
         } else {
             let best_far = self.best_of_some(now, &far, random);
@@ -259,6 +266,24 @@
         some.min_by(|a, b| self.cost_s(now, *a).total_cmp(&self.cost_s(now, *b)))
     }
 
+    /// Whether the own data centre's choice is good enough for no other to be weighed.
+    fn will_do(&self, now: Duration, control: SocketAddr, far: &[SocketAddr]) -> bool {
+        if self.targets[&control].fill_ratio(now) >= SPILL_FILL_RATIO {
+            return false;
+        }
+        let is_on = self.mechanisms.is_on(Mechanism::SlowNear);
+        !is_on || self.cost_s(now, control) < SLOW_RATIO * self.mean_cost_s(now, far)
+    }
+
+    /// Mean cost of a call at some hosts; endless if there are none.
+    fn mean_cost_s(&self, now: Duration, controls: &[SocketAddr]) -> f64 {
+        if controls.is_empty() {
+            return f64::INFINITY;
+        }
+        let costs = controls.iter().map(|control| self.cost_s(now, *control));
+        costs.sum::<f64>() / controls.len() as f64
+    }
+
     fn cost_s(&self, now: Duration, control: SocketAddr) -> f64 {
         let crowding = if self.mechanisms.is_on(Mechanism::Crowding) {
             CROWDED_S
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -5,7 +5,6 @@
 mod call_graph;
 mod caller_census;
 mod entry_levels;
-mod failed_runs;
 mod gate_repeats;
 mod host_gate;
 mod level_setter;
--- a/crates/kumquatquay-core/tests/routed/target_table.rs
+++ b/crates/kumquatquay-core/tests/routed/target_table.rs
@@ -210,3 +210,36 @@
     let choice = table.choose(at_ms(10_000), "archive", &excluded, &mut random);
     assert_eq!(choice.unwrap().control, address(1));
 }
+
+/// The only backend server of the own data centre turns twelve times slower, and has room.
+/// Each call to it would run into its timeout: calls go to the other data centre, and come
+/// back when it is well again.
+#[test]
+fn a_near_backend_server_that_turned_slow_is_passed_by() {
+    let (mut table, mut random) = table();
+    let members = [
+        member(1, "near", MemberState::Serving),
+        member(3, "far", MemberState::Serving),
+    ];
+    table.rebuild("near", members.iter());
+    let mut choose_with = |work_ms| {
+        table.ended(
+            at_ms(0),
+            address(3),
+            TargetEnded::Answered,
+            Some(report(2, 100)),
+        );
+        table.ended(
+            at_ms(0),
+            address(1),
+            TargetEnded::Answered,
+            Some(report(3, work_ms)),
+        );
+        let choice = table.choose(at_ms(1), "archive", &[], &mut random).unwrap();
+        table.ended(at_ms(1), choice.control, TargetEnded::GivenUp, None);
+        choice.control
+    };
+    assert_eq!(choose_with(200), address(1));
+    assert_eq!(choose_with(1_200), address(3));
+    assert_eq!(choose_with(100), address(1));
+}
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -3,7 +3,6 @@
 use std::{cell::Cell, net::SocketAddr, ops::Range, pin::pin, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::StatusCode;
 use kumquatquay_core::routed::{Choice, Mechanism, TableRoute, TargetEnded};
 use kumquatquay_wire::{
     ServiceName,
@@ -93,7 +92,6 @@
         call.progress.set(course.progress);
         match verdict {
             Verdict::Final => return course.end(answer),
-            Verdict::Again => course.failure = Some(answer),
             Verdict::Elsewhere => {}
         }
     }
@@ -107,21 +105,17 @@
     progress: Progress,
     /// An attempt of which it isn't known whether it ran.
     unknown: Option<UnknownReason>,
-    /// A backend server's answer that it failed the call, while another run is made.
-    failure: Option<LinkAnswer>,
 }
 
 enum Verdict {
     Final,
     Elsewhere,
-    /// The backend server failed the call; another run may succeed.
-    Again,
 }
 
 impl Course {
     fn judge(&mut self, node: &RoutedNode, call: &OutgoingCall, answer: &LinkAnswer) -> Verdict {
         match &answer.outcome {
-            LinkOutcome::Answered { status, .. } => self.judge_answer(node, call, *status),
+            LinkOutcome::Answered { .. } => Verdict::Final,
             LinkOutcome::NotRun(NotRunReason::TurnedAway) => {
                 self.progress.sends_count += 1;
                 self.forget_hand_over(call);
@@ -143,28 +137,6 @@
         }
     }
 
-    /// Whether a failed run is made again: one that may run again, of a route whose runs
-    /// rarely fail, while nothing on its way is short and the retry budget has room.
-    ///
-    /// A called run that fails ends the whole request that made the call.
-    fn judge_answer(&mut self, node: &RoutedNode, call: &OutgoingCall, status: u16) -> Verdict {
-        let settings = &call.route.settings;
-        let is_failed = status == StatusCode::INTERNAL_SERVER_ERROR.as_u16();
-        let mut failed_runs = node.failed_runs.borrow_mut();
-        failed_runs.on_answer(&settings.name, is_failed);
-        let is_worth_it = settings.repeat == Repeat::Idempotent
-            && failed_runs.is_rare(&settings.name)
-            && node.is_on(Mechanism::RunAgain);
-        if !is_failed || !is_worth_it || self.failure.is_some() || node.is_short_behind(call) {
-            return Verdict::Final;
-        }
-        self.progress.sends_count += 1;
-        match self.once_more(node, call) {
-            Verdict::Elsewhere => Verdict::Again,
-            verdict => verdict,
-        }
-    }
-
     /// The last attempt has not run, so the call has not, unless an earlier one may have.
     fn forget_hand_over(&self, call: &OutgoingCall) {
         if self.unknown.is_none() {
@@ -245,15 +217,8 @@
         has_time && self.progress.refusals_count < ASKED_LIMIT_COUNT
     }
 
-    /// A later refusal says nothing of an earlier attempt that may have run, or that its
-    /// backend server failed.
+    /// A later refusal says nothing of an earlier attempt that may have run.
     fn end(self, answer: LinkAnswer) -> LinkAnswer {
-        let is_answered = matches!(answer.outcome, LinkOutcome::Answered { .. });
-        if let Some(failure) = self.failure
-            && !is_answered
-        {
-            return failure;
-        }
         match (&answer.outcome, self.unknown) {
             (LinkOutcome::NotRun(_), Some(reason)) => LinkAnswer::unknown(reason),
             _ => answer,
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -12,20 +12,20 @@
 use kumquatquay_core::{
     Clock,
     routed::{
-        BackendLives, BackendPulse, CallGraph, CallerCensus, EntryLevels, FailedRuns, GateRepeats,
-        HostGate, LevelSetter, Mechanism, RetryWindow, RouteTable, RunningAges, TargetTable,
+        BackendLives, BackendPulse, CallGraph, CallerCensus, EntryLevels, GateRepeats, HostGate,
+        LevelSetter, Mechanism, RetryWindow, RouteTable, RunningAges, TargetTable,
     },
 };
 use kumquatquay_wire::{
     ServiceName,
-    routed::{CallHead, GateReport, Priority, RouteConfiguration, RouteNews, RouteVersion},
+    routed::{GateReport, RouteConfiguration, RouteNews, RouteVersion},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::sync::{oneshot, watch};
 
 use super::{
-    backend_pool::BackendPool, carry::OutgoingCall, decisions::Decisions, interface::Dialect,
-    link::Links, settings::RoutedSettings,
+    backend_pool::BackendPool, decisions::Decisions, interface::Dialect, link::Links,
+    settings::RoutedSettings,
 };
 use crate::{clock::SystemClock, engine::Engine, tasks::Tasks};
 
@@ -93,10 +93,6 @@
     pub(crate) gate: RefCell<HostGate<RunTicket>>,
     /// How long the backend server of this host has been running its calls.
     pub(crate) ages: RefCell<RunningAges>,
-    /// How often runs of each route fail.
-    pub(crate) failed_runs: RefCell<FailedRuns>,
-    /// Rank of the last call here that a backend server made.
-    called_rank: Cell<Option<Priority>>,
     pub(crate) lives: RefCell<BackendLives>,
     /// Whether the backend server of this host gives answers.
     pub(crate) pulse: RefCell<BackendPulse>,
@@ -154,8 +150,6 @@
             configuration: RefCell::default(),
             next_ask: Cell::default(),
             ages: RefCell::default(),
-            failed_runs: RefCell::default(),
-            called_rank: Cell::default(),
             retries: RefCell::default(),
             gate_repeats: RefCell::new(GateRepeats::new(at_gate)),
             links: RefCell::default(),
@@ -242,26 +236,6 @@
         self.settings.mechanisms.is_on(mechanism)
     }
 
-    /// Rank of a call in the queue of the gate on this host.
-    ///
-    /// A request of a person was let in by its rank already, against all whole requests
-    /// that lead here. In the queue it stands no lower than the calls that these make, of
-    /// whose ranks nothing is known: put behind them it would be turned away a second
-    /// time, while requests of the same rank that lead here by calls are served.
-    pub(crate) fn gate_rank(&self, call: &CallHead) -> Priority {
-        let now = self.now();
-        let services_count = self.targets.borrow().services_count();
-        let census = self.census.borrow();
-        let is_from_outside = census.is_from_outside(now, &call.route, services_count);
-        if !is_from_outside {
-            self.called_rank.set(Some(call.priority));
-            return call.priority;
-        }
-        let called = self.called_rank.get();
-        let called = called.filter(|_| self.is_on(Mechanism::OneOrder));
-        called.map_or(call.priority, |called| called.min(call.priority))
-    }
-
     /// What this node has learnt of a route to the backend server of this host.
     ///
     /// It is worked out anew a few times a second: it takes a fit over all routes of
@@ -304,16 +278,6 @@
         }
     }
 
-    /// Whether a service on the way of a call is short of room.
-    pub(crate) fn is_short_behind(&self, call: &OutgoingCall) -> bool {
-        let now = self.now();
-        let levels = self.levels.borrow();
-        let leads_to = levels.leads_to(now, &call.route.settings.name, &call.service);
-        let behind = leads_to.iter().map(|(service, _)| service.as_str());
-        let mut reached = behind.chain([call.service.as_str()]);
-        reached.any(|service| levels.is_short(now, service))
-    }
-
     /// Counts a call for the retry budgets of its service and of those behind it.
     pub(crate) fn count_request(&self, route: &str, service: &str) {
         let now = self.now();
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -204,7 +204,7 @@
 
 fn offer(node: &RoutedNode, timed: &Timed<'_>, ticket: RunTicket) -> Admission<RunTicket> {
     let call = GateCall {
-        priority: node.gate_rank(timed.call),
+        priority: timed.call.priority,
         due: timed.due,
         deadline: timed.deadline,
     };
