--- a/crates/kumquatquay-core/src/routed/host_gate.rs
+++ b/crates/kumquatquay-core/src/routed/host_gate.rs
@@ -220,13 +220,13 @@
         }
     }
 
-    /// How busy the backend server is, with the level for whole requests. The calls that
-    /// it runs have been running for `age` on the mean.
-    pub fn report(&self, level: f64, age: Duration) -> GateReport {
+    /// How busy the backend server is, with the level for whole requests. While no call
+    /// has ended it tells no time, which is not the same as a guess.
+    pub fn report(&self, level: f64) -> GateReport {
         let work = if self.timed_count == 0 {
-            age
+            Duration::ZERO
         } else {
-            self.work().max(age)
+            self.work()
         };
         GateReport {
             level_permille: (level * 1_000.0) as u16,
--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -39,9 +39,6 @@
     /// A backend server that hasn't told its work is taken to be like its peers.
     #[display("peer-work")]
     PeerWork,
-    /// A backend server that turns slow is known by the age of the calls that it runs.
-    #[display("running-ages")]
-    RunningAges,
     /// A node that starts asks its backend server how it is, before that reports.
     #[display("first-look")]
     FirstLook,
@@ -55,7 +52,7 @@
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 13] = [
         Self::EntryLevels,
         Self::KeptGraph,
         Self::Transit,
@@ -66,7 +63,6 @@
         Self::Commit,
         Self::Crowding,
         Self::PeerWork,
-        Self::RunningAges,
         Self::FirstLook,
         Self::SlowNear,
         Self::LateLeaving,
--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -18,7 +18,6 @@
 mod mechanisms;
 mod retry_window;
 mod route_table;
-mod running_ages;
 mod split;
 mod target_table;
 
@@ -34,6 +33,5 @@
 pub use mechanisms::{Mechanism, Mechanisms, UnknownMechanism};
 pub use retry_window::RetryWindow;
 pub use route_table::{RouteTable, TableRoute};
-pub use running_ages::RunningAges;
 pub use split::Split;
 pub use target_table::{Choice, Target, TargetEnded, TargetTable};
--- a/crates/kumquatquay-core/tests/routed/host_gate.rs
+++ b/crates/kumquatquay-core/tests/routed/host_gate.rs
@@ -167,7 +167,7 @@
             break;
         }
     }
-    assert_eq!(gate.report(1.0, Duration::ZERO).running_count, 100);
+    assert_eq!(gate.report(1.0).running_count, 100);
 }
 
 /// Calls that wait in the backend server's own queue are there: none more is handed
@@ -219,8 +219,7 @@
 fn the_time_of_a_call_is_told_once_one_has_ended() {
     let mut gate = HostGate::<&str>::default();
     gate.set_limit_count(4);
-    assert_eq!(gate.report(1.0, Duration::ZERO).work_us, 0);
+    assert_eq!(gate.report(1.0).work_us, 0);
     gate.ended(Some(Duration::from_millis(22)));
-    assert_eq!(gate.report(1.0, Duration::ZERO).work_us, 22_000);
-    assert_eq!(gate.report(1.0, at_ms(70)).work_us, 70_000);
+    assert_eq!(gate.report(1.0).work_us, 22_000);
 }
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -12,7 +12,6 @@
 mod mechanisms;
 mod retry_window;
 mod route_table;
-mod running_ages;
 mod split;
 mod target_table;
 
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -13,7 +13,7 @@
     Clock,
     routed::{
         BackendLives, BackendPulse, CallGraph, CallerCensus, EntryLevels, GateRepeats, HostGate,
-        LevelSetter, Mechanism, RetryWindow, RouteTable, RunningAges, TargetTable,
+        LevelSetter, Mechanism, RetryWindow, RouteTable, TargetTable,
     },
 };
 use kumquatquay_wire::{
@@ -91,8 +91,6 @@
     pub(crate) gate_repeats: RefCell<GateRepeats>,
     pub(crate) links: RefCell<Links>,
     pub(crate) gate: RefCell<HostGate<RunTicket>>,
-    /// How long the backend server of this host has been running its calls.
-    pub(crate) ages: RefCell<RunningAges>,
     pub(crate) lives: RefCell<BackendLives>,
     /// Whether the backend server of this host gives answers.
     pub(crate) pulse: RefCell<BackendPulse>,
@@ -149,7 +147,6 @@
             routes: RefCell::default(),
             configuration: RefCell::default(),
             next_ask: Cell::default(),
-            ages: RefCell::default(),
             retries: RefCell::default(),
             gate_repeats: RefCell::new(GateRepeats::new(at_gate)),
             links: RefCell::default(),
@@ -223,12 +220,7 @@
     /// How busy the backend server of this host is.
     pub(crate) fn gate_report(&self) -> GateReport {
         let level = self.level.borrow().level();
-        let age = if self.is_on(Mechanism::RunningAges) {
-            self.ages.borrow().mean(self.now())
-        } else {
-            Duration::ZERO
-        };
-        self.gate.borrow().report(level, age)
+        self.gate.borrow().report(level)
     }
 
     /// Whether a mechanism decides here.
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -249,7 +249,6 @@
 struct Run<'a> {
     node: &'a RoutedNode,
     call: &'a CallHead,
-    began: Duration,
     /// Whether anything came from the backend server.
     has_sign: bool,
 }
@@ -259,11 +258,9 @@
         let now = node.now();
         node.graph.borrow_mut().run_began(now, &call.route);
         node.pulse.borrow_mut().began(now);
-        node.ages.borrow_mut().began(now);
         Self {
             node,
             call,
-            began: now,
             has_sign: false,
         }
     }
@@ -277,7 +274,6 @@
             .borrow_mut()
             .run_ended(now, &self.call.route);
         self.node.pulse.borrow_mut().ended(now, self.has_sign);
-        self.node.ages.borrow_mut().ended(self.began);
     }
 }
 
