Take the trial of keeping what was learnt in the store out

Hypothesis: nodes that are all killed at once let everything in for two seconds, since nothing is learnt; kept in the store, what routes lead to would be known from the first request on. What one overload taught outlived it and was believed before what was learnt anew.

--- a/crates/kumquatquay-core/src/routed/call_graph.rs
+++ b/crates/kumquatquay-core/src/routed/call_graph.rs
@@ -175,11 +175,6 @@
         self.failed_count += 1;
     }
 
-    /// Routes that the backend server runs.
-    pub fn routes(&self) -> Vec<String> {
-        self.runs.iter().map(|runs| runs.route.clone()).collect()
-    }
-
     /// Whether enough was seen to say anything.
     pub fn is_settled(&self) -> bool {
         self.spans_count >= SPANS_LEAST_COUNT
--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -45,9 +45,6 @@
     /// A backend server of the own data centre that is far slower than others is passed by.
     #[display("slow-near")]
     SlowNear,
-    /// What routes lead to is kept in the store and read at the start.
-    #[display("learnt")]
-    Learnt,
     /// A node that stops goes on taking calls for its backend server at first.
     #[display("late-leaving")]
     LateLeaving,
@@ -55,7 +52,7 @@
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 13] = [
         Self::EntryLevels,
         Self::KeptGraph,
         Self::Transit,
@@ -68,7 +65,6 @@
         Self::PeerWork,
         Self::FirstLook,
         Self::SlowNear,
-        Self::Learnt,
         Self::LateLeaving,
     ];
 
--- a/crates/kumquatquayd/src/routed/interface.rs
+++ b/crates/kumquatquayd/src/routed/interface.rs
@@ -5,11 +5,7 @@
 use derive_more::{Display, Error};
 use http::HeaderMap;
 use kumquatquay_core::routed::{BackendLoad, LifeReport};
-use kumquatquay_wire::{
-    BackendLife, InstanceId, ServiceName,
-    routed::{self, RouteConfiguration},
-};
-use serde::{Deserialize, Serialize};
+use kumquatquay_wire::{BackendLife, InstanceId, routed::RouteConfiguration};
 
 /// How requests, answers and reports are written on this platform.
 ///
@@ -105,21 +101,6 @@
     pub nodes: Arc<dyn Fn() -> StoreFuture<Vec<SocketAddr>>>,
     /// Enters this node.
     pub enter_node: Arc<dyn Fn(SocketAddr) -> StoreFuture<()>>,
-    /// What nodes have learnt of routes.
-    pub learnt: Arc<dyn Fn() -> StoreFuture<Vec<LearntRoute>>>,
-    /// Keeps what was learnt of a route, in place of what was before.
-    pub keep_learnt: Arc<dyn Fn(LearntRoute) -> StoreFuture<()>>,
-}
-
-/// What the nodes beside backend servers of a service have learnt of a route to it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LearntRoute {
-    /// Its name.
-    pub route: String,
-    /// The service that runs its calls.
-    pub service: ServiceName,
-    /// What was learnt.
-    pub news: routed::RouteNews,
 }
 
 impl fmt::Debug for PlatformStore {
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -17,7 +17,6 @@
 mod first_look;
 mod http_io;
 mod interface;
-mod learnt;
 mod link;
 mod link_server;
 mod members;
@@ -30,8 +29,8 @@
 mod start;
 
 pub use interface::{
-    AnswerMarks, BackendReport, Dialect, HandOver, LearntRoute, PlatformStore, RequestMarks,
-    RouteNews, StoreError, StoreFuture,
+    AnswerMarks, BackendReport, Dialect, HandOver, PlatformStore, RequestMarks, RouteNews,
+    StoreError, StoreFuture,
 };
 pub use settings::{Bounds, Limits, Listen, RetryBudget, RoutedSettings};
 pub use start::run;
--- a/crates/kumquatquayd/src/routed/start.rs
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -13,7 +13,6 @@
     first_look::look_for_backend,
     http_io::{accept_all, listen, serve_connection},
     interface::{Dialect, PlatformStore},
-    learnt::keep_learnt,
     link::watch_links,
     link_server::serve_link,
     members::{carry_out, follow_members, look_for_returned, tick, use_register},
@@ -80,7 +79,6 @@
     tasks.spawn(carry_out(engine, effects, control_udp, key));
     tasks.spawn_local(follow_members(Rc::clone(&node)));
     tasks.spawn_local(follow_routes(Rc::clone(&node), store.clone()));
-    tasks.spawn_local(keep_learnt(Rc::clone(&node), store.clone()));
     tasks.spawn_local(use_register(Rc::clone(&node), store));
     tasks.spawn_local(look_for_returned(Rc::clone(&node)));
     tasks.spawn_local(watch_links(Rc::clone(&node)));
