Take nothing in the last moment of a stop

Cause: a node that has nothing under way waits 50 ms for the bytes of its last answer and ends.

Change: a phase of the stop in which nothing at all is taken; what came before it is waited for.

Test failed first: nothing_is_taken_in_the_last_moment_of_a_node.

--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -40,6 +40,9 @@
 /// One that is taken in the last moment of the grace is cut off when it ends. Calls
 /// that backend servers make belong to requests that are under way.
 fn is_too_late(node: &RoutedNode, route: &TableRoute) -> bool {
+    if node.stop_phase() == StopPhase::Ending {
+        return true;
+    }
     let name = &route.settings.name;
     let is_called = node.levels.borrow().is_from_outside(node.now(), name) == Some(false);
     node.stop_phase() == StopPhase::Closing && !is_called
--- a/crates/kumquatquayd/src/routed/http_io.rs
+++ b/crates/kumquatquayd/src/routed/http_io.rs
@@ -89,7 +89,7 @@
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    if node.stop_phase() == StopPhase::Closing {
+    if node.stop_phase() >= StopPhase::Closing {
         // Its request is answered with a refusal. Closed unread, it would tell the
         // caller nothing of when to come back.
         let _ = connection.await;
@@ -98,7 +98,7 @@
     let mut stop = node.stop.subscribe();
     tokio::select! {
         _ = connection.as_mut() => return,
-        _ = stop.wait_for(|phase| *phase == StopPhase::Closing) => {}
+        _ = stop.wait_for(|phase| *phase >= StopPhase::Closing) => {}
     }
     connection.as_mut().graceful_shutdown();
     // What went wrong on a caller's connection is the caller's to see.
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -112,7 +112,7 @@
     pub(crate) in_flight_count: Cell<usize>,
     /// Nodes that are known, this one included; at least one.
     pub(crate) nodes_count: Cell<usize>,
-    /// Whether the node stops: 0 no, 1 callers are asked to go, 2 connections close.
+    /// How far a stop has come.
     pub(crate) stop: watch::Sender<StopPhase>,
 }
 
@@ -125,6 +125,8 @@
     Leaving,
     /// Idle connections are closed.
     Closing,
+    /// Nothing is under way any more, and nothing is taken.
+    Ending,
 }
 
 impl RoutedNode {
--- a/crates/kumquatquayd/src/routed/start.rs
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -179,12 +179,25 @@
     node.engine.handle(Input::Stopping { grace });
     tokio::time::sleep(leaving.saturating_sub(serving)).await;
     node.stop.send_replace(StopPhase::Closing);
-    while is_busy(node) && node.now() < until {
+    finish(node, until).await;
+    log::info!(event = "stopped", cut = node.in_flight_count.get() as u64; "the node has left");
+}
+
+/// Waits until nothing is under way and the bytes of the last answer are written.
+///
+/// In that last moment nothing is taken, calls of backend servers included: what was taken
+/// then would be cut off when the process ends, with its run under way elsewhere.
+async fn finish(node: &RoutedNode, until: Duration) {
+    loop {
+        while is_busy(node) && node.now() < until {
+            tokio::time::sleep(STOP_LOOK).await;
+        }
+        node.stop.send_replace(StopPhase::Ending);
         tokio::time::sleep(STOP_LOOK).await;
+        if !is_busy(node) || node.now() >= until {
+            return;
+        }
     }
-    // One more moment, for the bytes of the last answer.
-    tokio::time::sleep(STOP_LOOK).await;
-    log::info!(event = "stopped", cut = node.in_flight_count.get() as u64; "the node has left");
 }
 
 fn is_busy(node: &RoutedNode) -> bool {
