--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -409,7 +409,10 @@
 fn on_sign_of_life(node: &RoutedNode, link: &Link) {
     let is_waited_for = !link.pending.borrow().is_empty();
     link.health.borrow_mut().heard(node.now(), is_waited_for);
-    if link.is_silent.send_replace(false) {
+    // Each call on the link watches this; told of each frame, all of them would wake up for
+    // each: that took as much processor time as everything else in an overload.
+    let was_silent = link.is_silent.send_if_modified(std::mem::take);
+    if was_silent {
         node.targets.borrow_mut().reached(link.peer);
     }
     if !link.has_heard.replace(true) {
@@ -523,7 +526,8 @@
         LinkStep::Avoid if !node.is_on(Mechanism::SilentLinks) => {}
         LinkStep::Avoid => {
             node.targets.borrow_mut().lost(link.peer);
-            if !link.is_silent.send_replace(true) {
+            let is_news = |is_silent: &mut bool| !std::mem::replace(is_silent, true);
+            if link.is_silent.send_if_modified(is_news) {
                 node.decisions.count("link", "silent");
                 log::info!(event = "link_silent", peer:% = link.peer;
                     "no sign of life: calls go elsewhere");
