--- a/crates/kumquatquay-core/src/configuration/reading.rs
+++ b/crates/kumquatquay-core/src/configuration/reading.rs
@@ -60,7 +60,8 @@
         }
         on_failed(board, now, read.id, out);
     }
-    if now.monotonic >= board.configuration.reader.next_at && wants_read(board, now) {
+    let may_read = board.settings.has_log && now.monotonic >= board.configuration.reader.next_at;
+    if may_read && wants_read(board, now) {
         start(board, now, out);
     }
 }
--- a/crates/kumquatquay-core/src/node_settings.rs
+++ b/crates/kumquatquay-core/src/node_settings.rs
@@ -41,6 +41,8 @@
     pub random_seed: u64,
     /// Controls that are switched on.
     pub policy: Policy,
+    /// Whether there is a log with intents and operations.
+    pub has_log: bool,
 }
 
 impl NodeSettings {
@@ -60,6 +62,7 @@
             key,
             random_seed: 0,
             policy: Policy::all(),
+            has_log: true,
         }
     }
 
@@ -79,6 +82,14 @@
         self
     }
 
+    /// For a node without a log: it never asks for intents, and doesn't warn that nobody
+    /// answers.
+    #[must_use]
+    pub fn without_log(mut self) -> Self {
+        self.has_log = false;
+        self
+    }
+
     // Decisions
 
     /// Seed of the random choices.
--- a/crates/kumquatquay-core/tests/configuration/exploration.rs
+++ b/crates/kumquatquay-core/tests/configuration/exploration.rs
@@ -333,6 +333,7 @@
         key: MeshKey::from_secret("secret"),
         random_seed: index as u64,
         policy: Policy::all(),
+        has_log: true,
     });
     Host {
         node,
--- a/crates/kumquatquayd/src/routed/start.rs
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -102,6 +102,7 @@
     )
     .incarnation(incarnation())
     .seeds(settings.seeds.clone())
+    .without_log()
     .random_seed(rand::rng().random())
 }
 
