Move when the store is asked for configurations into the core

The decision needs no network there, so a fleet can be played in virtual time. store_lost and store_regained tell how long nothing was heard and how long the read took; the metrics tell the former.

--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -19,6 +19,7 @@
 mod retry_window;
 mod route_table;
 mod split;
+mod store_follower;
 mod target_table;
 
 pub use backend_lives::{BackendLives, LifeReport, LifeState, ReportRefusal};
@@ -34,4 +35,5 @@
 pub use retry_window::RetryWindow;
 pub use route_table::{RouteTable, TableRoute};
 pub use split::Split;
+pub use store_follower::{FollowStep, StoreFollower};
 pub use target_table::{Choice, Target, TargetEnded, TargetTable};
--- a/crates/kumquatquayd/src/routed/interface.rs
+++ b/crates/kumquatquayd/src/routed/interface.rs
@@ -95,8 +95,9 @@
 /// Where what lasts is kept.
 #[derive(Clone)]
 pub struct PlatformStore {
-    /// Waits for a configuration newer than what was read with this value last.
-    pub next_routes: Arc<dyn Fn() -> StoreFuture<RouteNews>>,
+    /// Reads configurations newer than what was read with this value last. The store may
+    /// hold the read for the given time until there is one.
+    pub read_routes: Arc<dyn Fn(Duration) -> StoreFuture<RouteNews>>,
     /// Control addresses of the nodes that have entered themselves.
     pub nodes: Arc<dyn Fn() -> StoreFuture<Vec<SocketAddr>>>,
     /// Enters this node.
--- a/crates/kumquatquayd/src/routed/metrics_text.rs
+++ b/crates/kumquatquayd/src/routed/metrics_text.rs
@@ -21,6 +21,7 @@
         );
     }
     let report = node.gate_report();
+    let unheard = node.follower.borrow().unheard(node.now());
     let gauges = [
         ("in_flight", node.in_flight_count.get() as u64),
         ("gate_running", u64::from(report.running_count)),
@@ -29,6 +30,7 @@
         ("gate_work_us", u64::from(report.work_us)),
         ("gate_level_permille", u64::from(report.level_permille)),
         ("route_version", node.route_version()),
+        ("store_unheard_ms", unheard.as_millis() as u64),
         ("links", node.links.borrow().len() as u64),
     ];
     for (name, value) in gauges {
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -13,7 +13,7 @@
     Clock,
     routed::{
         BackendLives, BackendPulse, CallGraph, CallerCensus, EntryLevels, GateRepeats, HostGate,
-        LevelSetter, Mechanism, RetryWindow, RouteTable, TargetTable,
+        LevelSetter, Mechanism, RetryWindow, RouteTable, StoreFollower, TargetTable,
     },
 };
 use kumquatquay_wire::{
@@ -83,6 +83,8 @@
     pub(crate) routes: RefCell<Option<Arc<RouteTable>>>,
     /// The configuration in force as it was read, for nodes that ask.
     pub(crate) configuration: RefCell<Option<RouteConfiguration>>,
+    /// When the store is asked for configurations.
+    pub(crate) follower: RefCell<StoreFollower>,
     /// When another node may next be asked for a configuration.
     next_ask: Cell<Duration>,
     pub(crate) targets: RefCell<TargetTable>,
@@ -148,6 +150,7 @@
             random: RefCell::new(random),
             routes: RefCell::default(),
             configuration: RefCell::default(),
+            follower: RefCell::new(StoreFollower::new(Duration::ZERO)),
             next_ask: Cell::default(),
             retries: RefCell::default(),
             gate_repeats: RefCell::new(GateRepeats::new(at_gate)),
--- a/crates/kumquatquayd/src/routed/routes_watch.rs
+++ b/crates/kumquatquayd/src/routed/routes_watch.rs
@@ -2,8 +2,10 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use kumquatquay_core::routed::FollowStep;
 use kumquatquay_wire::MemberState;
 use rand::seq::IndexedRandom;
+use tokio::task::JoinSet;
 
 use super::{
     interface::{PlatformStore, RouteNews, StoreError},
@@ -11,38 +13,72 @@
     node::RoutedNode,
 };
 
-/// Pause after a call that failed, at first.
-const RETRY: Duration = Duration::from_millis(200);
-
-/// Longest pause; a store that is away is asked this often.
-const RETRY_LONGEST: Duration = Duration::from_millis(1_200);
-
 /// Pause between the nodes that are asked for a configuration.
 const PEER_PAUSE: Duration = Duration::from_millis(150);
 
-/// Puts each new configuration in force.
+/// A read of the store that has ended.
+struct EndedRead {
+    /// Time since the node's start at which it began.
+    began: Duration,
+    news: Result<RouteNews, StoreError>,
+}
+
+/// Puts each new configuration of the store in force.
 pub(crate) async fn follow_routes(node: Rc<RoutedNode>, store: PlatformStore) {
-    let mut pause = RETRY;
-    let mut is_reached = true;
+    let mut reads = JoinSet::new();
     loop {
-        match (store.next_routes)().await {
-            Ok(news) => {
-                if !is_reached {
-                    log::info!(event = "store_regained"; "the store answers again");
-                }
-                is_reached = true;
-                pause = RETRY;
-                take_news(&node, news);
+        let step = node.follower.borrow_mut().step(node.now());
+        let until = match step {
+            FollowStep::Read { hold } => {
+                reads.spawn_local(read(Rc::clone(&node), store.clone(), hold));
+                continue;
             }
-            Err(error) => {
-                if is_reached {
-                    log_lost(&error);
+            FollowStep::Wait { until } => until,
+        };
+        let pause = tokio::time::sleep(until.saturating_sub(node.now()));
+        tokio::select! {
+            Some(ended) = reads.join_next() => {
+                // A read doesn't panic, and is aborted only with all others.
+                if let Ok(ended) = ended {
+                    on_read_ended(&node, ended);
                 }
-                is_reached = false;
-                node.decisions.count("store_failed", "routes");
-                tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(RETRY_LONGEST);
             }
+            () = pause => {}
+        }
+    }
+}
+
+async fn read(node: Rc<RoutedNode>, store: PlatformStore, hold: Duration) -> EndedRead {
+    let began = node.now();
+    let news = (store.read_routes)(hold).await;
+    EndedRead { began, news }
+}
+
+fn on_read_ended(node: &RoutedNode, ended: EndedRead) {
+    let now = node.now();
+    let mut follower = node.follower.borrow_mut();
+    let was_ailing = follower.is_ailing();
+    let unheard_ms = follower.unheard(now).as_millis() as u64;
+    let took_ms = now.saturating_sub(ended.began).as_millis() as u64;
+    match ended.news {
+        Ok(news) => {
+            follower.answered(now);
+            drop(follower);
+            if was_ailing {
+                log::info!(event = "store_regained", unheard_ms = unheard_ms, took_ms = took_ms,
+                    in_force = node.route_version(); "the store answers again");
+            }
+            take_news(node, news);
+        }
+        Err(error) => {
+            follower.failed(now);
+            drop(follower);
+            if !was_ailing {
+                log::warn!(event = "store_lost", unheard_ms = unheard_ms, took_ms = took_ms,
+                    in_force = node.route_version();
+                    "the configuration can't be followed: {error}");
+            }
+            node.decisions.count("store_failed", "routes");
         }
     }
 }
@@ -65,10 +101,6 @@
     }
 }
 
-fn log_lost(error: &StoreError) {
-    log::warn!(event = "store_lost"; "the configuration can't be followed: {error}");
-}
-
 fn take_news(node: &RoutedNode, news: RouteNews) {
     match news {
         RouteNews::Configuration(configuration) => node.apply(*configuration, "store"),
