Tests of the late configuration, failing: fleets beside a store that ails, and what hides a version

In the model of the fleet the silence of 5.4 s leaves all fifteen nodes without the newest configuration for 4.15 s, which is what the record shows; a fleet of 5,100 nodes makes 10,200 reads in the second in which a change wakes it up, where the store takes 2,000.

--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -13,6 +13,7 @@
 mod retry_window;
 mod route_table;
 mod split;
+mod store_follower;
 mod target_table;
 
 use std::time::Duration;
