Read the store beside a read that gets no answer, and take the highest version

Cause: a read that meets a silence of the store is never answered, also after its end, and was waited for like one that the store holds for news: 5.5 s. A change wakes up all nodes at once, so all of them were deaf in step. Ruled out: nodes that fail to tell each other (none had a newer version); a connection that isn't made (new sight tells it, and the model shows the same 4.15 s without it).

Holds are drawn at random now, short ones often, and grow with the number of nodes; a read that is overdue isn't waited for, others are begun beside it.

--- a/crates/kumquatquay-core/tests/routed/store_follower.rs
+++ b/crates/kumquatquay-core/tests/routed/store_follower.rs
@@ -168,7 +168,7 @@
     let confirmations = scene.confirmations();
     let mut hosts: Vec<Host> = (0..scene.nodes_count)
         .map(|host| Host {
-            follower: new_follower(seed * 10_000 + host as u64),
+            follower: StoreFollower::new(Duration::ZERO, seed * 10_000 + host as u64),
             reads: Vec::new(),
             waits_until: Duration::ZERO,
             position: 0,
@@ -227,8 +227,7 @@
     host: &mut Host,
     outcome: &mut Outcome,
 ) {
-    let mut reads = std::mem::take(&mut host.reads).into_iter();
-    while let Some(mut read) = reads.next() {
+    for mut read in std::mem::take(&mut host.reads) {
         match read.end(scene, confirmations, now) {
             None => host.reads.push(read),
             Some(ReadEnd::Failed) => {
@@ -236,9 +235,10 @@
                 host.waits_until = now;
             }
             Some(ReadEnd::Answered { through }) => {
+                let has_news = through > host.position;
                 host.position = host.position.max(through);
                 host.in_force = host.in_force.max(through);
-                host.follower.answered(now);
+                host.follower.answered(now, has_news);
                 host.waits_until = now;
                 // Those beside it aren't waited for any more.
                 host.reads.clear();
@@ -247,7 +247,7 @@
         }
     }
     while host.waits_until <= now {
-        match step(&mut host.follower, now, scene.nodes_count) {
+        match host.follower.step(now, scene.nodes_count) {
             FollowStep::Wait { until } => host.waits_until = until,
             FollowStep::Read { hold } => {
                 outcome.reads.push(now);
@@ -262,14 +262,6 @@
     }
 }
 
-fn new_follower(_seed: u64) -> StoreFollower {
-    StoreFollower::new(Duration::ZERO)
-}
-
-fn step(follower: &mut StoreFollower, now: Duration, _nodes_count: usize) -> FollowStep {
-    follower.step(now)
-}
-
 /// Names each scene in which every node has the newest configuration within the goal.
 macro_rules! in_force_in_time {
     ($($name:ident: $scene:expr,)*) => {$(
--- a/crates/kumquatquayd/src/routed/interface.rs
+++ b/crates/kumquatquayd/src/routed/interface.rs
@@ -112,18 +112,20 @@
     }
 }
 
-/// What a wait for a configuration brought.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RouteNews {
-    /// The newest one.
-    Configuration(Box<RouteConfiguration>),
-    /// None that is newer.
-    Unchanged,
-    /// One that can't be read, with all that is wrong about it and where.
-    Malformed {
-        /// Each finding with its place.
-        findings: Vec<String>,
-    },
+/// What a read of configurations brought.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RouteNews {
+    /// The one with the highest version, if there were any.
+    pub newest: Option<Box<RouteConfiguration>>,
+    /// For each one that can't be read all that is wrong about it, with its place.
+    pub malformed: Vec<Vec<String>>,
+}
+
+impl RouteNews {
+    /// Whether there was anything.
+    pub fn is_news(&self) -> bool {
+        self.newest.is_some() || !self.malformed.is_empty()
+    }
 }
 
 /// Why a call of the store brought nothing.
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -138,7 +138,9 @@
         // Its part of the extra repeats is left out: there are few gates to a service,
         // and how many isn't known for sure.
         let at_gate = RetryWindow::new(budget.window, budget.ratio * AT_GATE_RATIO, 0.0);
+        let follower = StoreFollower::new(Duration::ZERO, random.random());
         Rc::new(Self {
+            follower: RefCell::new(follower),
             backend: BackendPool::new(settings.backend),
             phase: random.random(),
             targets: RefCell::new(TargetTable::new(settings.mechanisms)),
@@ -150,7 +152,6 @@
             random: RefCell::new(random),
             routes: RefCell::default(),
             configuration: RefCell::default(),
-            follower: RefCell::new(StoreFollower::new(Duration::ZERO)),
             next_ask: Cell::default(),
             retries: RefCell::default(),
             gate_repeats: RefCell::new(GateRepeats::new(at_gate)),
--- a/crates/kumquatquayd/src/routed/routes_watch.rs
+++ b/crates/kumquatquayd/src/routed/routes_watch.rs
@@ -27,7 +27,8 @@
 pub(crate) async fn follow_routes(node: Rc<RoutedNode>, store: PlatformStore) {
     let mut reads = JoinSet::new();
     loop {
-        let step = node.follower.borrow_mut().step(node.now());
+        let nodes_count = node.nodes_count.get();
+        let step = node.follower.borrow_mut().step(node.now(), nodes_count);
         let until = match step {
             FollowStep::Read { hold } => {
                 reads.spawn_local(read(Rc::clone(&node), store.clone(), hold));
@@ -38,9 +39,10 @@
         let pause = tokio::time::sleep(until.saturating_sub(node.now()));
         tokio::select! {
             Some(ended) = reads.join_next() => {
-                // A read doesn't panic, and is aborted only with all others.
-                if let Ok(ended) = ended {
-                    on_read_ended(&node, ended);
+                // One that was dropped ends without a result.
+                let Ok(ended) = ended else { continue };
+                if on_read_ended(&node, ended) {
+                    reads.abort_all();
                 }
             }
             () = pause => {}
@@ -54,7 +56,8 @@
     EndedRead { began, news }
 }
 
-fn on_read_ended(node: &RoutedNode, ended: EndedRead) {
+/// Takes in what came of a read; whether the store answered it.
+fn on_read_ended(node: &Rc<RoutedNode>, ended: EndedRead) -> bool {
     let now = node.now();
     let mut follower = node.follower.borrow_mut();
     let was_ailing = follower.is_ailing();
@@ -62,13 +65,14 @@
     let took_ms = now.saturating_sub(ended.began).as_millis() as u64;
     match ended.news {
         Ok(news) => {
-            follower.answered(now);
+            follower.answered(now, news.is_news());
             drop(follower);
             if was_ailing {
                 log::info!(event = "store_regained", unheard_ms = unheard_ms, took_ms = took_ms,
                     in_force = node.route_version(); "the store answers again");
             }
             take_news(node, news);
+            true
         }
         Err(error) => {
             follower.failed(now);
@@ -79,6 +83,7 @@
                     "the configuration can't be followed: {error}");
             }
             node.decisions.count("store_failed", "routes");
+            false
         }
     }
 }
@@ -101,15 +106,14 @@
     }
 }
 
-fn take_news(node: &RoutedNode, news: RouteNews) {
-    match news {
-        RouteNews::Configuration(configuration) => node.apply(*configuration, "store"),
-        RouteNews::Unchanged => {}
-        RouteNews::Malformed { findings } => {
-            let findings = findings.join("; ");
-            node.decisions.count("configuration", "malformed");
-            log::error!(event = "configuration_refused", in_force = node.route_version();
-                "a configuration that can't be read is left out: {findings}");
-        }
+fn take_news(node: &Rc<RoutedNode>, news: RouteNews) {
+    if let Some(newest) = news.newest {
+        node.apply(*newest, "store");
+    }
+    for findings in news.malformed {
+        let findings = findings.join("; ");
+        node.decisions.count("configuration", "malformed");
+        log::error!(event = "configuration_refused", in_force = node.route_version();
+            "a configuration that can't be read is left out: {findings}");
     }
 }
