--- a/crates/kumquatquay-core/src/configuration/log_reader.rs
+++ b/crates/kumquatquay-core/src/configuration/log_reader.rs
@@ -12,6 +12,8 @@
 pub(crate) struct LogReader {
     /// The read under way.
     pub(super) outstanding: Option<OutstandingRead>,
+    /// How long the next read is waited for beyond its hold.
+    pub(super) patience: Duration,
     /// No read starts before, on the monotonic clock.
     pub(super) next_at: Duration,
     /// Reads in a row that failed.
@@ -45,6 +47,8 @@
 pub(super) struct OutstandingRead {
     pub(super) id: ReadId,
     pub(super) purpose: ReadPurpose,
+    /// Until when the log may hold it for news.
+    pub(super) held_until: Duration,
     /// When it is given up without an answer.
     pub(super) give_up_at: Duration,
 }
--- a/crates/kumquatquay-core/src/configuration/reading.rs
+++ b/crates/kumquatquay-core/src/configuration/reading.rs
@@ -18,9 +18,16 @@
 /// The same while an operator waits for a confirmation.
 const CONFIRM_WAIT: Duration = Duration::from_millis(200);
 
-/// Beyond the wait, how long until a read counts as failed. A log that takes
-/// several seconds is slow and no reason to call it down.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(12);
+/// Beyond the wait, how long until a read counts as failed, at first and at the longest.
+///
+/// A read that meets a silence of the log is never answered, and no other is begun beside
+/// it: with a fixed patience of 12 s a node was deaf for 17 s after the log's return, and a
+/// change confirmed there was not in force within its 14 s. A log that takes several seconds
+/// is slow and no reason to call it down, so the patience doubles with each read that is
+/// given up, and is kept at twice what answers take. The longest one and
+/// [`LONGEST_PAUSE`] are 12 s together.
+const PATIENCE_LEAST: Duration = Duration::from_secs(2);
+const PATIENCE_MOST: Duration = Duration::from_secs(8);
 
 /// Pause after the first failed read; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
@@ -58,6 +65,7 @@
         if now.monotonic < read.give_up_at {
             return;
         }
+        set_patience(board, (read.give_up_at - read.held_until) * 2);
         on_failed(board, now, read.id, out);
     }
     let may_read = board.settings.has_log && now.monotonic >= board.configuration.reader.next_at;
@@ -66,6 +74,10 @@
     }
 }
 
+fn set_patience(board: &mut Blackboard, patience: Duration) {
+    board.configuration.reader.patience = patience.clamp(PATIENCE_LEAST, PATIENCE_MOST);
+}
+
 /// Lets the next read start at once.
 pub(super) fn hurry(board: &mut Blackboard) {
     board.configuration.reader.next_at = Duration::ZERO;
@@ -107,10 +119,13 @@
     };
     configuration.reader.poll_at =
         now.monotonic + Duration::from_secs(POLL_INTERVAL_S / 2 + spread_s);
+    let held_until = now.monotonic + wait;
+    let patience = configuration.reader.patience.max(PATIENCE_LEAST);
     configuration.reader.outstanding = Some(OutstandingRead {
         id,
         purpose,
-        give_up_at: now.monotonic + wait + ANSWER_TIMEOUT,
+        held_until,
+        give_up_at: held_until + patience,
     });
     out.push(Output::Read {
         read: id,
@@ -169,6 +184,7 @@
         return;
     }
     board.configuration.reader.outstanding = None;
+    set_patience(board, now.monotonic.saturating_sub(outstanding.held_until) * 2);
     on_log_answers(board, out);
     if goes_backwards(board, now, &answer, out) {
         return;
--- a/crates/kumquatquay-core/tests/configuration/fake_log.rs
+++ b/crates/kumquatquay-core/tests/configuration/fake_log.rs
@@ -24,6 +24,8 @@
     pub(crate) records: Vec<LogRecord>,
     pub(crate) oldest_offset: u64,
     pub(crate) is_down: bool,
+    /// It never answers the reads that it has, or gets, while this is set.
+    pub(crate) is_silent: bool,
     pub(crate) next_fault: AppendFault,
     pub(crate) delay: Duration,
 }
--- a/crates/kumquatquay-core/tests/configuration/mesh.rs
+++ b/crates/kumquatquay-core/tests/configuration/mesh.rs
@@ -230,6 +230,9 @@
             );
             return;
         }
+        if self.log.is_silent {
+            return;
+        }
         let records = self.log.read(from);
         if records.is_empty() && self.now < until {
             self.post(name, READ_RETRY, Event::ReadArrives { read, from, until });
--- a/crates/kumquatquay-core/tests/configuration/scenarios.rs
+++ b/crates/kumquatquay-core/tests/configuration/scenarios.rs
@@ -203,6 +203,8 @@
             match name.as_str() {
                 "down" => log.is_down = true,
                 "up" => log.is_down = false,
+                "silent" => log.is_silent = true,
+                "speaks" => log.is_silent = false,
                 "lose-answer" => log.next_fault = AppendFault::LostAnswer,
                 "down-after-record" => log.next_fault = AppendFault::DownAfterRecord,
                 "append-foreign" => {
