--- a/crates/kumquatquay-core/src/configuration/reading.rs
+++ b/crates/kumquatquay-core/src/configuration/reading.rs
@@ -184,7 +184,10 @@
         return;
     }
     board.configuration.reader.outstanding = None;
-    set_patience(board, now.monotonic.saturating_sub(outstanding.held_until) * 2);
+    set_patience(
+        board,
+        now.monotonic.saturating_sub(outstanding.held_until) * 2,
+    );
     on_log_answers(board, out);
     if goes_backwards(board, now, &answer, out) {
         return;
--- a/crates/kumquatquay-core/src/routed/host_gate.rs
+++ b/crates/kumquatquay-core/src/routed/host_gate.rs
@@ -127,7 +127,7 @@
     /// calls of 23 ms and 3 ms on the way one slot in eight is never used, while
     /// requests are refused for want of slots. So as many calls more are handed over.
     pub fn on_backend_load(&mut self, load: BackendLoad) {
-        let there_count = load.running_count + load.waiting_count;
+        let there_count = load.running_count.saturating_add(load.waiting_count);
         let observed = self.running_count.saturating_sub(there_count) as f64;
         self.in_transit += TRANSIT_WEIGHT * (observed - self.in_transit);
     }
