Put calls to the runs that made them by the deadlines that they share

The fit over all calls learns from runs that end with their first lost call, and a node that starts in an overload learns nothing else. A backend server's calls expire with the run that makes them, so the deadline names the run; only runs that ended well are counted.

--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -15,6 +15,9 @@
     /// What is known of runs is kept while the calls that they make fail.
     #[display("kept-graph")]
     KeptGraph,
+    /// Calls are put to the runs whose deadlines they share.
+    #[display("traced-calls")]
+    TracedCalls,
     /// A gate hands over more calls for those on their way.
     #[display("transit")]
     Transit,
@@ -52,9 +55,10 @@
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::EntryLevels,
         Self::KeptGraph,
+        Self::TracedCalls,
         Self::Transit,
         Self::GateRepeats,
         Self::Beside,
--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -9,6 +9,7 @@
 mod backend_lives;
 mod backend_pulse;
 mod call_graph;
+mod call_tracer;
 mod caller_census;
 mod entry_levels;
 mod gate_repeats;
@@ -25,6 +26,7 @@
 pub use backend_lives::{BackendLives, LifeReport, LifeState, ReportRefusal};
 pub use backend_pulse::BackendPulse;
 pub use call_graph::{CallGraph, GraphRow};
+pub use call_tracer::{CallTracer, RunNumber};
 pub use caller_census::CallerCensus;
 pub use entry_levels::{EntryLevels, EntryRequest, Shortage};
 pub use gate_repeats::{GateRepeats, TurnedAwayCall};
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -3,6 +3,7 @@
 mod backend_lives;
 mod backend_pulse;
 mod call_graph;
+mod call_tracer;
 mod caller_census;
 mod entry_levels;
 mod gate_repeats;
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -317,6 +317,7 @@
     }
     if let Some(news) = &answer.news {
         let route = &call.route.settings.name;
+        node.learnt.tell(now, route, &call.service, news);
         levels.on_route(now, route, &call.service, news.clone());
     }
     for pressure in &answer.pressures {
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -98,6 +98,7 @@
         let retry = Some(NOT_CONFIGURED_RETRY);
         return own_answer(StatusCode::SERVICE_UNAVAILABLE, retry, "no destination\n");
     };
+    let expires = marks.time_left.map(|time_left| began + time_left);
     let caller = parts.extensions.get::<Caller>().map(|caller| caller.0);
     let call = OutgoingCall {
         caller,
@@ -113,7 +114,7 @@
         progress: Cell::new(Progress::default()),
         handed_over: HandedOver::default(),
     };
-    if let Some(refusal) = refuse_for_shortage(node, &call, began) {
+    if let Some(refusal) = refuse_for_shortage(node, &call, began, expires) {
         return refusal;
     }
     let wait = call.deadline.saturating_sub(node.now());
@@ -152,11 +153,15 @@
     node: &RoutedNode,
     call: &OutgoingCall,
     began: Duration,
+    expires: Option<Duration>,
 ) -> Option<Response<WholeBody>> {
     let now = node.now();
     let route = &call.route.settings;
     if node.levels.borrow().is_from_outside(now, &route.name) == Some(false) {
         node.graph.borrow_mut().called(now, &route.name);
+        if let Some(expires) = expires {
+            node.tracer.borrow_mut().called(&route.name, expires);
+        }
         return None;
     }
     if !node.is_on(Mechanism::EntryLevels) {
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -17,6 +17,7 @@
 mod first_look;
 mod http_io;
 mod interface;
+mod learnt_log;
 mod link;
 mod link_server;
 mod members;
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -12,8 +12,9 @@
 use kumquatquay_core::{
     Clock,
     routed::{
-        BackendLives, BackendPulse, CallGraph, CallerCensus, EntryLevels, GateRepeats, HostGate,
-        LevelSetter, Mechanism, RetryWindow, RouteTable, StoreFollower, TargetTable,
+        BackendLives, BackendPulse, CallGraph, CallTracer, CallerCensus, EntryLevels, GateRepeats,
+        GraphRow, HostGate, LevelSetter, Mechanism, RetryWindow, RouteTable, StoreFollower,
+        TargetTable,
     },
 };
 use kumquatquay_wire::{
@@ -24,8 +25,8 @@
 use tokio::sync::{oneshot, watch};
 
 use super::{
-    backend_pool::BackendPool, decisions::Decisions, interface::Dialect, link::Links,
-    settings::RoutedSettings,
+    backend_pool::BackendPool, decisions::Decisions, interface::Dialect, learnt_log::LearntLog,
+    link::Links, settings::RoutedSettings,
 };
 use crate::{clock::SystemClock, engine::Engine, tasks::Tasks};
 
@@ -102,12 +103,15 @@
     pub(crate) census: RefCell<CallerCensus>,
     /// Which calls the backend server of this host makes.
     pub(crate) graph: RefCell<CallGraph>,
+    /// The same, run by run.
+    pub(crate) tracer: RefCell<CallTracer>,
     /// What is known of the pressure on services and of where routes lead.
     pub(crate) levels: RefCell<EntryLevels>,
     /// News of routes that were worked out just now.
     news: RefCell<HashMap<String, (Duration, RouteNews)>>,
     pub(crate) backend: BackendPool,
     pub(crate) decisions: Decisions,
+    pub(crate) learnt: LearntLog,
     /// Second of the node's life in which the last line on a refused report was written.
     pub(crate) refused_report_second: Cell<Option<u64>>,
     /// Requests at the entry that have no answer yet.
@@ -163,8 +167,10 @@
             level: RefCell::default(),
             census: RefCell::default(),
             graph: RefCell::default(),
+            tracer: RefCell::default(),
             levels: RefCell::default(),
             decisions: Decisions::new(),
+            learnt: LearntLog::default(),
             refused_report_second: Cell::new(None),
             in_flight_count: Cell::new(0),
             nodes_count: Cell::new(1),
@@ -256,7 +262,8 @@
         let services_count = self.targets.borrow().services_count();
         let levels = self.levels.borrow();
         let mut leads_to = BTreeMap::from([(self.settings.service.clone(), 1.0)]);
-        for row in self.graph.borrow().rows(route) {
+        let (rows, is_traced) = self.call_rows(now, route);
+        for row in rows {
             // Before it was known that people use a route, its calls were counted.
             if levels.is_from_outside(now, &row.route) != Some(false) {
                 continue;
@@ -267,7 +274,7 @@
         }
         let is_young = now < SETTLING_TIME;
         RouteNews {
-            is_settled: !is_young && self.graph.borrow().is_settled(),
+            is_settled: is_traced || (!is_young && self.graph.borrow().is_settled()),
             is_from_outside: self
                 .census
                 .borrow()
@@ -276,6 +283,21 @@
         }
     }
 
+    /// What one run of a route calls, and whether that was seen run by run.
+    fn call_rows(&self, now: Duration, route: &str) -> (Vec<GraphRow>, bool) {
+        let fitted = self.graph.borrow().rows(route);
+        if !self.is_on(Mechanism::TracedCalls) {
+            return (fitted, false);
+        }
+        let tracer = self.tracer.borrow();
+        let Some(mut rows) = tracer.rows(now, route) else {
+            return (fitted, false);
+        };
+        // Routes whose deadlines tell nothing are left to the fit.
+        rows.extend(fitted.into_iter().filter(|row| !tracer.tells(&row.route)));
+        (rows, true)
+    }
+
     /// Counts a call for the retry budgets of its service and of those behind it.
     pub(crate) fn count_request(&self, route: &str, service: &str) {
         let now = self.now();
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use http::{Method, Request, Uri};
 use http_body_util::Full;
-use kumquatquay_core::routed::{Admission, GateCall, Mechanism, TurnedAwayCall, WaitKey};
+use kumquatquay_core::routed::{
+    Admission, GateCall, Mechanism, RunNumber, TurnedAwayCall, WaitKey,
+};
 use kumquatquay_wire::routed::{CallHead, LinkOutcome, NotRunReason, UnknownReason};
 use tokio::sync::oneshot;
 
@@ -249,19 +251,26 @@
 struct Run<'a> {
     node: &'a RoutedNode,
     call: &'a CallHead,
+    number: RunNumber,
     /// Whether anything came from the backend server.
     has_sign: bool,
+    /// Whether it did all that it was asked for.
+    is_well: bool,
 }
 
 impl<'a> Run<'a> {
-    fn new(node: &'a RoutedNode, call: &'a CallHead) -> Self {
+    fn new(node: &'a RoutedNode, call: &'a CallHead, time_left: Duration) -> Self {
         let now = node.now();
+        let deadline = now + time_left;
+        let number = node.tracer.borrow_mut().run_began(&call.route, deadline);
         node.graph.borrow_mut().run_began(now, &call.route);
         node.pulse.borrow_mut().began(now);
         Self {
             node,
             call,
+            number,
             has_sign: false,
+            is_well: false,
         }
     }
 }
@@ -273,6 +282,8 @@
             .graph
             .borrow_mut()
             .run_ended(now, &self.call.route);
+        let mut tracer = self.node.tracer.borrow_mut();
+        tracer.run_ended(now, self.number, self.is_well);
         self.node.pulse.borrow_mut().ended(now, self.has_sign);
     }
 }
@@ -333,10 +344,11 @@
     let Some(request) = request_of(node, timed, body, time_left) else {
         return HandedOver::Ended(LinkAnswer::not_run(NotRunReason::Unsent));
     };
-    let mut run = Run::new(node, timed.call);
+    let mut run = Run::new(node, timed.call, time_left);
     let sent = node.backend.send(request, timed.call.is_idempotent);
     let sent = tokio::time::timeout(time_left, sent).await;
     run.has_sign = sent.is_ok();
+    run.is_well = matches!(&sent, Ok(Ok(answer)) if (200..300).contains(&answer.status));
     match sent {
         Ok(Ok(answer)) => judge(node, timed, answer),
         Ok(Err(error)) => HandedOver::Ended(on_send_error(node, error)),
