Let calls of one route wait at gates by the rank of the whole request

A run is known for each call by its deadline, and with it the rank of the request that it was let in for. Calls at the deepest service all have one rank of their own: a service that is short turned away registrations' calls as often as those of searches. The rank of the whole request comes second now, behind the route's own: people's calls against those of backend servers are ordered as before.

--- a/crates/kumquatquay-core/src/routed/call_tracer.rs
+++ b/crates/kumquatquay-core/src/routed/call_tracer.rs
@@ -5,6 +5,8 @@
     time::Duration,
 };
 
+use kumquatquay_wire::routed::Priority;
+
 use super::GraphRow;
 
 /// How far a call's deadline may lie from that of its run. Both are told in whole
@@ -60,6 +62,7 @@
 #[derive(Debug)]
 struct Run {
     route: String,
+    whole_priority: Priority,
     deadline: Duration,
     calls: HashMap<String, u32>,
 }
@@ -79,13 +82,19 @@
 }
 
 impl CallTracer {
-    /// A run of a route begins, and was told this deadline.
-    pub fn run_began(&mut self, route: &str, deadline: Duration) -> RunNumber {
+    /// A run of a route begins for a whole request of this rank, and was told this deadline.
+    pub fn run_began(
+        &mut self,
+        route: &str,
+        whole_priority: Priority,
+        deadline: Duration,
+    ) -> RunNumber {
         self.last_number += 1;
         let number = self.last_number;
         self.by_deadline.insert((deadline, number), ());
         let run = Run {
             route: String::from(route),
+            whole_priority,
             deadline,
             calls: HashMap::new(),
         };
@@ -93,9 +102,15 @@
         number
     }
 
-    /// The backend server makes a call on a route, with this deadline.
-    pub fn called(&mut self, callee: &str, deadline: Duration) {
+    /// The backend server makes a call on a route, with this deadline; the rank of the whole
+    /// request that it belongs to, if its run is found.
+    pub fn called(&mut self, callee: &str, deadline: Duration) -> Option<Priority> {
         let run = self.run_at(deadline);
+        self.count_call(callee, run);
+        run.map(|run| self.under_way[&run].whole_priority)
+    }
+
+    fn count_call(&mut self, callee: &str, run: Option<RunNumber>) {
         if !self.callees.contains_key(callee) && self.callees.len() >= ROUTES_LIMIT_COUNT {
             return;
         }
--- a/crates/kumquatquay-core/src/routed/host_gate.rs
+++ b/crates/kumquatquay-core/src/routed/host_gate.rs
@@ -35,6 +35,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WaitKey {
     priority: Priority,
+    whole_priority: Priority,
     due: Duration,
     sequence: u64,
 }
@@ -44,6 +45,10 @@
 pub struct GateCall {
     /// Rank of its route.
     pub priority: Priority,
+    /// Rank of the whole request that it belongs to. Calls of the same rank are made for
+    /// requests of all ranks; in the order of their arrival, a service that is short turns away as many of
+    /// the important as of the others.
+    pub whole_priority: Priority,
     /// When its answer is due to be worth most.
     pub due: Duration,
     /// When it must have ended.
@@ -148,6 +153,7 @@
         self.last_sequence += 1;
         let key = WaitKey {
             priority: call.priority,
+            whole_priority: call.whole_priority,
             due: call.due,
             sequence: self.last_sequence,
         };
--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -18,6 +18,9 @@
     /// Calls are put to the runs whose deadlines they share.
     #[display("traced-calls")]
     TracedCalls,
+    /// Calls wait at gates by the rank of the whole request that they belong to.
+    #[display("whole-order")]
+    WholeOrder,
     /// A gate hands over more calls for those on their way.
     #[display("transit")]
     Transit,
@@ -55,10 +58,11 @@
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::EntryLevels,
         Self::KeptGraph,
         Self::TracedCalls,
+        Self::WholeOrder,
         Self::Transit,
         Self::GateRepeats,
         Self::Beside,
--- a/crates/kumquatquay-core/tests/routed/call_tracer.rs
+++ b/crates/kumquatquay-core/tests/routed/call_tracer.rs
@@ -6,7 +6,7 @@
 
 /// A run that makes some calls, one after the other, and ends; its deadline is 1 s away.
 fn run(tracer: &mut CallTracer, at: u64, route: &str, calls: &[&str], is_well: bool) {
-    let number = tracer.run_began(route, at_ms(at + 1_000));
+    let number = tracer.run_began(route, 0, at_ms(at + 1_000));
     for callee in calls {
         tracer.called(callee, at_ms(at + 1_000));
     }
@@ -26,7 +26,7 @@
     let mut tracer = CallTracer::default();
     for round in 0..30 {
         let at = round * 20;
-        let upload = tracer.run_began("upload", at_ms(at + 1_007));
+        let upload = tracer.run_began("upload", 0, at_ms(at + 1_007));
         run(&mut tracer, at, "search", &["lookup", "lookup"], true);
         tracer.run_ended(at_ms(at + 60), upload, true);
     }
@@ -58,7 +58,7 @@
     let mut tracer = CallTracer::default();
     for round in 0..60 {
         let at = round * 10;
-        let number = tracer.run_began("manifest", at_ms(at + 1_000));
+        let number = tracer.run_began("manifest", 0, at_ms(at + 1_000));
         for call in 0..5 {
             let due = if call < 2 { 700 } else { 1_000 };
             tracer.called("index", at_ms(at + due + 5));
@@ -69,7 +69,7 @@
     assert!(!tracer.tells("index"));
     for round in 0..200 {
         let at = 2_000 + round * 10;
-        let number = tracer.run_began("manifest", at_ms(at + 1_000));
+        let number = tracer.run_began("manifest", 0, at_ms(at + 1_000));
         for call in 0..5 {
             let due = if call < 1 { 705 } else { 1_000 };
             tracer.called("index", at_ms(at + due));
@@ -87,7 +87,7 @@
     let mut tracer = CallTracer::default();
     for round in 0..60 {
         let at = round * 10;
-        let number = tracer.run_began("search", at_ms(at + 1_000));
+        let number = tracer.run_began("search", 0, at_ms(at + 1_000));
         tracer.called("lookup", at_ms(at + 305));
         tracer.run_ended(at_ms(at + 3), number, true);
     }
--- a/crates/kumquatquay-core/tests/routed/host_gate.rs
+++ b/crates/kumquatquay-core/tests/routed/host_gate.rs
@@ -9,6 +9,7 @@
 
 fn call(priority: u32, deadline: Duration) -> GateCall {
     GateCall {
+        whole_priority: 0,
         priority,
         due: at_ms(150),
         deadline,
@@ -99,6 +100,7 @@
     let mut gate = gate(1);
     fill(&mut gate, 1);
     let due_at = |due_ms| GateCall {
+        whole_priority: 0,
         priority: 1,
         due: at_ms(due_ms),
         deadline: at_ms(5_000),
@@ -223,3 +225,32 @@
     gate.ended(Some(Duration::from_millis(22)));
     assert_eq!(gate.report(1.0).work_us, 22_000);
 }
+
+/// A service that is short has a queue of calls on one route, which searches made, and then
+/// one that a registration made. In the order of their arrival the registration would lose its
+/// call as often as any search; it is the next to run.
+#[test]
+fn calls_of_one_route_run_by_the_rank_of_the_whole_request() {
+    let mut gate = HostGate::default();
+    gate.set_limit_count(1);
+    let of_whole = |whole_priority| GateCall {
+        whole_priority,
+        ..call(3, at_ms(10_000))
+    };
+    assert!(matches!(
+        gate.offer(at_ms(0), of_whole(2), "runs"),
+        Admission::Run
+    ));
+    for _ in 0..5 {
+        assert!(matches!(
+            gate.offer(at_ms(1), of_whole(2), "search"),
+            Admission::Wait(_)
+        ));
+    }
+    assert!(matches!(
+        gate.offer(at_ms(2), of_whole(0), "registration"),
+        Admission::Wait(_)
+    ));
+    gate.ended(None);
+    assert_eq!(gate.next(at_ms(3)), Some("registration"));
+}
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -81,6 +81,9 @@
     pub attempt: String,
     /// Rank of its route.
     pub priority: Priority,
+    /// Rank of the route on which the whole request came in; that of this route if it isn't
+    /// known which request the call belongs to.
+    pub whole_priority: Priority,
     /// Time within which its answer is worth most, in milliseconds.
     pub target_latency_ms: u64,
     /// Level of the service as the sender knows it, in thousandths.
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -7,8 +7,8 @@
 use kumquatquay_wire::{
     ServiceName,
     routed::{
-        CallHead, HeaderField, LinkOutcome, NotRunReason, Repeat, RouteSettings, RouteVersion,
-        UnknownReason,
+        CallHead, HeaderField, LinkOutcome, NotRunReason, Priority, Repeat, RouteSettings,
+        RouteVersion, UnknownReason,
     },
 };
 use rand::Rng;
@@ -45,6 +45,8 @@
     pub(crate) route: Arc<TableRoute>,
     pub(crate) service: ServiceName,
     pub(crate) version: RouteVersion,
+    /// Rank of the whole request that it belongs to, as far as that is known.
+    pub(crate) whole_priority: Cell<Priority>,
     pub(crate) attempt: String,
     pub(crate) deadline: Duration,
     pub(crate) method: String,
@@ -358,6 +360,7 @@
         caller_service: node.settings.service.clone(),
         attempt: call.attempt.clone(),
         priority: settings.priority,
+        whole_priority: call.whole_priority.get(),
         target_latency_ms: settings.target_latency.as_millis() as u64,
         level_permille: (level * 1_000.0) as u16,
         is_idempotent: settings.repeat == Repeat::Idempotent,
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -104,6 +104,7 @@
         caller,
         service,
         version: table.version(),
+        whole_priority: Cell::new(route.settings.priority),
         deadline: deadline_of(&route, &marks, began),
         attempt: marks.attempt.unwrap_or_default(),
         method: String::from(parts.method.as_str()),
@@ -160,7 +161,10 @@
     if node.levels.borrow().is_from_outside(now, &route.name) == Some(false) {
         node.graph.borrow_mut().called(now, &route.name);
         if let Some(expires) = expires {
-            node.tracer.borrow_mut().called(&route.name, expires);
+            let whole_priority = node.tracer.borrow_mut().called(&route.name, expires);
+            if let Some(priority) = whole_priority.filter(|_| node.is_on(Mechanism::WholeOrder)) {
+                call.whole_priority.set(priority);
+            }
         }
         return None;
     }
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -207,6 +207,7 @@
 fn offer(node: &RoutedNode, timed: &Timed<'_>, ticket: RunTicket) -> Admission<RunTicket> {
     let call = GateCall {
         priority: timed.call.priority,
+        whole_priority: timed.call.whole_priority,
         due: timed.due,
         deadline: timed.deadline,
     };
@@ -262,7 +263,10 @@
     fn new(node: &'a RoutedNode, call: &'a CallHead, time_left: Duration) -> Self {
         let now = node.now();
         let deadline = now + time_left;
-        let number = node.tracer.borrow_mut().run_began(&call.route, deadline);
+        let number = node
+            .tracer
+            .borrow_mut()
+            .run_began(&call.route, call.whole_priority, deadline);
         node.graph.borrow_mut().run_began(now, &call.route);
         node.pulse.borrow_mut().began(now);
         Self {
