Make up for what runs lose where calls are fitted

A run ends with its first lost call; the fit saw 3.4 calls of five with a fifth lost. Solved for the whole run.

--- a/crates/kumquatquay-core/src/routed/call_graph.rs
+++ b/crates/kumquatquay-core/src/routed/call_graph.rs
@@ -42,6 +42,14 @@
 /// for how things are.
 const KEPT_LONGEST: Duration = Duration::from_secs(30);
 
+/// Share of lost calls below which runs are taken to be whole.
+const LOST_LEAST_RATIO: f64 = 0.02;
+
+/// The most by which a count of calls is made up for lost ones, and the share of runs that
+/// lose one up to which it is known: beyond, a little noise would be a great difference.
+const MADE_UP_MOST: f64 = 2.5;
+const LOST_MOST_RATIO: f64 = 0.85;
+
 /// Share of all runs that one route must have before enough was seen, and runs of it.
 const FIRST_RATIO: f64 = 0.7;
 const FIRST_RUNS_LEAST_COUNT: u32 = 10;
@@ -113,6 +121,11 @@
     /// Sums of products with the times spent in runs of each route.
     products: Vec<f64>,
     square: f64,
+    /// Calls that failed in this span.
+    failed_count: u32,
+    /// Calls, and those that failed, of the last spans; faded like them.
+    sum: f64,
+    failed_sum: f64,
 }
 
 /// How often one run of a route makes a call on another.
@@ -169,10 +182,13 @@
         }
     }
 
-    /// A call that the backend server made failed, or was refused.
-    pub fn call_failed(&mut self, now: Duration) {
+    /// A call that the backend server made on a route failed, or was refused.
+    pub fn call_failed(&mut self, now: Duration, callee: &str) {
         self.close_span(now);
         self.failed_count += 1;
+        if let Some(calls) = self.calls.get_mut(callee) {
+            calls.failed_count += 1;
+        }
     }
 
     /// Whether enough was seen to say anything.
@@ -234,7 +250,7 @@
         }
         let runs = &self.runs[place - FIRST_ROUTE];
         let run_s = runs.running_s / runs.ended_count.max(1.0);
-        fitted[place] * run_s
+        calls.made_up(fitted[place] * run_s)
     }
 
     fn close_span(&mut self, now: Duration) {
@@ -275,6 +291,7 @@
         if !is_regular {
             for calls in self.calls.values_mut() {
                 calls.count = 0;
+                calls.failed_count = 0;
             }
             return;
         }
@@ -294,6 +311,9 @@
                 *product = *product * FADE_RATIO + run * count;
             }
             calls.square = calls.square * FADE_RATIO + count * count;
+            let failed_count = f64::from(std::mem::take(&mut calls.failed_count));
+            calls.sum = calls.sum * FADE_RATIO + count;
+            calls.failed_sum = calls.failed_sum * FADE_RATIO + failed_count;
         }
     }
 
@@ -321,6 +341,23 @@
     }
 }
 
+impl Calls {
+    /// Calls that a run would make if none were lost, from those that it makes.
+    ///
+    /// A run ends with its first lost call. With a share of `lost` calls, a run of `n` calls,
+    /// one after the other, makes `(1 - (1 - lost)^n) / lost` of them; this is solved for
+    /// `n`.
+    fn made_up(&self, calls_count: f64) -> f64 {
+        let lost_ratio = self.failed_sum / self.sum.max(1.0);
+        if lost_ratio < LOST_LEAST_RATIO {
+            return calls_count;
+        }
+        let runs_lost = (lost_ratio * calls_count).min(LOST_MOST_RATIO);
+        let whole = (1.0 - runs_lost).ln() / (1.0 - lost_ratio.min(LOST_MOST_RATIO)).ln();
+        whole.clamp(calls_count, calls_count * MADE_UP_MOST)
+    }
+}
+
 impl RouteRuns {
     fn new(route: &str, now: Duration) -> Self {
         Self {
--- a/crates/kumquatquay-core/tests/routed/call_graph.rs
+++ b/crates/kumquatquay-core/tests/routed/call_graph.rs
@@ -44,7 +44,7 @@
     match event {
         Event::Began(route) => graph.run_began(at, route),
         Event::Called => graph.called(at, "lookup"),
-        Event::Failed => graph.call_failed(at),
+        Event::Failed => graph.call_failed(at, "lookup"),
         Event::Ended(route) => graph.run_ended(at, route),
     }
 }
@@ -241,3 +241,20 @@
     let permit = calls_of(&graph, "permit");
     assert!((0.7..1.3).contains(&permit), "{permit}");
 }
+
+/// A fifth of all calls is lost from the first moment on, and each run that loses one ends
+/// without its others. Runs of five calls make 3.4 then; taken for all that they make, half as many
+/// again are let in as there is room for.
+#[test]
+fn runs_that_lose_calls_are_taken_for_whole_ones() {
+    let mut graph = CallGraph::default();
+    let kinds = [Kind {
+        route: "manifest",
+        per_s: 200.0,
+        takes_ms: 120,
+        calls: 5,
+    }];
+    play(&mut graph, &kinds, 0..12, 0.2, 7);
+    let calls_count = calls_of(&graph, "manifest");
+    assert!((4.0..=6.0).contains(&calls_count), "{calls_count}");
+}
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -144,7 +144,7 @@
     let name = &call.route.settings.name;
     let is_called = node.levels.borrow().is_from_outside(now, name) == Some(false);
     if is_called && node.is_on(Mechanism::KeptGraph) {
-        node.graph.borrow_mut().call_failed(now);
+        node.graph.borrow_mut().call_failed(now, name);
     }
 }
 
