--- a/crates/kumquatquayd/src/routed/routes_watch.rs
+++ b/crates/kumquatquayd/src/routed/routes_watch.rs
@@ -27,8 +27,7 @@
 pub(crate) async fn follow_routes(node: Rc<RoutedNode>, store: PlatformStore) {
     let mut reads = JoinSet::new();
     loop {
-        let nodes_count = node.nodes_count.get();
-        let step = node.follower.borrow_mut().step(node.now(), nodes_count);
+        let step = next_step(&node);
         let until = match step {
             FollowStep::Read { hold } => {
                 reads.spawn_local(read(Rc::clone(&node), store.clone(), hold));
@@ -50,6 +49,27 @@
     }
 }
 
+fn next_step(node: &RoutedNode) -> FollowStep {
+    let now = node.now();
+    let mut follower = node.follower.borrow_mut();
+    let was_ailing = follower.is_ailing();
+    let unheard = follower.unheard(now);
+    let step = follower.step(now, node.nodes_count.get());
+    if follower.is_ailing() && !was_ailing {
+        log_lost(
+            node,
+            unheard,
+            "a read is overdue; others are begun beside it",
+        );
+    }
+    step
+}
+
+fn log_lost(node: &RoutedNode, unheard: Duration, why: &str) {
+    log::warn!(event = "store_lost", unheard_ms = unheard.as_millis() as u64,
+        in_force = node.route_version(); "the configuration can't be followed: {why}");
+}
+
 async fn read(node: Rc<RoutedNode>, store: PlatformStore, hold: Duration) -> EndedRead {
     let began = node.now();
     let news = (store.read_routes)(hold).await;
@@ -61,15 +81,16 @@
     let now = node.now();
     let mut follower = node.follower.borrow_mut();
     let was_ailing = follower.is_ailing();
-    let unheard_ms = follower.unheard(now).as_millis() as u64;
+    let unheard = follower.unheard(now);
     let took_ms = now.saturating_sub(ended.began).as_millis() as u64;
     match ended.news {
         Ok(news) => {
             follower.answered(now, news.is_news());
             drop(follower);
             if was_ailing {
-                log::info!(event = "store_regained", unheard_ms = unheard_ms, took_ms = took_ms,
-                    in_force = node.route_version(); "the store answers again");
+                log::info!(event = "store_regained", unheard_ms = unheard.as_millis() as u64,
+                    took_ms = took_ms, in_force = node.route_version();
+                    "the store answers again");
             }
             take_news(node, news);
             true
@@ -78,10 +99,9 @@
             follower.failed(now);
             drop(follower);
             if !was_ailing {
-                log::warn!(event = "store_lost", unheard_ms = unheard_ms, took_ms = took_ms,
-                    in_force = node.route_version();
-                    "the configuration can't be followed: {error}");
+                log_lost(node, unheard, &error.to_string());
             }
+            log::debug!(event = "store_read_failed", took_ms = took_ms; "{error}");
             node.decisions.count("store_failed", "routes");
             false
         }
