--- a/crates/kumquatquay-core/src/routed/call_tracer.rs
+++ b/crates/kumquatquay-core/src/routed/call_tracer.rs
@@ -48,7 +48,8 @@
 /// [`CallGraph`](super::CallGraph) does it, searches that make ten calls at the deepest service
 /// were taken to make none or three, and uploads that make none to make eleven.
 ///
-/// Where deadlines don't tell, it knows nothing, and the fit counts.
+/// A call whose own time is shorter than that of its run lies at no deadline. Where those are
+/// the minority the others stand for them; elsewhere nothing is known, and the fit counts.
 #[derive(Debug, Default)]
 pub struct CallTracer {
     last_number: RunNumber,
--- a/crates/kumquatquay-core/src/routed/host_gate.rs
+++ b/crates/kumquatquay-core/src/routed/host_gate.rs
@@ -45,9 +45,9 @@
 pub struct GateCall {
     /// Rank of its route.
     pub priority: Priority,
-    /// Rank of the whole request that it belongs to. Calls of the same rank are made for
-    /// requests of all ranks; in the order of their arrival, a service that is short turns away as many of
-    /// the important as of the others.
+    /// Rank of the whole request that it belongs to. Calls on one route are made for requests
+    /// of all ranks; run in the order of their arrival, a service that is short turns away as
+    /// many of the important as of the others.
     pub whole_priority: Priority,
     /// When its answer is due to be worth most.
     pub due: Duration,
--- a/crates/kumquatquay-core/src/routed/store_follower.rs
+++ b/crates/kumquatquay-core/src/routed/store_follower.rs
@@ -33,8 +33,9 @@
 ///
 /// The store holds a read until there is news. It answers the pattern in which the store
 /// falls silent and comes back: a read that meets the silence is never answered, and looks
-/// like one that waits for news. A node that waits for it is deaf long after the store's return, and
-/// since a change wakes up all nodes at once, all are deaf in step and none can tell another.
+/// like one that waits for news. A node that waits for it is deaf long after the store's
+/// return, and since a change wakes up all nodes at once, all are deaf in step and none can
+/// tell another.
 ///
 /// So holds are drawn at random, short ones often: in a fleet some node always finds a
 /// silence out within half a second, and peers hear of what it reads. A read that is overdue
--- a/crates/kumquatquayd/src/routed/routes_watch.rs
+++ b/crates/kumquatquayd/src/routed/routes_watch.rs
@@ -38,10 +38,12 @@
         let pause = tokio::time::sleep(until.saturating_sub(node.now()));
         tokio::select! {
             Some(ended) = reads.join_next() => {
-                // One that was dropped ends without a result.
+                // A read doesn't panic, and none is aborted but with the whole set.
                 let Ok(ended) = ended else { continue };
                 if on_read_ended(&node, ended) {
-                    reads.abort_all();
+                    // What the others brought in the same moment, a failure at most, says
+                    // nothing of a store that has just answered.
+                    reads = JoinSet::new();
                 }
             }
             () = pause => {}
