Leave backend servers that fail out of line nearly alone

Cause: a run that fails at once counted as work done, so a server that fails each call told the shortest time of its service, and the weight of failures, a multiple of that time, vanished: it drew calls. Each caller saw only the few failures of its own. A run of eight calls needs all of them, so with one server of eight failing a third of the requests is left.

Now a failed run is no measure of work; the gate counts the runs that its backend server fails by its own doing (those that lost a call are left out, as many as calls were lost) and tells the share with each report; callers leave those that fail beyond the middle one of their service nearly alone, a third of a service at the most, and try them with one repeatable call in 500.

Sight: backend_out_of_line in the log, runs by outcome in the metrics. Tests: run_failures, five of target_table. In virtual time one server of eight that fails 0.9 of its runs gets under 100 of 20,000 calls.

--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -54,11 +54,14 @@
     /// A node that stops goes on taking calls for its backend server at first.
     #[display("late-leaving")]
     LateLeaving,
+    /// A backend server that fails more than its peers is left nearly alone.
+    #[display("out-of-line")]
+    OutOfLine,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::EntryLevels,
         Self::KeptGraph,
         Self::TracedCalls,
@@ -74,6 +77,7 @@
         Self::FirstLook,
         Self::SlowNear,
         Self::LateLeaving,
+        Self::OutOfLine,
     ];
 
     fn bit(self) -> u32 {
--- a/crates/kumquatquay-core/src/routed/target_table.rs
+++ b/crates/kumquatquay-core/src/routed/target_table.rs
@@ -9,7 +9,7 @@
 use kumquatquay_wire::{BackendLife, MemberRecord, MemberState, ServiceName, routed::GateReport};
 use rand::{Rng, seq::IndexedRandom};
 
-use super::{Mechanism, Mechanisms};
+use super::{LineChange, Mechanism, Mechanisms, out_of_line::OutOfLine};
 
 /// How long a gate's report counts; after that only this node's own calls do.
 const REPORT_LAPSE: Duration = Duration::from_secs(1);
@@ -64,6 +64,10 @@
 /// Time to run a call that is assumed while no host of a service has told.
 const FIRST_WORK_S: f64 = 0.05;
 
+/// One call in so many that may run again goes to a backend server that is left nearly alone,
+/// to find out whether it is well again.
+const TRIAL_INTERVAL_COUNT: u32 = 500;
+
 /// Candidates that are compared, of each kind.
 const COMPARED_COUNT: usize = 2;
 
@@ -74,6 +78,7 @@
     pub peer: SocketAddr,
     /// The backend server's life.
     pub life: Option<BackendLife>,
+    service: ServiceName,
     is_own_data_centre: bool,
     slots_count: u32,
     outstanding_count: u32,
@@ -123,6 +128,9 @@
     mechanisms: Mechanisms,
     targets: HashMap<SocketAddr, Target>,
     services: BTreeMap<ServiceName, Vec<SocketAddr>>,
+    /// Backend servers that fail more than their peers, by service.
+    out_of_line: HashMap<ServiceName, OutOfLine>,
+    line_changes: Vec<LineChange>,
 }
 
 impl TargetTable {
@@ -151,11 +159,19 @@
             let same_life = known
                 .remove(&record.control)
                 .filter(|target| target.life == record.life && target.peer == record.peer);
-            let target = same_life.unwrap_or_else(|| Target::new(record, own_data_centre));
+            let target = same_life
+                .filter(|target| target.service == *service)
+                .unwrap_or_else(|| Target::new(record, service, own_data_centre));
             self.targets.insert(record.control, target);
             let controls = self.services.entry(service.clone()).or_default();
             controls.push(record.control);
         }
+        self.out_of_line
+            .retain(|service, _| self.services.contains_key(service));
+        let services: Vec<ServiceName> = self.out_of_line.keys().cloned().collect();
+        for service in services {
+            self.refresh_out_of_line(&service);
+        }
     }
 
     /// Services that are known.
@@ -163,13 +179,40 @@
         self.services.len()
     }
 
+    /// Whether the backend server of a service fails far more runs than its peers.
+    pub fn is_out_of_line(&self, service: &str, control: SocketAddr) -> bool {
+        let out_of_line = self.out_of_line.get(service);
+        out_of_line.is_some_and(|known| known.contains(control))
+    }
+
+    /// Those that fail more than their peers; there are none with the mechanism off.
+    fn refresh_out_of_line(&mut self, service: &str) {
+        if !self.mechanisms.is_on(Mechanism::OutOfLine) {
+            return;
+        }
+        let controls = self.services.get(service).into_iter().flatten();
+        let told: Vec<(SocketAddr, f64)> = controls
+            .map(|control| (*control, self.targets[control].report.failed_ratio()))
+            .collect();
+        let known = self.out_of_line.entry(ServiceName::from(service));
+        let changes = known.or_default().refresh(service, &told);
+        self.line_changes.extend(changes);
+    }
+
+    /// Backend servers that were left nearly alone, or called again, since this was asked last.
+    pub fn take_line_changes(&mut self) -> Vec<LineChange> {
+        std::mem::take(&mut self.line_changes)
+    }
+
     /// The best backend server of a service for a call that was not yet sent to
-    /// those in `excluded`; it counts as sent.
+    /// those in `excluded`; it counts as sent. A call that `may_repeat` may be the one that
+    /// tries a server that failed.
     pub fn choose(
         &mut self,
         now: Duration,
         service: &str,
         excluded: &[SocketAddr],
+        may_repeat: bool,
         random: &mut impl Rng,
     ) -> Option<Choice> {
         let controls = self.services.get(service)?;
@@ -177,8 +220,17 @@
             .iter()
             .copied()
             .filter(|control| !excluded.contains(control) && self.targets[control].is_open(now));
-        let (near, far): (Vec<_>, Vec<_>) =
-            open.partition(|control| self.targets[control].is_own_data_centre);
+        let (failing, sound): (Vec<_>, Vec<_>) =
+            open.partition(|control| self.is_out_of_line(service, *control));
+        let tries_failing = may_repeat && random.random_ratio(1, TRIAL_INTERVAL_COUNT);
+        let open = if sound.is_empty() || (tries_failing && !failing.is_empty()) {
+            failing
+        } else {
+            sound
+        };
+        let (near, far): (Vec<_>, Vec<_>) = open
+            .into_iter()
+            .partition(|control| self.targets[control].is_own_data_centre);
         let best_near = self.best_of_some(now, &near, random);
         let near_will_do = best_near.is_some_and(|control| self.will_do(now, control, &far));
         let best = if near_will_do {
@@ -213,6 +265,8 @@
             return;
         };
         target.outstanding_count = target.outstanding_count.saturating_sub(1);
+        let is_other_ratio =
+            report.is_some_and(|report| report.failed_permille != target.report.failed_permille);
         if let Some(report) = report {
             target.report = report;
             target.report_told = Some(now);
@@ -231,6 +285,10 @@
             }
             TargetEnded::Full | TargetEnded::GivenUp => {}
         }
+        if is_other_ratio {
+            let service = target.service.clone();
+            self.refresh_out_of_line(&service);
+        }
     }
 
     /// A node can't be reached; it gets no calls until it is [`reached`](Self::reached).
@@ -317,10 +375,11 @@
 }
 
 impl Target {
-    fn new(record: &MemberRecord, own_data_centre: &str) -> Self {
+    fn new(record: &MemberRecord, service: &str, own_data_centre: &str) -> Self {
         Self {
             peer: record.peer,
             life: record.life.clone(),
+            service: ServiceName::from(service),
             is_own_data_centre: record.data_centre == own_data_centre,
             slots_count: record.slots_count,
             outstanding_count: 0,
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -13,6 +13,7 @@
 mod mechanisms;
 mod retry_window;
 mod route_table;
+mod run_failures;
 mod split;
 mod store_follower;
 mod target_table;
--- /dev/null
+++ b/crates/kumquatquay-core/tests/routed/run_failures.rs
@@ -0,0 +1,61 @@
+//! Which failures are a backend server's own.
+
+use kumquatquay_core::routed::RunFailures;
+use kumquatquay_wire::BackendLife;
+
+use crate::at_ms;
+
+/// A backend server fails each run at once. Callers should hear of it before each of them
+/// has lost calls to it: within ten runs.
+#[test]
+fn a_server_that_fails_each_run_is_told_soon() {
+    let mut failures = RunFailures::default();
+    for _ in 0..100 {
+        failures.ended_well();
+    }
+    for run in 0..10 {
+        failures.failed(at_ms(run));
+    }
+    assert!(failures.ratio() > 0.25, "{}", failures.ratio());
+}
+
+/// The service behind loses one call of eight, and each run that lost one fails. The
+/// server that ran it is sound, and must not be left out for that.
+#[test]
+fn runs_that_lost_a_call_are_not_its_own_failures() {
+    let mut failures = RunFailures::default();
+    for run in 0..200 {
+        let now = at_ms(run * 10);
+        if run % 2 == 0 {
+            failures.call_lost(now);
+            failures.failed(now);
+        } else {
+            failures.ended_well();
+        }
+    }
+    assert!(failures.ratio() < 0.01, "{}", failures.ratio());
+}
+
+/// A call was lost long ago, and its run has been answered in spite of it. What fails later is
+/// the server's own.
+#[test]
+fn a_lost_call_excuses_nothing_later() {
+    let mut failures = RunFailures::default();
+    failures.call_lost(at_ms(0));
+    failures.failed(at_ms(5_000));
+    assert!(failures.ratio() > 0.0);
+}
+
+/// The server was replaced; the new one begins with nothing held against it.
+#[test]
+fn another_life_begins_with_none() {
+    let mut failures = RunFailures::default();
+    failures.on_life(&BackendLife::untold("old"));
+    for run in 0..50 {
+        failures.failed(at_ms(run));
+    }
+    failures.on_life(&BackendLife::untold("old"));
+    assert!(failures.ratio() > 0.9);
+    failures.on_life(&BackendLife::untold("new"));
+    assert_eq!(failures.ratio(), 0.0);
+}
--- a/crates/kumquatquay-core/tests/routed/target_table.rs
+++ b/crates/kumquatquay-core/tests/routed/target_table.rs
@@ -34,6 +34,7 @@
         limit_count: 10,
         work_us: work_ms * 1_000,
         level_permille: 1_000,
+        failed_permille: 0,
     }
 }
 
@@ -57,7 +58,9 @@
 fn spread(table: &mut TargetTable, random: &mut StdRng, count: usize) -> BTreeMap<u8, usize> {
     let mut counts = BTreeMap::new();
     for _ in 0..count {
-        let choice = table.choose(at_ms(0), "archive", &[], random).unwrap();
+        let choice = table
+            .choose(at_ms(0), "archive", &[], false, random)
+            .unwrap();
         table.ended(at_ms(0), choice.control, TargetEnded::GivenUp, None);
         let SocketAddr::V4(control) = choice.control else {
             panic!("an IPv4 address");
@@ -136,10 +139,10 @@
     table.ended(at_ms(0), address(1), TargetEnded::Lost, None);
     let excluded = [address(2), address(3)];
     assert_eq!(
-        table.choose(at_ms(100), "archive", &excluded, &mut random),
+        table.choose(at_ms(100), "archive", &excluded, false, &mut random),
         None
     );
-    let choice = table.choose(at_ms(400), "archive", &excluded, &mut random);
+    let choice = table.choose(at_ms(400), "archive", &excluded, false, &mut random);
     assert_eq!(choice.unwrap().control, address(1));
 }
 
@@ -149,7 +152,10 @@
     let members = [member(1, "near", MemberState::Draining)];
     table.rebuild("near", members.iter());
     let mut random = StdRng::seed_from_u64(1);
-    assert_eq!(table.choose(at_ms(0), "archive", &[], &mut random), None);
+    assert_eq!(
+        table.choose(at_ms(0), "archive", &[], false, &mut random),
+        None
+    );
 }
 
 /// A backend server was replaced at the same address. What was learnt of the one
@@ -161,7 +167,9 @@
     let mut replaced = member(1, "near", MemberState::Serving);
     replaced.life = Some(BackendLife::untold("new"));
     table.rebuild("near", [replaced].iter());
-    let choice = table.choose(at_ms(1), "archive", &[], &mut random).unwrap();
+    let choice = table
+        .choose(at_ms(1), "archive", &[], false, &mut random)
+        .unwrap();
     assert_eq!(choice.life, Some(BackendLife::untold("new")));
 }
 
@@ -185,7 +193,7 @@
     let mut calls_count = 0;
     for call in 0..30 {
         let choice = table
-            .choose(at_ms(call), "archive", &[], &mut random)
+            .choose(at_ms(call), "archive", &[], false, &mut random)
             .unwrap();
         calls_count += u32::from(choice.control == address(4));
         let report = (choice.control != address(4)).then(|| report(4, 22));
@@ -202,12 +210,12 @@
     assert!(table.lost(address(1)));
     assert!(!table.lost(address(99)));
     for call in 0..50 {
-        let choice = table.choose(at_ms(call * 200), "archive", &[], &mut random);
+        let choice = table.choose(at_ms(call * 200), "archive", &[], false, &mut random);
         assert_ne!(choice.unwrap().control, address(1));
     }
     table.reached(address(1));
     let excluded = [address(2), address(3)];
-    let choice = table.choose(at_ms(10_000), "archive", &excluded, &mut random);
+    let choice = table.choose(at_ms(10_000), "archive", &excluded, false, &mut random);
     assert_eq!(choice.unwrap().control, address(1));
 }
 
@@ -235,7 +243,9 @@
             TargetEnded::Answered,
             Some(report(3, work_ms)),
         );
-        let choice = table.choose(at_ms(1), "archive", &[], &mut random).unwrap();
+        let choice = table
+            .choose(at_ms(1), "archive", &[], false, &mut random)
+            .unwrap();
         table.ended(at_ms(1), choice.control, TargetEnded::GivenUp, None);
         choice.control
     };
@@ -243,3 +253,90 @@
     assert_eq!(choose_with(1_200), address(3));
     assert_eq!(choose_with(100), address(1));
 }
+
+/// Eight hosts, none near.
+fn eight() -> (TargetTable, StdRng) {
+    let members = (1..=8).map(|host| member(host, "far", MemberState::Serving));
+    let members: Vec<MemberRecord> = members.collect();
+    let mut table = TargetTable::default();
+    table.rebuild("near", members.iter());
+    (table, StdRng::seed_from_u64(7))
+}
+
+/// The gate of a host tells its work and the share of runs that fail there.
+fn tell_failures(table: &mut TargetTable, host: u8, work_ms: u32, failed_ratio: f64) {
+    let failed_permille = (failed_ratio * 1_000.0) as u16;
+    let report = GateReport {
+        failed_permille,
+        ..report(2, work_ms)
+    };
+    tell(table, host, TargetEnded::Answered, report);
+}
+
+/// One backend server of eight fails each run, and says that it is well. It looks idle, and
+/// a run of eight calls needs all of them: with an eighth of the calls going there, a third of
+/// the requests is left. It gets one call in some hundreds, which shows when it is well.
+#[test]
+fn a_server_that_fails_out_of_line_is_left_nearly_alone() {
+    let (mut table, mut random) = eight();
+    for host in 2..=8 {
+        tell_failures(&mut table, host, 44, 0.02);
+    }
+    tell_failures(&mut table, 1, 44, 0.9);
+    assert!(table.is_out_of_line("archive", address(1)));
+    let mut calls_count = 0;
+    for _ in 0..20_000 {
+        let choice = table.choose(at_ms(0), "archive", &[], true, &mut random);
+        let control = choice.unwrap().control;
+        calls_count += u32::from(control == address(1));
+        table.ended(at_ms(0), control, TargetEnded::GivenUp, None);
+    }
+    assert!((10..=100).contains(&calls_count), "{calls_count} of 20000");
+    tell_failures(&mut table, 1, 44, 0.05);
+    assert!(!table.is_out_of_line("archive", address(1)));
+}
+
+/// What may run once at most is never a trial.
+#[test]
+fn no_call_that_may_run_once_tries_a_failing_server() {
+    let (mut table, mut random) = eight();
+    tell_failures(&mut table, 1, 44, 0.9);
+    for _ in 0..5_000 {
+        let choice = table.choose(at_ms(0), "archive", &[], false, &mut random);
+        let control = choice.unwrap().control;
+        assert_ne!(control, address(1));
+        table.ended(at_ms(0), control, TargetEnded::GivenUp, None);
+    }
+}
+
+/// Most of a service fails: the cause isn't theirs. Left out, their load would press on the
+/// others.
+#[test]
+fn a_service_that_fails_everywhere_is_not_left_alone() {
+    let (mut table, _) = eight();
+    for host in 1..=6 {
+        tell_failures(&mut table, host, 44, 0.8);
+    }
+    assert!((1..=8).all(|host| !table.is_out_of_line("archive", address(host))));
+}
+
+/// Three of eight fail: a third of the service is two.
+#[test]
+fn a_third_of_a_service_is_left_alone_at_the_most() {
+    let (mut table, _) = eight();
+    for host in 1..=3 {
+        tell_failures(&mut table, host, 44, 0.8);
+    }
+    let out = (1..=8).filter(|host| table.is_out_of_line("archive", address(*host)));
+    assert_eq!(out.count(), 2);
+}
+
+/// Only the failing one is left to ask.
+#[test]
+fn a_failing_server_is_asked_where_there_is_no_other() {
+    let (mut table, mut random) = eight();
+    tell_failures(&mut table, 1, 44, 0.9);
+    let excluded: Vec<SocketAddr> = (2..=8).map(address).collect();
+    let choice = table.choose(at_ms(0), "archive", &excluded, false, &mut random);
+    assert_eq!(choice.unwrap().control, address(1));
+}
--- a/crates/kumquatquay-wire/src/routed/gate_report.rs
+++ b/crates/kumquatquay-wire/src/routed/gate_report.rs
@@ -18,6 +18,8 @@
     /// Share of the ranks of whole requests for which the gate has room, in
     /// thousandths.
     pub level_permille: u16,
+    /// Share of the backend server's last runs that failed by its own doing, in thousandths.
+    pub failed_permille: u16,
 }
 
 impl GateReport {
@@ -31,6 +33,11 @@
         f64::from(self.level_permille) / 1_000.0
     }
 
+    /// Share of the backend server's last runs that failed by its own doing.
+    pub fn failed_ratio(&self) -> f64 {
+        f64::from(self.failed_permille.min(1_000)) / 1_000.0
+    }
+
     /// Calls at the gate over those that it lets run.
     pub fn fill_ratio(&self) -> f64 {
         let calls_count = self.running_count + self.waiting_count;
@@ -47,6 +54,7 @@
             limit_count: 0,
             work_us: 0,
             level_permille: 1_000,
+            failed_permille: 0,
         }
     }
 }
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -107,6 +107,8 @@
     progress: Progress,
     /// An attempt of which it isn't known whether it ran.
     unknown: Option<UnknownReason>,
+    /// The answer of a backend server that ran the call and failed it.
+    failed: Option<LinkAnswer>,
 }
 
 enum Verdict {
@@ -117,6 +119,11 @@
 impl Course {
     fn judge(&mut self, node: &RoutedNode, call: &OutgoingCall, answer: &LinkAnswer) -> Verdict {
         match &answer.outcome {
+            LinkOutcome::Answered { .. } if self.may_run_elsewhere(node, call, answer) => {
+                self.progress.sends_count += 1;
+                self.failed = Some(answer.clone());
+                self.once_more(node, call)
+            }
             LinkOutcome::Answered { .. } => Verdict::Final,
             LinkOutcome::NotRun(NotRunReason::TurnedAway) => {
                 self.progress.sends_count += 1;
@@ -139,6 +146,21 @@
         }
     }
 
+    /// Whether a failed run is worth another one: the backend server fails runs that its peers
+    /// don't. Where they fail alike, a request that failed fails again.
+    fn may_run_elsewhere(
+        &self,
+        node: &RoutedNode,
+        call: &OutgoingCall,
+        answer: &LinkAnswer,
+    ) -> bool {
+        let is_idempotent = call.route.settings.repeat == Repeat::Idempotent;
+        let last = self.progress.last.filter(|_| is_idempotent);
+        let targets = node.targets.borrow();
+        answer.is_failed_run()
+            && last.is_some_and(|control| targets.is_out_of_line(&call.service, control))
+    }
+
     /// The last attempt has not run, so the call has not, unless an earlier one may have.
     fn forget_hand_over(&self, call: &OutgoingCall) {
         if self.unknown.is_none() {
@@ -221,6 +243,12 @@
 
     /// A later refusal says nothing of an earlier attempt that may have run.
     fn end(self, answer: LinkAnswer) -> LinkAnswer {
+        if matches!(answer.outcome, LinkOutcome::Answered { .. }) {
+            return answer;
+        }
+        if let Some(failed) = self.failed {
+            return failed;
+        }
         match (&answer.outcome, self.unknown) {
             (LinkOutcome::NotRun(_), Some(reason)) => LinkAnswer::unknown(reason),
             _ => answer,
@@ -239,7 +267,8 @@
 fn choose(node: &RoutedNode, call: &OutgoingCall, asked: &[SocketAddr]) -> Option<Choice> {
     let mut random = node.random.borrow_mut();
     let mut targets = node.targets.borrow_mut();
-    targets.choose(node.now(), &call.service, asked, &mut *random)
+    let may_repeat = call.route.settings.repeat == Repeat::Idempotent;
+    targets.choose(node.now(), &call.service, asked, may_repeat, &mut *random)
 }
 
 /// Counts an attempt that is dropped before it has an answer.
@@ -332,7 +361,7 @@
 
 fn ended_of(outcome: &LinkOutcome) -> TargetEnded {
     match outcome {
-        LinkOutcome::Answered { status, .. } if *status >= 500 => TargetEnded::Failed,
+        // Its gate tells how many runs it fails, those that lost a call left out.
         LinkOutcome::Answered { .. } => TargetEnded::Answered,
         LinkOutcome::NotRun(NotRunReason::Full) => TargetEnded::Full,
         LinkOutcome::NotRun(NotRunReason::Late) => TargetEnded::GivenUp,
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -143,7 +143,11 @@
     let now = node.now();
     let name = &call.route.settings.name;
     let is_called = node.levels.borrow().is_from_outside(now, name) == Some(false);
-    if is_called && node.is_on(Mechanism::KeptGraph) {
+    if !is_called {
+        return;
+    }
+    node.failures.borrow_mut().call_lost(now);
+    if node.is_on(Mechanism::KeptGraph) {
         node.graph.borrow_mut().call_failed(now, name);
     }
 }
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -116,7 +116,7 @@
 }
 
 /// What came of a call that was sent over a link.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct LinkAnswer {
     pub(crate) outcome: LinkOutcome,
     pub(crate) body: Bytes,
@@ -139,6 +139,15 @@
         matches!(self.outcome, LinkOutcome::Answered { status, .. } if status < 400)
     }
 
+    /// Whether a backend server ran the call and brought nothing of use.
+    pub(crate) fn is_failed_run(&self) -> bool {
+        match self.outcome {
+            LinkOutcome::Answered { status, .. } => status >= 500,
+            LinkOutcome::Unknown(_) => true,
+            LinkOutcome::NotRun(_) => false,
+        }
+    }
+
     /// This answer if it is a backend server's, or else what another attempt of the same
     /// call brings. That the other one has not run says nothing of this one.
     pub(crate) async fn or_whole(self, other: impl Future<Output = Self>) -> Self {
--- a/crates/kumquatquayd/src/routed/members.rs
+++ b/crates/kumquatquayd/src/routed/members.rs
@@ -47,6 +47,7 @@
         LifeState::Serving => MemberState::Warming,
         LifeState::Draining | LifeState::Gone => MemberState::Draining,
     };
+    node.failures.borrow_mut().on_life(&current.life);
     log::info!(event = "backend", life:% = current.life, state:% = state,
         slots = current.slots_count, sequence = current.sequence;
         "the backend server of this host told how it is");
@@ -81,10 +82,22 @@
             refresh(&node);
         }
         node.backend.drop_stale();
+        log_line_changes(&node);
         tokio::time::sleep(REFRESH_INTERVAL).await;
     }
 }
 
+/// Tells which backend servers fail more than their peers, with what that was judged by.
+fn log_line_changes(node: &RoutedNode) {
+    let changes = node.targets.borrow_mut().take_line_changes();
+    for change in changes {
+        log::warn!(event = "backend_out_of_line", service = change.service.as_str(),
+            node:% = change.control, left_alone = change.is_out,
+            failed = change.failed_ratio, middle = change.middle_ratio;
+            "a backend server fails far more runs than its peers, or no longer");
+    }
+}
+
 fn refresh(node: &RoutedNode) {
     let members = node.engine.members();
     let is_there = |state| state != MemberState::Gone;
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -13,8 +13,8 @@
     Clock,
     routed::{
         BackendLives, BackendPulse, CallGraph, CallTracer, CallerCensus, EntryLevels, GateRepeats,
-        GraphRow, HostGate, LevelSetter, Mechanism, RetryWindow, RouteTable, StoreFollower,
-        TargetTable,
+        GraphRow, HostGate, LevelSetter, Mechanism, RetryWindow, RouteTable, RunFailures,
+        StoreFollower, TargetTable,
     },
 };
 use kumquatquay_wire::{
@@ -97,6 +97,8 @@
     pub(crate) lives: RefCell<BackendLives>,
     /// Whether the backend server of this host gives answers.
     pub(crate) pulse: RefCell<BackendPulse>,
+    /// Failures of the backend server of this host.
+    pub(crate) failures: RefCell<RunFailures>,
     /// Sets the level of the gate of this host.
     pub(crate) level: RefCell<LevelSetter>,
     /// From where routes to the backend server of this host are called.
@@ -163,6 +165,7 @@
             gate: RefCell::default(),
             lives: RefCell::default(),
             pulse: RefCell::default(),
+            failures: RefCell::default(),
             news: RefCell::default(),
             level: RefCell::default(),
             census: RefCell::default(),
@@ -232,7 +235,11 @@
     /// How busy the backend server of this host is.
     pub(crate) fn gate_report(&self) -> GateReport {
         let level = self.level.borrow().level();
-        self.gate.borrow().report(level)
+        let failed_ratio = self.failures.borrow().ratio();
+        GateReport {
+            failed_permille: (failed_ratio * 1_000.0) as u16,
+            ..self.gate.borrow().report(level)
+        }
     }
 
     /// Whether a mechanism decides here.
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -313,9 +313,11 @@
         slot.began = node.now();
         let handed_over = hand_over_once(node, timed, body.clone()).await;
         let is_turned_away = matches!(handed_over, HandedOver::TurnedAway);
+        count_run(node, &handed_over);
         node.gate_repeats.borrow_mut().on_result(is_turned_away);
         if let HandedOver::Ended(answer) = handed_over {
-            slot.counts_work = matches!(answer.outcome, LinkOutcome::Answered { .. });
+            // A server that fails at once would tell that it is the fastest.
+            slot.counts_work = answer.is_success();
             return answer;
         }
         if !is_handed_over_again(node, timed, hand_overs_count) {
@@ -326,6 +328,29 @@
     LinkAnswer::not_run(NotRunReason::TurnedAway)
 }
 
+/// Counts how a run ended, and whether that was the backend server's own doing.
+fn count_run(node: &RoutedNode, handed_over: &HandedOver) {
+    let now = node.now();
+    let mut failures = node.failures.borrow_mut();
+    let outcome = match handed_over {
+        HandedOver::TurnedAway => {
+            failures.turned_away();
+            "turned_away"
+        }
+        HandedOver::Ended(answer) if answer.is_failed_run() => {
+            failures.failed(now);
+            "failed"
+        }
+        HandedOver::Ended(answer) if answer.is_success() => {
+            failures.ended_well();
+            "well"
+        }
+        HandedOver::Ended(_) => "other",
+    };
+    drop(failures);
+    node.decisions.count("run", outcome);
+}
+
 fn is_handed_over_again(node: &RoutedNode, timed: &Timed<'_>, hand_overs_count: u32) -> bool {
     let now = node.now();
     if check_open(node, timed).is_err() || now > timed.latest_start(node) {
