--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -18,11 +18,13 @@
 mod link_health;
 mod mechanisms;
 mod out_of_line;
+mod register_course;
 mod retry_window;
 mod route_table;
 mod run_failures;
 mod split;
 mod store_follower;
+mod store_readers;
 mod target_table;
 
 pub use backend_lives::{BackendLives, LifeReport, LifeState, ReportRefusal};
@@ -37,9 +39,13 @@
 pub use link_health::{LinkHealth, LinkStep};
 pub use mechanisms::{Mechanism, Mechanisms, UnknownMechanism};
 pub use out_of_line::LineChange;
+pub use register_course::{
+    RegisterCourse, RegisterLook, RegisterPlace, RegisterStep, register_place,
+};
 pub use retry_window::RetryWindow;
 pub use route_table::{RouteTable, TableRoute};
 pub use run_failures::RunFailures;
 pub use split::Split;
-pub use store_follower::{FollowStep, StoreFollower};
+pub use store_follower::{FollowStep, FollowerFleet, StoreFollower};
+pub use store_readers::StoreReaders;
 pub use target_table::{Choice, Target, TargetEnded, TargetTable};
--- /dev/null
+++ b/crates/kumquatquay-core/src/routed/register_course.rs
@@ -0,0 +1,183 @@
+//! How a node that starts finds the others by the register in the store.
+
+use std::{net::SocketAddr, time::Duration};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+/// Place of an entry in the order of the register, which has nothing to do with where hosts
+/// stand or when they came.
+pub type RegisterPlace = u32;
+
+/// Others on a page below which the next page is read too: a node whose entry is one of the
+/// last would know next to nobody.
+const ENOUGH_COUNT: usize = 16;
+
+/// Pause after a call that failed, at first and at most; it doubles, and is drawn between half
+/// of it and one and a half, so that nodes that failed together don't ask together.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+const RETRY_PAUSE_MOST: Duration = Duration::from_secs(8);
+
+/// Time in which those that were found answer an introduction, at first; it doubles each time
+/// that nobody did, up to the most.
+const ANSWER_PAUSE: Duration = Duration::from_millis(1_500);
+const ANSWER_PAUSE_MOST: Duration = Duration::from_secs(30);
+
+/// The least part of the register that a page is taken to span: one at its end may hold a
+/// single entry.
+const ESTIMATE_LEAST_SHARE: f64 = 0.005;
+
+/// Where a node enters itself in the register: the same place in each of its lives.
+pub fn register_place(control: SocketAddr) -> RegisterPlace {
+    let hash = blake3::hash(control.to_string().as_bytes());
+    let first = hash.as_bytes()[..4].try_into();
+    RegisterPlace::from_be_bytes(first.expect("a BLAKE3 hash has 32 bytes"))
+}
+
+/// What a node does next about the register.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RegisterStep {
+    /// It enters itself.
+    Enter,
+    /// It reads one page of entries, from this place on.
+    Look {
+        /// The first place on the page.
+        place: RegisterPlace,
+    },
+    /// Nothing before this moment.
+    Wait {
+        /// Time since the node's start.
+        until: Duration,
+    },
+    /// Nothing any more: the members tell each other the rest.
+    Done,
+}
+
+/// A page of the register, as far as it matters here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RegisterLook {
+    /// The first place that was asked for.
+    pub place: RegisterPlace,
+    /// Place of the last entry on it, where there is one.
+    pub last_place: Option<RegisterPlace>,
+    /// Other nodes on it.
+    pub others_count: usize,
+    /// Whether the register ends with it.
+    pub is_last: bool,
+}
+
+impl RegisterLook {
+    /// Nodes in the whole register, by how close to each other those on this page lie.
+    pub fn estimate_count(&self) -> usize {
+        let last_place = self.last_place.filter(|_| !self.is_last);
+        let to = last_place.unwrap_or(RegisterPlace::MAX);
+        let share = f64::from(to.saturating_sub(self.place)) / f64::from(RegisterPlace::MAX);
+        let nodes_count = (self.others_count + 1) as f64;
+        (nodes_count / share.max(ESTIMATE_LEAST_SHARE)) as usize
+    }
+}
+
+/// How a node enters itself and finds some others: two or three calls at the store, however
+/// many nodes there are.
+///
+/// It needs a few peers only, who have the whole table. It enters itself and then reads the
+/// page behind its own entry. Of any two nodes the one that reads later finds the other or
+/// somebody before it, so all are joined, though they start at the same moment; and since
+/// places are drawn by a hash, each node finds others, of all data centres. It looks again only
+/// while nobody that it found has answered.
+///
+/// Reading the whole register at each start costs as many pages as there are nodes, over fifty:
+/// at 5,100 nodes all starts of a day, or one of all nodes, would take more than the store
+/// gives.
+#[derive(Debug)]
+pub struct RegisterCourse {
+    own: RegisterPlace,
+    random: StdRng,
+    stage: Stage,
+    next_at: Duration,
+    retry_pause: Duration,
+    answer_pause: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Enter,
+    Look {
+        place: RegisterPlace,
+    },
+    /// Those that were found are introduced to.
+    Introduced {
+        found_count: usize,
+    },
+    Done,
+}
+
+impl RegisterCourse {
+    /// A node that starts now; the seed is of its random times.
+    pub fn new(now: Duration, control: SocketAddr, random_seed: u64) -> Self {
+        Self {
+            own: register_place(control),
+            random: StdRng::seed_from_u64(random_seed),
+            stage: Stage::Enter,
+            next_at: now,
+            retry_pause: RETRY_PAUSE,
+            answer_pause: ANSWER_PAUSE,
+        }
+    }
+
+    /// What is to be done now by a node that knows so many others.
+    pub fn step(&mut self, now: Duration, peers_count: usize) -> RegisterStep {
+        if self.stage != Stage::Done && now < self.next_at {
+            return RegisterStep::Wait {
+                until: self.next_at,
+            };
+        }
+        match self.stage {
+            Stage::Enter => RegisterStep::Enter,
+            Stage::Look { place } => RegisterStep::Look { place },
+            Stage::Introduced { found_count } if peers_count < found_count.min(1) => {
+                self.look_elsewhere()
+            }
+            // The first node of all finds nobody, and who comes later finds it.
+            Stage::Introduced { .. } | Stage::Done => {
+                self.stage = Stage::Done;
+                RegisterStep::Done
+            }
+        }
+    }
+
+    /// The store has taken the entry.
+    pub fn entered(&mut self, now: Duration) {
+        self.retry_pause = RETRY_PAUSE;
+        self.stage = Stage::Look { place: self.own };
+        self.next_at = now;
+    }
+
+    /// A page was read, and those on it were introduced to.
+    pub fn looked(&mut self, now: Duration, look: RegisterLook) {
+        self.retry_pause = RETRY_PAUSE;
+        let is_first_page = self.stage == Stage::Look { place: 0 };
+        if look.others_count < ENOUGH_COUNT && look.is_last && !is_first_page {
+            self.stage = Stage::Look { place: 0 };
+            self.next_at = now;
+            return;
+        }
+        let found_count = look.others_count;
+        self.stage = Stage::Introduced { found_count };
+        self.next_at = now + self.answer_pause;
+    }
+
+    /// A call brought nothing: it was refused, or had no answer in time. An entry that may
+    /// have been made is made again; that changes nothing.
+    pub fn failed(&mut self, now: Duration) {
+        self.next_at = now + self.retry_pause.mul_f64(self.random.random_range(0.5..1.5));
+        self.retry_pause = (self.retry_pause * 2).min(RETRY_PAUSE_MOST);
+    }
+
+    /// All that were found may be hosts that are gone for good, so another page is read.
+    fn look_elsewhere(&mut self) -> RegisterStep {
+        self.answer_pause = (self.answer_pause * 2).min(ANSWER_PAUSE_MOST);
+        let place = self.random.random();
+        self.stage = Stage::Look { place };
+        RegisterStep::Look { place }
+    }
+}
--- a/crates/kumquatquay-core/src/routed/store_follower.rs
+++ b/crates/kumquatquay-core/src/routed/store_follower.rs
@@ -4,10 +4,12 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-/// Longest time for which the store may hold a read, for each node that is known, and its
-/// bounds. Holds are drawn with a mean of a third of it, so that all nodes together end 7.5
+use super::StoreReaders;
+
+/// Longest time for which the store may hold a read, for each node that reads, and its
+/// bounds. Holds are drawn with a mean of a third of it, so that all readers together end six
 /// reads a second at the most: that is what finding a silence early costs in calls.
-const HOLD_PER_NODE: Duration = Duration::from_millis(400);
+const HOLD_PER_READER: Duration = Duration::from_millis(500);
 const HOLD_LEAST: Duration = Duration::from_secs(1);
 const HOLD_MOST: Duration = Duration::from_secs(30);
 
@@ -15,7 +17,21 @@
 /// answer takes some milliseconds.
 const PATIENCE: Duration = Duration::from_millis(250);
 
-/// Mean pause between reads while the store ails: for each node that is known, and its
+/// Time without word of the store, from anybody, after which a node that isn't a reader reads
+/// for itself: for each node that is known, and at the least. Peers tell of the store's answers
+/// with each call, and once in 1.5 s on a link without calls.
+const UNTOLD_PER_NODE: Duration = Duration::from_millis(2);
+const UNTOLD_LEAST: Duration = Duration::from_secs(1);
+
+/// Time over which the first reads of nodes that start together are spread, for each node that
+/// is known, and at the least. What the first ones read reaches the others meanwhile.
+const START_PER_NODE: Duration = Duration::from_millis(2);
+const START_LEAST: Duration = Duration::from_millis(300);
+
+/// Times by which a node that the store turns away, while it answers others, asks less often.
+const TURNED_AWAY_FACTOR: u32 = 8;
+
+/// Mean pause between reads while the store ails: for each node that asks, and its
 /// bounds. All nodes together begin 200 reads a second, or 640 at a size of 5,100; the
 /// stores of today take 2,000. With the least one a node reads within 0.75 s of the
 /// store's return.
@@ -31,18 +47,24 @@
 
 /// Decides when a node asks the store for a newer configuration.
 ///
-/// The store holds a read until there is news. It answers the pattern in which the store
-/// falls silent and comes back: a read that meets the silence is never answered, and looks
-/// like one that waits for news. A node that waits for it is deaf long after the store's
-/// return, and since a change wakes up all nodes at once, all are deaf in step and none can
-/// tell another.
+/// A few nodes of each data centre hold a read that the store answers once there is news; all
+/// others hear of a new version from their peers. The price doesn't grow with the fleet: when
+/// each node read for itself, each change, and each start of all, cost as many calls as there
+/// are nodes.
 ///
-/// So holds are drawn at random, short ones often: in a fleet some node always finds a
-/// silence out within half a second, and peers hear of what it reads. A read that is overdue
-/// isn't waited for; others that the store answers at once are begun beside it, in random
-/// pauses, until any is answered. What was begun before may still be answered: a store that
-/// is merely slow loses no read to the ones behind it. In the model of the tests a silence of
-/// 5.4 s left fleets without the newest configuration for 4.15 s; now it is under 1 s.
+/// The store may fall silent and come back: a read that meets the silence is never answered,
+/// and looks like one that waits for news. A node that waits for it is deaf long after the
+/// store's return, and since a change wakes up all readers at once, all are deaf in step and
+/// none can tell another. So holds are drawn at random, short ones often, and a read that is
+/// overdue isn't waited for: others that the store answers at once are begun beside it, in
+/// random pauses, until any is answered. What was begun before may still be answered: a store
+/// that is merely slow loses no read to the ones behind it.
+///
+/// Readers may be gone, cut off, or turned away. Nodes count the answers of the store
+/// that they know of and tell each other the count; where it stands still for a second, each
+/// node reads for itself, in random pauses. A count is told and not an age: ages that are told
+/// on become younger by the time that they take on the way, so that two nodes could tell each
+/// other for ever that the store was there just now.
 ///
 /// All times grow with the number of nodes, since the store counts the calls of all.
 #[derive(Debug)]
@@ -50,11 +72,32 @@
     random: StdRng,
     /// When another read begins, whatever is under way.
     next_at: Duration,
+    started: Duration,
+    /// Where in the time for first reads this node has its own, from 0 to 1.
+    start_place: f64,
+    has_read: bool,
     is_ailing: bool,
     is_under_way: bool,
+    /// Whether the store answers others and not this node.
+    is_turned_away: bool,
     /// Longest pause after news.
     after_news: Duration,
-    heard: Duration,
+    /// When the store answered this node last.
+    answered: Duration,
+    /// Answers of the store that are known of, and when another node told of a new one.
+    answers_count: u64,
+    told: Duration,
+    /// How long this node waits for word of the store, in shares of the least time.
+    patience: f64,
+}
+
+/// The fleet as far as a node knows it.
+#[derive(Clone, Copy, Debug)]
+pub struct FollowerFleet {
+    /// Nodes, this one included.
+    pub nodes_count: usize,
+    /// Those that read the store for all.
+    pub readers: StoreReaders,
 }
 
 /// What a node does next.
@@ -75,39 +118,98 @@
 impl StoreFollower {
     /// A node that starts now; the seed is of its random times.
     pub fn new(now: Duration, random_seed: u64) -> Self {
+        let mut random = StdRng::seed_from_u64(random_seed);
         Self {
-            random: StdRng::seed_from_u64(random_seed),
+            start_place: random.random(),
+            patience: draw_patience(&mut random),
+            random,
             next_at: now,
+            started: now,
+            has_read: false,
             is_ailing: false,
             is_under_way: false,
+            is_turned_away: false,
             after_news: AFTER_NEWS_LEAST,
-            heard: now,
+            answered: now,
+            answers_count: 0,
+            told: now,
         }
     }
 
-    /// What is to be done now, in a fleet of so many nodes.
-    pub fn step(&mut self, now: Duration, nodes_count: usize) -> FollowStep {
-        if now < self.next_at {
-            return FollowStep::Wait {
-                until: self.next_at,
-            };
+    /// What is to be done now.
+    pub fn step(&mut self, now: Duration, fleet: FollowerFleet) -> FollowStep {
+        let nodes_count = u32::try_from(fleet.nodes_count).unwrap_or(u32::MAX);
+        let readers_count = u32::try_from(fleet.readers.count).unwrap_or(u32::MAX);
+        let is_told = now < self.untold_at(nodes_count);
+        if !fleet.readers.is_reader && is_told && (self.is_ailing || self.is_under_way) {
+            // Peers tell what this node asked for.
+            self.is_ailing = false;
+            self.is_under_way = false;
+            self.next_at = now;
+        }
+        let due = self.due(nodes_count, fleet.readers);
+        if now < due {
+            return FollowStep::Wait { until: due };
         }
         // A read under way is overdue.
         self.is_ailing |= self.is_under_way;
         self.is_under_way = true;
-        let nodes_count = u32::try_from(nodes_count).unwrap_or(u32::MAX);
+        self.has_read = true;
         self.after_news = AFTER_NEWS_LEAST.max(AFTER_NEWS_PER_NODE * nodes_count);
         if self.is_ailing {
-            self.next_at = now + self.retry_pause(nodes_count);
+            self.is_turned_away = is_told && self.answers_count > 0;
+            let factor = if self.is_turned_away {
+                TURNED_AWAY_FACTOR
+            } else {
+                1
+            };
+            let asking_count = if fleet.readers.is_reader {
+                readers_count
+            } else {
+                nodes_count
+            };
+            self.next_at = now + self.retry_pause(asking_count) * factor;
             return FollowStep::Read {
                 hold: Duration::ZERO,
             };
         }
-        let hold = self.hold(nodes_count);
+        let most = if fleet.readers.is_reader {
+            HOLD_PER_READER.saturating_mul(readers_count)
+        } else {
+            // Nobody tells: it reads for itself alone.
+            UNTOLD_PER_NODE * nodes_count
+        };
+        let hold = self.hold(most);
         self.next_at = now + hold + PATIENCE;
         FollowStep::Read { hold }
     }
 
+    /// When the next read begins, if nothing changes.
+    fn due(&self, nodes_count: u32, readers: StoreReaders) -> Duration {
+        let start = START_LEAST.max(START_PER_NODE * nodes_count);
+        let first_at = if self.has_read {
+            Duration::ZERO
+        } else {
+            self.started + start.mul_f64(self.start_place)
+        };
+        let due = self.next_at.max(first_at);
+        if self.is_ailing && self.is_turned_away {
+            // Nobody else is answered any more either.
+            return due.min(self.untold_at(nodes_count));
+        }
+        if readers.is_reader || self.is_ailing || self.is_under_way {
+            due
+        } else {
+            due.max(self.untold_at(nodes_count))
+        }
+    }
+
+    /// When this node has been without word of the store for too long.
+    fn untold_at(&self, nodes_count: u32) -> Duration {
+        let least = UNTOLD_LEAST.max(UNTOLD_PER_NODE * nodes_count);
+        self.told + least.mul_f64(self.patience)
+    }
+
     /// The store answered a read; the others under way are to be dropped.
     pub fn answered(&mut self, now: Duration, has_news: bool) {
         let pause = if has_news {
@@ -118,7 +220,22 @@
         self.next_at = now + pause;
         self.is_ailing = false;
         self.is_under_way = false;
-        self.heard = now;
+        self.answered = now;
+        self.answers_count += 1;
+    }
+
+    /// Another node knows of so many answers of the store.
+    pub fn told(&mut self, now: Duration, answers_count: u64) {
+        if answers_count > self.answers_count {
+            self.answers_count = answers_count;
+            self.told = now;
+            self.patience = draw_patience(&mut self.random);
+        }
+    }
+
+    /// Answers of the store that are known of; told to other nodes.
+    pub fn answers_count(&self) -> u64 {
+        self.answers_count
     }
 
     /// A read brought nothing: it was refused, or had no answer in time.
@@ -134,21 +251,25 @@
         self.is_ailing
     }
 
-    /// Time since the store answered last.
+    /// Time since the store answered this node last.
     pub fn unheard(&self, now: Duration) -> Duration {
-        now.saturating_sub(self.heard)
+        now.saturating_sub(self.answered)
     }
 
-    fn hold(&mut self, nodes_count: u32) -> Duration {
-        let most = HOLD_PER_NODE.saturating_mul(nodes_count);
+    fn hold(&mut self, most: Duration) -> Duration {
         let drawn: f64 = self.random.random();
         // Squared, a fifth of the holds are under a twentieth of the longest one.
         most.clamp(HOLD_LEAST, HOLD_MOST).mul_f64(drawn * drawn)
     }
 
-    fn retry_pause(&mut self, nodes_count: u32) -> Duration {
-        let mean = RETRY_PER_NODE.saturating_mul(nodes_count);
+    /// Pause of a node that asks beside so many others, itself included.
+    fn retry_pause(&mut self, asking_count: u32) -> Duration {
+        let mean = RETRY_PER_NODE.saturating_mul(asking_count);
         let factor = self.random.random_range(0.5..1.5);
         mean.clamp(RETRY_LEAST, RETRY_MOST).mul_f64(factor)
     }
 }
+
+fn draw_patience(random: &mut StdRng) -> f64 {
+    random.random_range(1.0..1.5)
+}
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -11,11 +11,13 @@
 mod level_setter;
 mod link_health;
 mod mechanisms;
+mod register_course;
 mod retry_window;
 mod route_table;
 mod run_failures;
 mod split;
 mod store_follower;
+mod store_readers;
 mod target_table;
 
 use std::time::Duration;
--- /dev/null
+++ b/crates/kumquatquay-core/tests/routed/register_course.rs
@@ -0,0 +1,260 @@
+//! How nodes that start find each other by the register.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use kumquatquay_core::routed::{
+    RegisterCourse, RegisterLook, RegisterPlace, RegisterStep, register_place,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use crate::at_ms;
+
+/// Entries on a page of the store.
+const PAGE_COUNT: usize = 50;
+
+/// Time of a call at the store, and the most by which starts of one moment lie apart.
+const CALL_MS: u64 = 4;
+const STARTS_MS: u64 = 300;
+
+fn address(host: usize) -> SocketAddr {
+    let host = host as u16;
+    let [high, low] = host.to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], 7_000))
+}
+
+/// A call at the store that is under way.
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    step: RegisterStep,
+    done: Duration,
+}
+
+struct Host {
+    course: RegisterCourse,
+    call: Option<Call>,
+    wakes: Duration,
+}
+
+/// Hosts that start together, and the register in the store.
+struct Fleet {
+    hosts: Vec<Host>,
+    register: BTreeMap<(RegisterPlace, SocketAddr), usize>,
+    /// Who was introduced to whom; both know each other then.
+    joined: Vec<usize>,
+    peers_counts: Vec<usize>,
+    calls_count: usize,
+    /// One call of so many gets no answer, and is done all the same.
+    lost_one_of: Option<u32>,
+    random: StdRng,
+}
+
+impl Fleet {
+    fn new(hosts_count: usize, seed: u64) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let hosts = (0..hosts_count).map(|host| {
+            let starts = at_ms(random.random_range(0..STARTS_MS));
+            Host {
+                course: RegisterCourse::new(starts, address(host), seed * 10_000 + host as u64),
+                call: None,
+                wakes: starts,
+            }
+        });
+        Self {
+            hosts: hosts.collect(),
+            register: BTreeMap::new(),
+            joined: (0..hosts_count).collect(),
+            peers_counts: vec![0; hosts_count],
+            calls_count: 0,
+            lost_one_of: None,
+            random,
+        }
+    }
+
+    fn run(&mut self, until: Duration) {
+        let mut now = Duration::ZERO;
+        while now < until {
+            for host in 0..self.hosts.len() {
+                self.act(now, host);
+            }
+            now += at_ms(1);
+        }
+    }
+
+    fn act(&mut self, now: Duration, host: usize) {
+        if let Some(call) = self.hosts[host].call.take_if(|call| call.done <= now) {
+            self.end_call(now, host, call.step);
+        }
+        while self.hosts[host].call.is_none() && self.hosts[host].wakes <= now {
+            let peers_count = self.peers_counts[host];
+            let step = self.hosts[host].course.step(now, peers_count);
+            match step {
+                RegisterStep::Wait { until } => self.hosts[host].wakes = until,
+                RegisterStep::Done => self.hosts[host].wakes = Duration::MAX,
+                RegisterStep::Enter | RegisterStep::Look { .. } => {
+                    self.calls_count += 1;
+                    let done = now + at_ms(CALL_MS);
+                    self.hosts[host].call = Some(Call { step, done });
+                }
+            }
+        }
+    }
+
+    fn end_call(&mut self, now: Duration, host: usize, step: RegisterStep) {
+        if step == RegisterStep::Enter {
+            let key = (register_place(address(host)), address(host));
+            self.register.insert(key, host);
+        }
+        let is_lost = self
+            .lost_one_of
+            .is_some_and(|one_of| self.random.random_ratio(1, one_of));
+        if is_lost {
+            self.hosts[host].course.failed(now);
+            return;
+        }
+        match step {
+            RegisterStep::Enter => self.hosts[host].course.entered(now),
+            RegisterStep::Look { place } => self.look(now, host, place),
+            RegisterStep::Wait { .. } | RegisterStep::Done => {}
+        }
+    }
+
+    fn look(&mut self, now: Duration, host: usize, place: RegisterPlace) {
+        let first = (place, SocketAddr::from(([0, 0, 0, 0], 0)));
+        let behind = self.register.range(first..);
+        let is_last = behind.clone().count() <= PAGE_COUNT;
+        let page: Vec<(RegisterPlace, usize)> = behind
+            .take(PAGE_COUNT)
+            .map(|((place, _), found)| (*place, *found))
+            .collect();
+        let others = page.iter().filter(|(_, found)| *found != host);
+        let look = RegisterLook {
+            place,
+            last_place: page.last().map(|(place, _)| *place),
+            others_count: others.clone().count(),
+            is_last,
+        };
+        for (_, found) in others {
+            // Entries of hosts that are gone for good stand for nobody here.
+            if *found < self.hosts.len() {
+                self.introduce(host, *found);
+            }
+        }
+        self.hosts[host].course.looked(now, look);
+    }
+
+    fn introduce(&mut self, host: usize, other: usize) {
+        self.peers_counts[host] += 1;
+        self.peers_counts[other] += 1;
+        let (a, b) = (self.group(host), self.group(other));
+        self.joined[a] = b;
+    }
+
+    /// The group of nodes that know each other by way of others.
+    fn group(&self, host: usize) -> usize {
+        let mut group = host;
+        while self.joined[group] != group {
+            group = self.joined[group];
+        }
+        group
+    }
+
+    fn groups_count(&self) -> usize {
+        let hosts = 0..self.hosts.len();
+        hosts.filter(|host| self.joined[*host] == *host).count()
+    }
+}
+
+/// Names each size at which all hosts that start within 0.3 s find together.
+macro_rules! all_find_together {
+    ($($name:ident: $hosts_count:literal hosts, $seeds_count:literal seeds;)*) => {$(
+        /// All start at once and the register is empty: of any two the one that reads later
+        /// finds the other, or somebody before it. A start costs three calls at the most.
+        #[test]
+        fn $name() {
+            for seed in 0..$seeds_count {
+                let mut fleet = Fleet::new($hosts_count, seed);
+                fleet.run(at_ms(1_000));
+                assert_eq!(fleet.groups_count(), 1, "seed {seed}");
+                assert!(fleet.calls_count <= 3 * $hosts_count, "{}", fleet.calls_count);
+            }
+        }
+    )*};
+}
+
+all_find_together! {
+    three_find_together: 3 hosts, 50 seeds;
+    sixteen_find_together: 16 hosts, 50 seeds;
+    ninety_five_find_together: 95 hosts, 20 seeds;
+    a_thousand_find_together: 1_000 hosts, 3 seeds;
+    five_thousand_find_together: 5_100 hosts, 1 seeds;
+}
+
+/// One call of three gets no answer, and may have been done. Nodes ask again in random
+/// pauses, and all find together.
+#[test]
+fn lost_answers_keep_nobody_apart() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(95, seed);
+        fleet.lost_one_of = Some(3);
+        fleet.run(at_ms(20_000));
+        assert_eq!(fleet.groups_count(), 1, "seed {seed}");
+    }
+}
+
+/// A host starts again: its entry stands, and those of the others. The price is the same
+/// whatever the size of the fleet.
+#[test]
+fn a_restart_costs_three_calls_at_any_size() {
+    for hosts_count in [16, 95, 1_000, 5_100] {
+        for seed in 0..10 {
+            let mut fleet = Fleet::new(1, seed);
+            for other in 0..hosts_count {
+                let key = (register_place(address(other)), address(other));
+                fleet.register.insert(key, other);
+            }
+            fleet.peers_counts[0] = 1;
+            fleet.run(at_ms(5_000));
+            assert!(
+                fleet.calls_count <= 3,
+                "{hosts_count}: {}",
+                fleet.calls_count
+            );
+        }
+    }
+}
+
+/// All that it finds are entries of hosts that are gone for good: nobody answers. It looks
+/// elsewhere, in pauses that double, and doesn't give up.
+#[test]
+fn a_node_whom_nobody_answers_looks_again() {
+    let mut fleet = Fleet::new(1, 1);
+    for other in 1..400 {
+        let key = (register_place(address(other)), address(other));
+        fleet.register.insert(key, other);
+    }
+    fleet.run(at_ms(60_000));
+    assert!(
+        (5..=20).contains(&fleet.calls_count),
+        "{}",
+        fleet.calls_count
+    );
+}
+
+/// The size of the register is told from one page of it, within a third.
+#[test]
+fn a_page_tells_how_many_nodes_there_are() {
+    for hosts_count in [1_000, 5_100] {
+        let mut places: Vec<RegisterPlace> = (0..hosts_count)
+            .map(|host| register_place(address(host)))
+            .collect();
+        places.sort_unstable();
+        let look = RegisterLook {
+            place: places[100],
+            last_place: Some(places[100 + PAGE_COUNT - 1]),
+            others_count: PAGE_COUNT - 1,
+            is_last: false,
+        };
+        let told = look.estimate_count() as f64 / hosts_count as f64;
+        assert!((0.66..=1.5).contains(&told), "{hosts_count}: {told}");
+    }
+}
--- a/crates/kumquatquay-core/tests/routed/store_follower.rs
+++ b/crates/kumquatquay-core/tests/routed/store_follower.rs
@@ -11,7 +11,7 @@
 
 use std::time::Duration;
 
-use kumquatquay_core::routed::{FollowStep, StoreFollower};
+use kumquatquay_core::routed::{FollowStep, FollowerFleet, StoreFollower, StoreReaders};
 
 use crate::at_ms;
 
@@ -50,6 +50,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Scene {
     nodes_count: usize,
+    /// Nodes that read the store for all, the first ones.
+    readers_count: usize,
+    /// Readers that the store turns away all the time.
+    turned_away_count: usize,
     hears_peers: bool,
     ailment: Ailment,
     /// Time between the last confirmation before the ailment and its begin.
@@ -59,9 +63,11 @@
 }
 
 impl Scene {
-    /// Fifteen nodes that hear of each other.
+    /// Fifteen nodes in three data centres that hear of each other.
     const FLEET: Self = Self {
         nodes_count: 15,
+        readers_count: 6,
+        turned_away_count: 0,
         hears_peers: true,
         ailment: Ailment::Silent,
         gap_ms: 2_000,
@@ -78,6 +84,16 @@
         before.chain(after).map(at_ms).collect()
     }
 
+    fn fleet(&self, place: usize) -> FollowerFleet {
+        FollowerFleet {
+            nodes_count: self.nodes_count,
+            readers: StoreReaders {
+                is_reader: place < self.readers_count,
+                count: self.readers_count,
+            },
+        }
+    }
+
     fn began(&self) -> Duration {
         at_ms(4 * CHANGE_INTERVAL_MS + self.gap_ms)
     }
@@ -98,6 +114,8 @@
     /// Confirmations that the node had read when it began.
     from: usize,
     is_lost: bool,
+    /// Whether the store turns this node away.
+    is_refused: bool,
 }
 
 #[derive(Debug)]
@@ -117,7 +135,8 @@
         if self.is_lost || answer_time > self.hold + READ_TIMEOUT {
             return (since >= self.hold + READ_TIMEOUT).then_some(ReadEnd::Failed);
         }
-        if scene.ailment == Ailment::Busy && scene.ails(self.began) {
+        let is_busy = scene.ailment == Ailment::Busy && scene.ails(self.began);
+        if is_busy || self.is_refused {
             return (since >= ANSWER_TIME).then_some(ReadEnd::Failed);
         }
         let seen = now.saturating_sub(answer_time);
@@ -130,6 +149,7 @@
 
 #[derive(Debug)]
 struct Host {
+    place: usize,
     follower: StoreFollower,
     reads: Vec<Read>,
     waits_until: Duration,
@@ -168,6 +188,7 @@
     let confirmations = scene.confirmations();
     let mut hosts: Vec<Host> = (0..scene.nodes_count)
         .map(|host| Host {
+            place: host,
             follower: StoreFollower::new(Duration::ZERO, seed * 10_000 + host as u64),
             reads: Vec::new(),
             waits_until: Duration::ZERO,
@@ -176,6 +197,8 @@
         })
         .collect();
     let mut outcome = Outcome::default();
+    // When the most answers of the store were known of anywhere.
+    let mut answers = Vec::new();
     // When each confirmation was first in force anywhere.
     let mut first_at = vec![Duration::MAX; confirmations.len() + 1];
     let end = scene.returned() + at_ms(5_000);
@@ -185,8 +208,16 @@
             .rev()
             .find(|known| first_at[*known].saturating_add(SPREAD_TIME) <= now);
         let due = due(scene, &confirmations, now);
+        let told_count = answers_at(&answers, now.saturating_sub(SPREAD_TIME));
         for host in &mut hosts {
+            if scene.hears_peers {
+                host.follower.told(now, told_count);
+            }
             act(scene, &confirmations, now, host, &mut outcome);
+            let known_count = host.follower.answers_count();
+            if answers.last().is_none_or(|(_, most)| known_count > *most) {
+                answers.push((now, known_count));
+            }
             if scene.hears_peers {
                 host.in_force = host.in_force.max(heard.unwrap_or(0));
             }
@@ -202,6 +233,12 @@
     outcome
 }
 
+/// The most answers of the store that any node knew of at a moment.
+fn answers_at(answers: &[(Duration, u64)], at: Duration) -> u64 {
+    let known = answers.partition_point(|(told, _)| *told <= at);
+    answers[..known].last().map_or(0, |(_, count)| *count)
+}
+
 /// When the change behind this many is due: at once, or at the store's return.
 fn due_at(scene: &Scene, confirmations: &[Duration], in_force: usize) -> Duration {
     let confirmed = confirmations[in_force];
@@ -247,7 +284,7 @@
         }
     }
     while host.waits_until <= now {
-        match host.follower.step(now, scene.nodes_count) {
+        match host.follower.step(now, scene.fleet(host.place)) {
             FollowStep::Wait { until } => host.waits_until = until,
             FollowStep::Read { hold } => {
                 outcome.reads.push(now);
@@ -256,6 +293,7 @@
                     hold,
                     from: host.position,
                     is_lost: false,
+                    is_refused: host.place < scene.turned_away_count,
                 });
             }
         }
@@ -292,7 +330,13 @@
     after_answers_that_come_too_late:
         Scene { ailment: Ailment::Slow(at_ms(3_000)), length_ms: 9_000, ..Scene::FLEET },
     of_five_thousand_nodes_after_a_silence:
-        Scene { nodes_count: 5_100, tick_ms: 10, ..Scene::FLEET },
+        Scene { nodes_count: 5_100, readers_count: 40, tick_ms: 10, ..Scene::FLEET },
+    of_ninety_five_nodes_after_a_silence:
+        Scene { nodes_count: 95, readers_count: 10, ..Scene::FLEET },
+    of_a_thousand_nodes_after_a_silence:
+        Scene { nodes_count: 1_000, readers_count: 10, tick_ms: 5, ..Scene::FLEET },
+    of_ninety_five_nodes_half_of_whose_readers_are_turned_away:
+        Scene { nodes_count: 95, readers_count: 10, turned_away_count: 5, ..Scene::FLEET },
 }
 
 /// All nodes wake up from the same record. If their next reads ended in step too, a single
@@ -316,6 +360,7 @@
 fn five_thousand_nodes_stay_within_what_the_store_takes() {
     let scene = Scene {
         nodes_count: 5_100,
+        readers_count: 40,
         tick_ms: 10,
         ..Scene::FLEET
     };
@@ -324,3 +369,61 @@
     let most = outcome.most_in(Duration::from_secs(1), started);
     assert!(most <= READS_PER_S, "{most}");
 }
+
+/// All nodes of the fleet start at the same moment and have no configuration. What the first
+/// ones read reaches the others before they ask the store too; a start reads twice.
+#[test]
+fn nodes_that_start_together_do_not_all_read() {
+    for (nodes_count, readers_count) in [(95, 10), (1_000, 10), (5_100, 40)] {
+        let scene = Scene {
+            nodes_count,
+            readers_count,
+            tick_ms: 5,
+            ..Scene::FLEET
+        };
+        let outcome = play(&scene, 1);
+        let at_start = outcome.reads.iter().filter(|began| **began < at_ms(1_000));
+        let calls_count = 2 * at_start.count();
+        assert!(calls_count <= READS_PER_S, "{nodes_count}: {calls_count}");
+    }
+}
+
+/// A day of calm with a change every twelve seconds. The calls don't grow with the
+/// fleet: six a second by which a silence is found out, and one of each reader for a change.
+#[test]
+fn a_calm_fleet_costs_the_same_at_any_size() {
+    for (nodes_count, readers_count) in [(15, 6), (95, 10), (1_000, 10)] {
+        let scene = Scene {
+            nodes_count,
+            readers_count,
+            tick_ms: 5,
+            gap_ms: 36_000,
+            length_ms: 0,
+            ..Scene::FLEET
+        };
+        let outcome = play(&scene, 1);
+        let calm = at_ms(6_000)..at_ms(36_000);
+        let reads = outcome.reads.iter().filter(|began| calm.contains(began));
+        let reads_per_s = reads.count() as f64 / 30.0;
+        assert!(reads_per_s <= 7.5, "{nodes_count}: {reads_per_s}");
+    }
+}
+
+/// The store turns half of the readers away and answers the others. Those that are turned away
+/// hear the news from these, and don't ask twice a second all the while.
+#[test]
+fn readers_that_are_turned_away_ask_seldom() {
+    let scene = Scene {
+        nodes_count: 95,
+        readers_count: 10,
+        turned_away_count: 5,
+        gap_ms: 36_000,
+        length_ms: 0,
+        ..Scene::FLEET
+    };
+    let outcome = play(&scene, 1);
+    let calm = at_ms(6_000)..at_ms(36_000);
+    let reads = outcome.reads.iter().filter(|began| calm.contains(began));
+    let reads_per_s = reads.count() as f64 / 30.0;
+    assert!(reads_per_s <= 10.0, "{reads_per_s}");
+}
--- /dev/null
+++ b/crates/kumquatquay-core/tests/routed/store_readers.rs
@@ -0,0 +1,88 @@
+//! Which nodes read the store for all.
+
+use std::net::SocketAddr;
+
+use kumquatquay_core::routed::StoreReaders;
+use kumquatquay_wire::{MemberRecord, MemberState};
+
+fn member(data_centre: u8, host: u8, state: MemberState) -> MemberRecord {
+    let control = SocketAddr::from(([10, data_centre, 0, host], 7_000));
+    MemberRecord {
+        control,
+        peer: control,
+        data_centre: format!("hall-{data_centre}"),
+        service: None,
+        life: None,
+        incarnation: 1,
+        revision: 0,
+        state,
+        is_suspect: false,
+        slots_count: 10,
+    }
+}
+
+/// `hosts_count` hosts in each of five data centres.
+fn fleet(hosts_count: u8) -> Vec<MemberRecord> {
+    let hosts =
+        (0..5).flat_map(|data_centre| (0..hosts_count).map(move |host| (data_centre, host)));
+    hosts
+        .map(|(data_centre, host)| member(data_centre, host, MemberState::Serving))
+        .collect()
+}
+
+fn readers_of(members: &[MemberRecord]) -> Vec<&MemberRecord> {
+    let reads = |member: &&MemberRecord| {
+        StoreReaders::among(member.control, &member.data_centre, members.iter()).is_reader
+    };
+    members.iter().filter(reads).collect()
+}
+
+#[test]
+fn two_of_each_data_centre_read_at_any_size() {
+    for hosts_count in [3, 19, 200] {
+        let members = fleet(hosts_count);
+        let readers = readers_of(&members);
+        assert_eq!(readers.len(), 10);
+        for data_centre in 0..5 {
+            let name = format!("hall-{data_centre}");
+            let near = readers.iter().filter(|reader| reader.data_centre == name);
+            assert_eq!(near.count(), 2);
+        }
+        let first = &members[0];
+        let known = StoreReaders::among(first.control, &first.data_centre, members.iter());
+        assert_eq!(known.count, 10);
+    }
+}
+
+/// Both readers of a data centre are gone, or leave, or are doubted: two others take their
+/// place.
+#[test]
+fn others_take_the_place_of_readers_that_are_gone() {
+    let mut members = fleet(10);
+    let first: Vec<SocketAddr> = readers_of(&members)
+        .into_iter()
+        .map(|reader| reader.control)
+        .collect();
+    for (place, member) in members.iter_mut().enumerate() {
+        if first.contains(&member.control) {
+            match place % 3 {
+                0 => member.state = MemberState::Gone,
+                1 => member.state = MemberState::Draining,
+                _ => member.is_suspect = true,
+            }
+        }
+    }
+    let serving =
+        |member: &&&MemberRecord| member.state == MemberState::Serving && !member.is_suspect;
+    let readers = readers_of(&members);
+    assert_eq!(readers.iter().filter(serving).count(), 10);
+}
+
+/// A node that starts knows nobody and reads for itself.
+#[test]
+fn a_node_that_knows_nobody_reads() {
+    let own = member(1, 1, MemberState::Idle);
+    let known = StoreReaders::among(own.control, &own.data_centre, [].into_iter());
+    assert!(known.is_reader);
+    assert_eq!(known.count, 1);
+}
--- a/crates/kumquatquay-wire/src/routed/configuration.rs
+++ b/crates/kumquatquay-wire/src/routed/configuration.rs
@@ -9,6 +9,15 @@
 /// Number of a configuration; a node never goes back to a lower one.
 pub type RouteVersion = u64;
 
+/// How far a node follows the configuration; nodes tell each other with each call.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FollowState {
+    /// Configuration in force at the node; 0 without one.
+    pub version: RouteVersion,
+    /// Answers of the store that the node knows of, its own and those of others.
+    pub store_answers_count: u64,
+}
+
 /// Rank of a route's calls: 0 is refused last.
 pub type Priority = u32;
 
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -3,7 +3,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use super::{GateReport, Priority, RouteNews, RouteVersion, ServicePressure};
+use super::{FollowState, GateReport, Priority, RouteNews, ServicePressure};
 use crate::{BackendLife, ServiceName, WireError};
 
 /// Names a call on one link, in the direction from the node that sent it.
@@ -50,13 +50,13 @@
     Answer(AnswerHead),
     /// Asks for a [`FrameHead::Pong`], which shows that the link still works.
     Ping {
-        /// Configuration in force at the sender; 0 without one.
-        version: RouteVersion,
+        /// How far the sender follows the configuration.
+        followed: FollowState,
     },
     /// Answers a [`FrameHead::Ping`].
     Pong {
-        /// Configuration in force at the sender; 0 without one.
-        version: RouteVersion,
+        /// How far the sender follows the configuration.
+        followed: FollowState,
     },
     /// Asks for the configuration in force at the receiver.
     ConfigurationAsk,
@@ -94,8 +94,8 @@
     pub needs_commit: bool,
     /// Time that is left to answer it, in milliseconds.
     pub remaining_ms: u64,
-    /// Configuration in force at the sender.
-    pub version: RouteVersion,
+    /// How far the sender follows the configuration.
+    pub followed: FollowState,
     /// Request method.
     pub method: String,
     /// Path and query.
@@ -113,8 +113,8 @@
     pub outcome: LinkOutcome,
     /// How busy the backend server is.
     pub report: GateReport,
-    /// Configuration in force at the sender.
-    pub version: RouteVersion,
+    /// How far the sender follows the configuration.
+    pub followed: FollowState,
     /// What the sender knows of the call's route, where it wasn't told just before.
     pub news: Option<RouteNews>,
     /// Pressure on the services that the route leads to.
--- a/crates/kumquatquay-wire/src/routed/mod.rs
+++ b/crates/kumquatquay-wire/src/routed/mod.rs
@@ -14,8 +14,8 @@
 mod route_news;
 
 pub use configuration::{
-    CallerLimits, Destination, HostRoutes, Priority, Repeat, RouteConfiguration, RouteSettings,
-    RouteVersion, ServiceSettings,
+    CallerLimits, Destination, FollowState, HostRoutes, Priority, Repeat, RouteConfiguration,
+    RouteSettings, RouteVersion, ServiceSettings,
 };
 pub use frame::{
     AnswerHead, CallHead, CallNumber, FrameHead, FrameReader, HeaderField, LinkOutcome,
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -395,7 +395,7 @@
         is_idempotent: settings.repeat == Repeat::Idempotent,
         needs_commit: settings.repeat == Repeat::AtMostOnce && node.is_on(Mechanism::Commit),
         remaining_ms: time_left.as_millis() as u64,
-        version: call.version,
+        followed: node.follow_state(),
         method: call.method.clone(),
         target: call.target.clone(),
         headers: call.headers.clone(),
--- a/crates/kumquatquayd/src/routed/interface.rs
+++ b/crates/kumquatquayd/src/routed/interface.rs
@@ -4,7 +4,7 @@
 
 use derive_more::{Display, Error};
 use http::HeaderMap;
-use kumquatquay_core::routed::{BackendLoad, LifeReport};
+use kumquatquay_core::routed::{BackendLoad, LifeReport, RegisterPlace};
 use kumquatquay_wire::{BackendLife, InstanceId, routed::RouteConfiguration};
 
 /// How requests, answers and reports are written on this platform.
@@ -98,10 +98,22 @@
     /// Reads configurations newer than what was read with this value last. The store may
     /// hold the read for the given time until there is one.
     pub read_routes: Arc<dyn Fn(Duration) -> StoreFuture<RouteNews>>,
-    /// Control addresses of the nodes that have entered themselves.
-    pub nodes: Arc<dyn Fn() -> StoreFuture<Vec<SocketAddr>>>,
-    /// Enters this node.
-    pub enter_node: Arc<dyn Fn(SocketAddr) -> StoreFuture<()>>,
+    /// Some of the nodes that have entered themselves: one page, from a place on.
+    pub register_page: Arc<dyn Fn(RegisterPlace) -> StoreFuture<RegisterPage>>,
+    /// Enters this node, by its control address, at its place.
+    pub enter_node: Arc<dyn Fn(SocketAddr, RegisterPlace) -> StoreFuture<()>>,
+}
+
+/// A page of the register of nodes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RegisterPage {
+    /// Control addresses of nodes, each once, in the order of their places. Entries that make
+    /// no sense are left out.
+    pub nodes: Vec<SocketAddr>,
+    /// Place of the last entry on it, where there is one.
+    pub last_place: Option<RegisterPlace>,
+    /// Whether the register ends with it.
+    pub is_last: bool,
 }
 
 impl fmt::Debug for PlatformStore {
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -12,8 +12,8 @@
 use bytes::Bytes;
 use kumquatquay_core::routed::{LinkHealth, LinkStep, Mechanism};
 use kumquatquay_wire::routed::{
-    AnswerHead, CallHead, CallNumber, FrameHead, FrameReader, GateReport, LinkOutcome,
-    NotRunReason, RouteNews, RouteVersion, ServicePressure, UnknownReason, encode_frame,
+    AnswerHead, CallHead, CallNumber, FollowState, FrameHead, FrameReader, GateReport, LinkOutcome,
+    NotRunReason, RouteNews, ServicePressure, UnknownReason, encode_frame,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -403,8 +403,8 @@
     match head {
         FrameHead::Answer(answer) => on_answer(node, link, answer, body),
         FrameHead::Granted { number } => on_granted(link, number),
-        FrameHead::Pong { version } | FrameHead::Ping { version } => {
-            on_version(node, &link.frames, version);
+        FrameHead::Pong { followed } | FrameHead::Ping { followed } => {
+            on_followed(node, &link.frames, followed);
         }
         FrameHead::Configuration => on_configuration(node, &body),
         FrameHead::ConfigurationAsk => tell_configuration(node, &link.frames),
@@ -460,14 +460,14 @@
 async fn answers(node: &Rc<RoutedNode>, peer: SocketAddr) -> bool {
     let link = link_to(node, peer, 0);
     let news = link.news.notified();
-    let version = node.route_version();
-    link.frames.push(&FrameHead::Ping { version }, &[]);
+    let followed = node.follow_state();
+    link.frames.push(&FrameHead::Ping { followed }, &[]);
     let _ = tokio::time::timeout(CONNECT_TIMEOUT, news).await;
     link.has_heard.get() && !*link.is_silent.borrow()
 }
 
 fn on_answer(node: &RoutedNode, link: &Link, answer: AnswerHead, body: Vec<u8>) {
-    on_version(node, &link.frames, answer.version);
+    on_followed(node, &link.frames, answer.followed);
     let pending = link.pending.borrow_mut().remove(&answer.number);
     // Without one the call was given up; the answer has crossed the cancellation.
     if let Some(pending) = pending {
@@ -482,8 +482,11 @@
 }
 
 /// Asks for a configuration that the other node has and this one lacks.
-pub(crate) fn on_version(node: &RoutedNode, frames: &FrameWriter, version: RouteVersion) {
-    if version > node.route_version() && node.may_ask_configuration() {
+pub(crate) fn on_followed(node: &RoutedNode, frames: &FrameWriter, followed: FollowState) {
+    let mut follower = node.follower.borrow_mut();
+    follower.told(node.now(), followed.store_answers_count);
+    drop(follower);
+    if followed.version > node.route_version() && node.may_ask_configuration() {
         frames.push(&FrameHead::ConfigurationAsk, &[]);
     }
 }
@@ -529,8 +532,8 @@
     match health.look(node.now(), WATCH_INTERVAL, is_waited_for) {
         LinkStep::Keep => {}
         LinkStep::Ask => {
-            let version = node.route_version();
-            link.frames.push(&FrameHead::Ping { version }, &[]);
+            let followed = node.follow_state();
+            link.frames.push(&FrameHead::Ping { followed }, &[]);
         }
         LinkStep::Avoid if !node.is_on(Mechanism::SilentLinks) => {}
         LinkStep::Avoid => {
--- a/crates/kumquatquayd/src/routed/link_server.rs
+++ b/crates/kumquatquayd/src/routed/link_server.rs
@@ -15,7 +15,7 @@
 
 use super::{
     link::{
-        FrameWriter, LinkAnswer, on_configuration, on_version, read_frames, tell_configuration,
+        FrameWriter, LinkAnswer, on_configuration, on_followed, read_frames, tell_configuration,
     },
     node::RoutedNode,
     run_here::run_here,
@@ -106,10 +106,10 @@
                 let _ = commit.send(());
             }
         }
-        FrameHead::Ping { version } => {
-            on_version(node, &link.frames, version);
-            let version = node.route_version();
-            link.frames.push(&FrameHead::Pong { version }, &[]);
+        FrameHead::Ping { followed } => {
+            on_followed(node, &link.frames, followed);
+            let followed = node.follow_state();
+            link.frames.push(&FrameHead::Pong { followed }, &[]);
         }
         FrameHead::ConfigurationAsk => tell_configuration(node, &link.frames),
         FrameHead::Configuration => on_configuration(node, &body),
@@ -118,7 +118,7 @@
 }
 
 fn on_call(node: &Rc<RoutedNode>, link: &Rc<ServedLink>, call: CallHead, body: Vec<u8>) {
-    on_version(node, &link.frames, call.version);
+    on_followed(node, &link.frames, call.followed);
     let (cancel, cancelled) = oneshot::channel();
     let (commit, committed) = oneshot::channel();
     let open = OpenCall {
@@ -163,7 +163,7 @@
         number,
         outcome: answer.outcome.clone(),
         report: node.gate_report(),
-        version: node.route_version(),
+        followed: node.follow_state(),
         news: link.news(node, route),
         pressures: link.pressures(node, route),
     });
--- a/crates/kumquatquayd/src/routed/members.rs
+++ b/crates/kumquatquayd/src/routed/members.rs
@@ -2,12 +2,22 @@
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use kumquatquay_core::{Announcement, BackendInput, Input, routed::LifeState};
+use kumquatquay_core::{
+    Announcement, BackendInput, Input,
+    routed::{
+        LifeState, RegisterCourse, RegisterLook, RegisterPlace, RegisterStep, StoreReaders,
+        register_place,
+    },
+};
 use kumquatquay_wire::{MemberState, MeshKey};
-use rand::seq::IndexedRandom;
+use rand::{Rng, seq::IndexedRandom};
 use tokio::{net::UdpSocket, sync::mpsc::UnboundedReceiver};
 
-use super::{interface::PlatformStore, node::RoutedNode, run_here::turn_away_waiting};
+use super::{
+    interface::{PlatformStore, RegisterPage},
+    node::RoutedNode,
+    run_here::turn_away_waiting,
+};
 use crate::{
     control,
     engine::{Effect, Engine},
@@ -18,24 +28,11 @@
 /// How often the node looks whether the members have changed.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Pauses between looks at the register of nodes after the start. All nodes may
-/// start at the same moment and datagrams get lost; the later looks are for those
-/// that the first one missed.
-const REGISTER_PAUSES: [Duration; 4] = [
-    Duration::from_millis(400),
-    Duration::from_millis(1_500),
-    Duration::from_secs(4),
-    Duration::from_secs(10),
-];
-
 /// How often members that are gone are looked for, and how many at a time: with
 /// 300 bytes each this is under 1 KB/s.
 const RETURNED_INTERVAL: Duration = Duration::from_secs(1);
 const RETURNED_COUNT: usize = 3;
 
-/// Pause after a call to the register that failed.
-const REGISTER_RETRY: Duration = Duration::from_millis(700);
-
 /// Tells the membership what the backend server of this host is.
 pub(crate) fn announce(node: &RoutedNode) {
     let lives = node.lives.borrow();
@@ -108,6 +105,14 @@
     // The larger count makes this node's part of shared budgets the smaller one.
     node.nodes_count
         .set(there_count.max(node.nodes_count.get()));
+    let settings = &node.settings;
+    let own = settings.listen.control;
+    let readers = StoreReaders::among(own, &settings.data_centre, members.iter());
+    if node.readers.replace(readers) != readers {
+        log::info!(event = "store_readers", reads = readers.is_reader,
+            readers = readers.count as u64;
+            "this node reads the store for others, or is told by them");
+    }
     let mut targets = node.targets.borrow_mut();
     targets.rebuild(&node.settings.data_centre, members.iter());
 }
@@ -133,43 +138,70 @@
     }
 }
 
-/// Enters this node in the register and introduces it to those found there.
+/// Enters this node in the register and introduces it to some that are found there.
 pub(crate) async fn use_register(node: Rc<RoutedNode>, store: PlatformStore) {
     let own = node.settings.listen.control;
     node.engine
         .handle(Input::Seeds(node.settings.seeds.clone()));
-    while let Err(error) = (store.enter_node)(own).await {
-        log::warn!(event = "register_unreached"; "{error}");
-        tokio::time::sleep(REGISTER_RETRY).await;
-    }
-    look_at_register(&node, &store).await;
-    for pause in REGISTER_PAUSES {
-        tokio::time::sleep(pause).await;
-        look_at_register(&node, &store).await;
-    }
-}
-
-async fn look_at_register(node: &RoutedNode, store: &PlatformStore) {
+    let random_seed = node.random.borrow_mut().random();
+    let mut course = RegisterCourse::new(node.now(), own, random_seed);
     loop {
-        match (store.nodes)().await {
-            Ok(nodes) => {
-                let own = node.settings.listen.control;
-                let others: Vec<SocketAddr> = nodes
-                    .into_iter()
-                    .filter(|control| *control != own)
-                    .collect();
-                log::info!(event = "register_read", nodes = others.len(); "other nodes found");
-                node.engine.handle(Input::Seeds(others));
-                return;
-            }
-            Err(error) => {
-                log::warn!(event = "register_unreached"; "{error}");
-                tokio::time::sleep(REGISTER_RETRY).await;
+        match course.step(node.now(), peers_count(&node)) {
+            RegisterStep::Enter => match (store.enter_node)(own, register_place(own)).await {
+                Ok(()) => course.entered(node.now()),
+                Err(error) => {
+                    log::warn!(event = "register_unreached"; "{error}");
+                    course.failed(node.now());
+                }
+            },
+            RegisterStep::Look { place } => match (store.register_page)(place).await {
+                Ok(page) => {
+                    let look = introduce(&node, place, page);
+                    course.looked(node.now(), look);
+                }
+                Err(error) => {
+                    log::warn!(event = "register_unreached"; "{error}");
+                    course.failed(node.now());
+                }
+            },
+            RegisterStep::Wait { until } => {
+                tokio::time::sleep(until.saturating_sub(node.now())).await;
             }
+            RegisterStep::Done => return,
         }
     }
 }
 
+/// Other members that are there.
+fn peers_count(node: &RoutedNode) -> usize {
+    let members = node.engine.members();
+    let there = members
+        .iter()
+        .filter(|member| member.state != MemberState::Gone);
+    there.count().saturating_sub(1)
+}
+
+/// Introduces this node to those on a page of the register.
+fn introduce(node: &RoutedNode, place: RegisterPlace, page: RegisterPage) -> RegisterLook {
+    let own = node.settings.listen.control;
+    let others = page.nodes.into_iter().filter(|control| *control != own);
+    let others: Vec<SocketAddr> = others.collect();
+    let look = RegisterLook {
+        place,
+        last_place: page.last_place,
+        others_count: others.len(),
+        is_last: page.is_last,
+    };
+    let estimate_count = look.estimate_count();
+    let known_count = node.register_estimate_count.get();
+    node.register_estimate_count
+        .set(known_count.max(estimate_count));
+    log::info!(event = "register_read", nodes = others.len(), estimate = estimate_count;
+        "other nodes found");
+    node.engine.handle(Input::Seeds(others));
+    look
+}
+
 /// Ticks the core.
 pub(crate) async fn tick(engine: Arc<Engine>) {
     loop {
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -30,8 +30,8 @@
 mod start;
 
 pub use interface::{
-    AnswerMarks, BackendReport, Dialect, HandOver, PlatformStore, RequestMarks, RouteNews,
-    StoreError, StoreFuture,
+    AnswerMarks, BackendReport, Dialect, HandOver, PlatformStore, RegisterPage, RequestMarks,
+    RouteNews, StoreError, StoreFuture,
 };
 pub use settings::{Bounds, Limits, Listen, RetryBudget, RoutedSettings};
 pub use start::run;
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -12,14 +12,14 @@
 use kumquatquay_core::{
     Clock,
     routed::{
-        BackendLives, BackendPulse, CallGraph, CallTracer, CallerCensus, EntryLevels, GateRepeats,
-        GraphRow, HostGate, LevelSetter, Mechanism, RetryWindow, RouteTable, RunFailures,
-        StoreFollower, TargetTable,
+        BackendLives, BackendPulse, CallGraph, CallTracer, CallerCensus, EntryLevels,
+        FollowerFleet, GateRepeats, GraphRow, HostGate, LevelSetter, Mechanism, RetryWindow,
+        RouteTable, RunFailures, StoreFollower, StoreReaders, TargetTable,
     },
 };
 use kumquatquay_wire::{
     ServiceName,
-    routed::{GateReport, RouteConfiguration, RouteNews, RouteVersion},
+    routed::{FollowState, GateReport, RouteConfiguration, RouteNews, RouteVersion},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::sync::{oneshot, watch};
@@ -120,6 +120,10 @@
     pub(crate) in_flight_count: Cell<usize>,
     /// Nodes that are known, this one included; at least one.
     pub(crate) nodes_count: Cell<usize>,
+    /// Nodes that the register seems to have, by the page that was read; 0 before that.
+    pub(crate) register_estimate_count: Cell<usize>,
+    /// Which nodes read the store for all.
+    pub(crate) readers: Cell<StoreReaders>,
     /// How far a stop has come.
     pub(crate) stop: watch::Sender<StopPhase>,
 }
@@ -177,6 +181,8 @@
             refused_report_second: Cell::new(None),
             in_flight_count: Cell::new(0),
             nodes_count: Cell::new(1),
+            register_estimate_count: Cell::new(0),
+            readers: Cell::default(),
             stop: watch::Sender::new(StopPhase::Serving),
         })
     }
@@ -210,6 +216,23 @@
         routes.as_ref().map_or(0, |routes| routes.version())
     }
 
+    /// How far this node follows the configuration, as others are told.
+    pub(crate) fn follow_state(&self) -> FollowState {
+        FollowState {
+            version: self.route_version(),
+            store_answers_count: self.follower.borrow().answers_count(),
+        }
+    }
+
+    /// The fleet as far as this node knows it.
+    pub(crate) fn follower_fleet(&self) -> FollowerFleet {
+        let estimate_count = self.register_estimate_count.get();
+        FollowerFleet {
+            nodes_count: self.nodes_count.get().max(estimate_count),
+            readers: self.readers.get(),
+        }
+    }
+
     /// Puts a configuration in force, unless it is older than the one that is.
     ///
     /// Configurations come from the store and from other nodes, in any order; one
--- a/crates/kumquatquayd/src/routed/routes_watch.rs
+++ b/crates/kumquatquayd/src/routed/routes_watch.rs
@@ -56,7 +56,7 @@
     let mut follower = node.follower.borrow_mut();
     let was_ailing = follower.is_ailing();
     let unheard = follower.unheard(now);
-    let step = follower.step(now, node.nodes_count.get());
+    let step = follower.step(now, node.follower_fleet());
     if follower.is_ailing() && !was_ailing {
         log_lost(
             node,
