--- a/crates/kumquatquayd/src/routed/routes_watch.rs
+++ b/crates/kumquatquayd/src/routed/routes_watch.rs
@@ -57,6 +57,10 @@
     let was_ailing = follower.is_ailing();
     let unheard = follower.unheard(now);
     let step = follower.step(now, node.follower_fleet());
+    if was_ailing && !follower.is_ailing() {
+        log::info!(event = "store_regained", unheard_ms = unheard.as_millis() as u64,
+            in_force = node.route_version(); "other nodes tell of its answers again");
+    }
     if follower.is_ailing() && !was_ailing {
         log_lost(
             node,
