Pass over news of routes that can make no sense

A node of another version may tell counts that are no numbers, or more calls than a run can make; entries would share out the room by them. They are counted (news_total, senseless) and change nothing. Test: NaN, infinity, below zero, 1e30.

--- a/crates/kumquatquay-core/src/routed/entry_levels.rs
+++ b/crates/kumquatquay-core/src/routed/entry_levels.rs
@@ -12,7 +12,7 @@
     routed::{GateReport, Priority, RouteNews, ServicePressure},
 };
 
-use super::pooled_news::PooledNews;
+use super::pooled_news::{PooledNews, makes_sense};
 
 /// Time for which a level counts as it was told.
 const FRESH: Duration = Duration::from_millis(600);
@@ -188,7 +188,8 @@
         }
     }
 
-    /// Takes in what a gate knows of a route at its service.
+    /// Takes in what a gate knows of a route at its service; whether it makes sense. What
+    /// doesn't is passed over.
     pub fn on_route(
         &mut self,
         now: Duration,
@@ -196,13 +197,17 @@
         service: &str,
         gate: SocketAddr,
         news: RouteNews,
-    ) {
+    ) -> bool {
+        if !makes_sense(&news) {
+            return false;
+        }
         if !self.routes.contains_key(route) && self.routes.len() >= LIMIT_COUNT {
-            return;
+            return true;
         }
         let known = &mut self.routes.entry(String::from(route)).or_default().known;
         let known = known.entry(ServiceName::from(service)).or_default();
         known.tell(now, gate, news);
+        true
     }
 
     // Reading
--- a/crates/kumquatquay-core/src/routed/pooled_news.rs
+++ b/crates/kumquatquay-core/src/routed/pooled_news.rs
@@ -14,6 +14,18 @@
 /// Gates of one service whose word is kept, the newest ones.
 const GATES_LIMIT_COUNT: usize = 16;
 
+/// Calls at one service by one run, and services that a run reaches, beyond which news makes no
+/// sense: chains are up to seven deep with some ten calls at each.
+const CALLS_MOST_COUNT: f32 = 100_000.0;
+const SERVICES_MOST_COUNT: usize = 256;
+
+/// Whether news of another node can be true; it may come from one of another version.
+pub(super) fn makes_sense(news: &RouteNews) -> bool {
+    let are_few = news.leads_to.len() <= SERVICES_MOST_COUNT;
+    let is_count = |calls: f32| (0.0..=CALLS_MOST_COUNT).contains(&calls);
+    are_few && news.leads_to.iter().all(|(_, calls)| is_count(*calls))
+}
+
 /// What the gates of one service have told of a route.
 ///
 /// At one of many hosts few runs overlap in a way that tells which of them makes a call, so what
--- a/crates/kumquatquay-core/tests/routed/entry_levels.rs
+++ b/crates/kumquatquay-core/tests/routed/entry_levels.rs
@@ -271,3 +271,22 @@
     assert!(!is_let_in(&mut levels, 3_000, "settle", 0.9));
     assert!(is_let_in(&mut levels, 3_000, "settle", 0.1));
 }
+
+/// A node of another version tells counts that no run can make. They are passed over: what is
+/// known holds, and nobody is refused for them.
+#[test]
+fn news_that_makes_no_sense_is_passed_over() {
+    let mut levels = levels();
+    for calls in [f32::NAN, f32::INFINITY, -1.0, 1e30] {
+        let news = RouteNews {
+            is_from_outside: true,
+            is_settled: true,
+            leads_to: vec![(String::from("register"), calls)],
+        };
+        assert!(!levels.on_route(at_ms(0), "upload", "survey", gate(9), news));
+    }
+    assert_eq!(calls_of_uploads(&levels), 0.0);
+    offer(&mut levels);
+    tell(&mut levels, 0, 1, 0.02);
+    assert!(is_let_in(&mut levels, 1, "upload", 0.99));
+}
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -361,8 +361,11 @@
     }
     if let Some(news) = &answer.news {
         let route = &call.route.settings.name;
-        node.learnt.tell(now, route, &call.service, news);
-        levels.on_route(now, route, &call.service, gate, news.clone());
+        if levels.on_route(now, route, &call.service, gate, news.clone()) {
+            node.learnt.tell(now, route, &call.service, news);
+        } else {
+            node.decisions.count("news", "senseless");
+        }
     }
     for pressure in &answer.pressures {
         // The gate's own word of its service goes before what others heard of it.
