Never say of a call that it has not run after one of its runs failed

A call whose run a backend server failed is run once more elsewhere. Where the next node refused it and its time ran out then, the caller was told that it had not run: the refusal of the second attempt forgot the first. Found by reading; not seen in a run.

--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -168,7 +168,7 @@
 
     /// The last attempt has not run, so the call has not, unless an earlier one may have.
     fn forget_hand_over(&self, call: &OutgoingCall) {
-        if self.unknown.is_none() {
+        if self.unknown.is_none() && self.failed.is_none() {
             call.handed_over.clear();
         }
     }
