Send calls that may run once elsewhere before callers leave a failing server alone

Callers leave a server alone at a share of failures of 0.2, and then its share rises no further; its own node sent filings elsewhere from 0.3 on only, so that a host that had not called it yet lost one. A test of the core holds the two shares together.

--- a/crates/kumquatquay-core/src/routed/run_failures.rs
+++ b/crates/kumquatquay-core/src/routed/run_failures.rs
@@ -12,7 +12,9 @@
 const EXCUSE_TIME: Duration = Duration::from_secs(1);
 
 /// Share of failed runs from which on calls that may run once at most are better run elsewhere.
-const FAILING_RATIO: f64 = 0.3;
+/// Less than that from which on callers leave it alone: those that know it send it no more, so
+/// the share rises no further, and others would each lose a call to it.
+const FAILING_RATIO: f64 = 0.15;
 
 /// Lost calls that excuse a later failure, at most.
 const EXCUSES_LIMIT_COUNT: usize = 64;
--- a/crates/kumquatquay-core/tests/routed/run_failures.rs
+++ b/crates/kumquatquay-core/tests/routed/run_failures.rs
@@ -59,3 +59,18 @@
     failures.on_life(&BackendLife::untold("new"));
     assert_eq!(failures.ratio(), 0.0);
 }
+
+/// Callers that have learnt that a server fails leave it alone, and its share of failures stays
+/// where it was then. Calls of others that may run once must already be sent elsewhere at that
+/// share: each of them would lose one.
+#[test]
+fn a_server_that_is_left_alone_takes_no_calls_that_may_run_once() {
+    let mut failures = RunFailures::default();
+    let mut run = 0;
+    // Callers leave those alone that fail a fifth more than the middle one.
+    while failures.ratio() < 0.2 {
+        failures.failed(at_ms(run));
+        run += 1;
+    }
+    assert!(failures.is_failing(), "{} after {run}", failures.ratio());
+}
