--- a/crates/kumquatquay-core/tests/routed/store_follower.rs
+++ b/crates/kumquatquay-core/tests/routed/store_follower.rs
@@ -390,8 +390,8 @@
     }
 }
 
-/// A day of calm with a change every twelve seconds. The calls don't grow with the
-/// fleet: six a second by which a silence is found out, and one of each reader for a change.
+/// Thirty seconds of calm. The calls don't grow with the fleet: what a silence is found out
+/// by is a number of reads a second of all readers together.
 #[test]
 fn a_calm_fleet_costs_the_same_at_any_size() {
     for (nodes_count, readers_count) in [(15, 6), (95, 10), (1_000, 10)] {
