--- a/crates/kumquatquay-core/tests/routed/entry_levels.rs
+++ b/crates/kumquatquay-core/tests/routed/entry_levels.rs
@@ -4,6 +4,7 @@
 
 use kumquatquay_core::routed::{EntryLevels, EntryRequest, Shortage};
 use kumquatquay_wire::routed::{GateReport, RouteNews};
+use quickcheck::quickcheck;
 
 use crate::at_ms;
 
@@ -290,3 +291,40 @@
     tell(&mut levels, 0, 1, 0.02);
     assert!(is_let_in(&mut levels, 1, "upload", 0.99));
 }
+
+quickcheck! {
+    /// Whatever other nodes tell of routes and levels: nothing ends the process, what is believed
+    /// are counts, and uploads that two sound gates of three say to call nothing are let in.
+    fn any_news_leaves_counts(
+        told: Vec<(u8, u32, bool, bool)>,
+        level_permille: u16,
+        failed_permille: u16
+    ) -> bool {
+        let mut levels = levels();
+        for number in 1..=2 {
+            tell_uploads(&mut levels, number, 0.0, true);
+        }
+        for (route, calls_bits, is_settled, is_from_outside) in told {
+            let (route, service, ..) = ROUTES[usize::from(route) % ROUTES.len()];
+            let calls = f32::from_bits(calls_bits);
+            let news = RouteNews {
+                is_from_outside,
+                is_settled,
+                leads_to: vec![(String::from("register"), calls)],
+            };
+            levels.on_route(at_ms(0), route, service, gate(3), news);
+        }
+        let report = GateReport {
+            limit_count: 30,
+            work_us: u32::MAX,
+            level_permille,
+            failed_permille,
+            ..GateReport::default()
+        };
+        levels.on_gate(at_ms(1), "register", gate(4), &report);
+        offer_at(&mut levels, 1);
+        let all = ROUTES.iter().flat_map(|(route, ..)| levels.leads_to_all(at_ms(1), route));
+        let are_counts = all.into_iter().all(|(_, calls)| calls.is_finite() && calls >= 0.0);
+        are_counts && is_let_in(&mut levels, 1, "upload", 0.99)
+    }
+}
