Know callers by the keys of their workspaces, and tell backend servers the workspace

A key is digested where it is read, from a request or from the configuration, and kept nowhere. It is looked up in the configuration in force, taken out at the entry, and the name of its workspace goes with the call in its place. Routes that are not public answer 401 without one. An empty list of workspaces opens nothing; a document without the list asks for no keys.

Calls of backend servers and callers come in by one listener on this platform, from the same address; the routes of such calls are public there, so no other mark is needed. Ruled out: telling them apart by the caller's address (the same).

Whole requests are ranked by their workspace, then by their route.

--- a/crates/kumquatquay-core/src/routed/entry_levels.rs
+++ b/crates/kumquatquay-core/src/routed/entry_levels.rs
@@ -39,6 +39,9 @@
 /// Services and routes that are remembered, of each.
 const LIMIT_COUNT: usize = 1_024;
 
+/// Ranks that are told apart on one route.
+const RANKS_LIMIT_COUNT: usize = 64;
+
 /// Time in which the count of offered requests halves.
 const OFFERED_HALF_LIFE_S: f64 = 2.0;
 
@@ -82,7 +85,8 @@
 #[derive(Debug, Default)]
 struct RouteLevels {
     known: BTreeMap<ServiceName, PooledNews>,
-    offered: Offered,
+    /// Requests, by their rank.
+    offered: BTreeMap<Priority, Offered>,
 }
 
 /// A count that fades with time.
@@ -108,7 +112,7 @@
     pub route: &'a str,
     /// Service that the route sends it to.
     pub service: &'a str,
-    /// Rank of the route.
+    /// Rank of the whole request.
     pub priority: Priority,
     /// Its own place among requests of the same rank, from 0 to 1; the higher ones
     /// are refused first.
@@ -263,7 +267,7 @@
 
     /// Lets a request in, or says which service has no room for it.
     ///
-    /// `ranks` tells the priorities of all routes. A request that a backend server
+    /// `ranks` tells the ranks of all routes, for requests that have none of their own. A request that a backend server
     /// makes is part of a whole one that was let in, and is never refused here; so
     /// is one of which nothing is known yet.
     ///
@@ -279,7 +283,7 @@
         let Some(route) = self.routes.get_mut(request.route) else {
             return Ok(());
         };
-        route.offered.add(now);
+        route.offer(now, request.priority);
         let news = self.known_at(now, request.route, request.service);
         let Some(news) = news.filter(|news| news.is_from_outside) else {
             return Ok(());
@@ -363,12 +367,15 @@
             let Some(priority) = ranks.get(route).copied() else {
                 continue;
             };
-            let load = levels.load_at(now, service);
-            all += load;
-            if priority < request.priority {
-                before += load;
-            } else if priority == request.priority {
-                beside += load;
+            let calls = levels.calls_at(now, service);
+            for (priority, offered) in levels.offered_at(now, priority) {
+                let load = calls * offered;
+                all += load;
+                if priority < request.priority {
+                    before += load;
+                } else if priority == request.priority {
+                    beside += load;
+                }
             }
         }
         if beside <= 0.0 {
@@ -438,15 +445,35 @@
 }
 
 impl RouteLevels {
-    /// Load that a route offers to a service, in calls; only its proportion to the
-    /// load of other routes counts.
-    fn load_at(&self, now: Duration, service: &str) -> f64 {
+    /// Takes in a request.
+    fn offer(&mut self, now: Duration, rank: Priority) {
+        if !self.offered.contains_key(&rank) && self.offered.len() >= RANKS_LIMIT_COUNT {
+            self.offered
+                .retain(|_, offered| offered.at(now) > OFFERED_FIRST);
+        }
+        self.offered.entry(rank).or_default().add(now);
+    }
+
+    /// Requests offered, by rank; the few of the first moment have the rank of the route. Only
+    /// their proportion to those of other routes counts.
+    fn offered_at(&self, now: Duration, rank: Priority) -> Vec<(Priority, f64)> {
+        if self.offered.is_empty() {
+            return vec![(rank, OFFERED_FIRST)];
+        }
+        let offered = self.offered.iter();
+        offered
+            .map(|(rank, offered)| (*rank, offered.at(now)))
+            .collect()
+    }
+
+    /// Calls that a request makes at a service.
+    fn calls_at(&self, now: Duration, service: &str) -> f64 {
         let known = self.known.values().filter_map(|known| known.get(now));
         let outside = known.filter(|news| news.is_from_outside);
         let reached = outside.flat_map(|news| &news.leads_to);
         let calls = reached.filter(|(reached, _)| reached == service);
         let calls: f32 = calls.map(|(_, calls)| *calls).sum();
-        f64::from(calls) * self.offered.at(now)
+        f64::from(calls)
     }
 }
 
--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -27,6 +27,7 @@
 mod store_follower;
 mod store_readers;
 mod target_table;
+mod workspaces;
 
 pub use backend_lives::{BackendLives, LifeReport, LifeState, ReportRefusal};
 pub use backend_pulse::BackendPulse;
@@ -50,3 +51,4 @@
 pub use store_follower::{FollowStep, FollowerFleet, StoreFollower};
 pub use store_readers::StoreReaders;
 pub use target_table::{Choice, Target, TargetEnded, TargetTable};
+pub use workspaces::{KeyClaim, KeyVerdict, Workspaces, whole_rank};
--- a/crates/kumquatquay-core/src/routed/route_table.rs
+++ b/crates/kumquatquay-core/src/routed/route_table.rs
@@ -10,7 +10,7 @@
     routed::{CallerLimits, Priority, RouteConfiguration, RouteSettings, RouteVersion},
 };
 
-use super::Split;
+use super::{Split, Workspaces, whole_rank};
 
 /// A configuration, laid out for finding routes.
 ///
@@ -24,6 +24,7 @@
     priorities: BTreeMap<String, Priority>,
     services: BTreeSet<ServiceName>,
     health_paths: BTreeMap<ServiceName, String>,
+    workspaces: Workspaces,
 }
 
 /// A route and how its calls are split among services.
@@ -43,7 +44,7 @@
     pub fn new(configuration: RouteConfiguration, phase: f64) -> Self {
         let routes = configuration.hosts.iter().flat_map(|host| &host.routes);
         let priorities = routes
-            .map(|route| (route.name.clone(), route.priority))
+            .map(|route| (route.name.clone(), whole_rank(route, None)))
             .collect();
         let health_paths = configuration.services.iter();
         let health_paths = health_paths
@@ -69,6 +70,7 @@
             hosts: hosts.collect(),
             services,
             health_paths,
+            workspaces: Workspaces::new(configuration.workspaces),
         }
     }
 
@@ -92,7 +94,13 @@
         self.health_paths.get(service).map(String::as_str)
     }
 
-    /// The rank of each route, by its name.
+    /// Who callers may be.
+    pub fn workspaces(&self) -> &Workspaces {
+        &self.workspaces
+    }
+
+    /// The rank of whole requests on each route, by its name, where the caller's workspace has
+    /// none of its own.
     pub fn priorities(&self) -> &BTreeMap<String, Priority> {
         &self.priorities
     }
--- /dev/null
+++ b/crates/kumquatquay-core/src/routed/workspaces.rs
@@ -0,0 +1,92 @@
+//! Who a caller is, by the key that it shows.
+
+use std::{collections::HashMap, sync::Arc};
+
+use kumquatquay_wire::routed::{KeyDigest, Priority, RouteSettings, WorkspaceSettings};
+
+/// Ranks of routes that are told apart within one rank of workspaces.
+const ROUTE_RANKS_COUNT: Priority = 64;
+
+/// The key that a caller shows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum KeyClaim {
+    /// None.
+    #[default]
+    Missing,
+    /// One.
+    Shown(KeyDigest),
+    /// What it shows can't be read, or there are several.
+    Malformed,
+}
+
+/// What a key says of a caller.
+#[derive(Clone, Debug, PartialEq)]
+pub enum KeyVerdict {
+    /// The route asks for no key, and none that is known was shown.
+    NotAsked,
+    /// The key is held by this workspace.
+    Workspace(Arc<WorkspaceSettings>),
+    /// The route asks for a key and none that can be read was shown.
+    Missing,
+    /// No workspace of this configuration holds the key; a newer one may know it.
+    Unknown(KeyDigest),
+}
+
+/// The workspaces of a configuration, by their keys.
+#[derive(Debug, Default)]
+pub struct Workspaces {
+    /// Whether routes that aren't public ask for a key.
+    asks_for_keys: bool,
+    by_key: HashMap<KeyDigest, Arc<WorkspaceSettings>>,
+}
+
+impl Workspaces {
+    /// Lays out workspaces; `None` asks nobody for a key.
+    pub fn new(workspaces: Option<Vec<WorkspaceSettings>>) -> Self {
+        let asks_for_keys = workspaces.is_some();
+        let workspaces = workspaces.into_iter().flatten().map(Arc::new);
+        let by_key = workspaces.flat_map(|workspace| {
+            let keys = workspace.keys.clone().into_iter();
+            keys.map(move |key| (key, Arc::clone(&workspace)))
+        });
+        Self {
+            asks_for_keys,
+            by_key: by_key.collect(),
+        }
+    }
+
+    /// Whether any route may ask for a key.
+    pub fn ask_for_keys(&self) -> bool {
+        self.asks_for_keys
+    }
+
+    /// Finds out who a caller on a route is.
+    pub fn identify(&self, route: &RouteSettings, key: KeyClaim) -> KeyVerdict {
+        if !self.asks_for_keys {
+            return KeyVerdict::NotAsked;
+        }
+        let known = match key {
+            KeyClaim::Shown(key) => self.by_key.get(&key),
+            KeyClaim::Missing | KeyClaim::Malformed => None,
+        };
+        match (known, key) {
+            (Some(workspace), _) => KeyVerdict::Workspace(Arc::clone(workspace)),
+            (None, _) if route.is_public => KeyVerdict::NotAsked,
+            (None, KeyClaim::Shown(key)) => KeyVerdict::Unknown(key),
+            (None, KeyClaim::Missing | KeyClaim::Malformed) => KeyVerdict::Missing,
+        }
+    }
+}
+
+/// Rank of a whole request: by its workspace first, where that has a rank, then by its route.
+///
+/// Workspaces of one rank send requests of all kinds. Without the second part a filing would be
+/// refused for a shortage as often as a look-up beside it.
+pub fn whole_rank(route: &RouteSettings, workspace: Option<&WorkspaceSettings>) -> Priority {
+    let own = workspace.and_then(|workspace| workspace.priority);
+    let first = own.unwrap_or(route.priority);
+    let second = route.priority.min(ROUTE_RANKS_COUNT - 1);
+    first
+        .saturating_mul(ROUTE_RANKS_COUNT)
+        .saturating_add(second)
+}
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -20,6 +20,7 @@
 mod store_follower;
 mod store_readers;
 mod target_table;
+mod workspaces;
 
 use std::time::Duration;
 
--- a/crates/kumquatquay-core/tests/routed/route_table.rs
+++ b/crates/kumquatquay-core/tests/routed/route_table.rs
@@ -14,6 +14,7 @@
         repeat: Repeat::Idempotent,
         target_latency: Duration::from_millis(100),
         priority: 1,
+        is_public: false,
         destinations: vec![Destination {
             service: String::from("archive"),
             weight: 1,
@@ -44,6 +45,7 @@
             },
         ],
         services: Vec::new(),
+        workspaces: None,
     };
     RouteTable::new(configuration, 0.0)
 }
--- /dev/null
+++ b/crates/kumquatquay-core/tests/routed/workspaces.rs
@@ -0,0 +1,106 @@
+//! Who a caller is, and its rank.
+
+use std::time::Duration;
+
+use kumquatquay_core::routed::{KeyClaim, KeyVerdict, Workspaces, whole_rank};
+use kumquatquay_wire::routed::{KeyDigest, Priority, Repeat, RouteSettings, WorkspaceSettings};
+
+fn route(is_public: bool, priority: Priority) -> RouteSettings {
+    RouteSettings {
+        name: String::from("history"),
+        path_prefix: String::from("/history/"),
+        repeat: Repeat::Idempotent,
+        target_latency: Duration::from_secs(1),
+        priority,
+        is_public,
+        destinations: Vec::new(),
+        timeout: Duration::from_secs(2),
+        attempts_count: 2,
+    }
+}
+
+fn workspace(name: &str, key: &str, priority: Option<Priority>) -> WorkspaceSettings {
+    WorkspaceSettings {
+        name: String::from(name),
+        keys: vec![KeyDigest::of(key.as_bytes())],
+        priority,
+        quota: None,
+    }
+}
+
+fn shown(key: &str) -> KeyClaim {
+    KeyClaim::Shown(KeyDigest::of(key.as_bytes()))
+}
+
+fn identify(is_public: bool, key: KeyClaim) -> String {
+    let workspaces = vec![
+        workspace("north", "k1", None),
+        workspace("south", "k2", None),
+    ];
+    match Workspaces::new(Some(workspaces)).identify(&route(is_public, 1), key) {
+        KeyVerdict::NotAsked => String::from("not asked"),
+        KeyVerdict::Workspace(workspace) => workspace.name.clone(),
+        KeyVerdict::Missing => String::from("missing"),
+        KeyVerdict::Unknown(_) => String::from("unknown"),
+    }
+}
+
+macro_rules! identifies {
+    ($($name:ident: $is_public:literal, $key:expr => $verdict:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_eq!(identify($is_public, $key), $verdict);
+            }
+        )*
+    };
+}
+
+identifies! {
+    a_key_names_its_workspace: false, shown("k2") => "south";
+    a_key_of_nobody_is_unknown: false, shown("k3") => "unknown";
+    a_route_asks_for_a_key: false, KeyClaim::Missing => "missing";
+    a_key_that_cannot_be_read_is_none: false, KeyClaim::Malformed => "missing";
+    a_public_route_asks_for_none: true, KeyClaim::Missing => "not asked";
+    a_public_route_passes_over_an_unknown_key: true, shown("k3") => "not asked";
+    a_key_counts_on_a_public_route_too: true, shown("k1") => "north";
+}
+
+/// An operator takes the last workspace out of the list. The routes must not be open to all then.
+#[test]
+fn an_empty_list_of_workspaces_opens_nothing() {
+    let workspaces = Workspaces::new(Some(Vec::new()));
+    let verdict = workspaces.identify(&route(false, 1), KeyClaim::Missing);
+    assert_eq!(verdict, KeyVerdict::Missing);
+}
+
+#[test]
+fn without_workspaces_nobody_is_asked() {
+    let verdict = Workspaces::new(None).identify(&route(false, 1), shown("k1"));
+    assert_eq!(verdict, KeyVerdict::NotAsked);
+}
+
+/// A digest in a state dump, a log line or a panic would tell which key was used.
+#[test]
+fn a_digest_prints_nothing_of_itself() {
+    let printed = format!("{:?}", workspace("north", "k1", None));
+    assert!(printed.contains("keys: [KeyDigest]"), "{printed}");
+}
+
+#[test]
+fn the_rank_of_a_workspace_goes_before_that_of_the_route() {
+    let important = workspace("north", "k1", Some(0));
+    let other = workspace("south", "k2", Some(1));
+    let look_up = whole_rank(&route(false, 2), Some(&important));
+    let filing = whole_rank(&route(false, 0), Some(&other));
+    assert!(look_up < filing);
+}
+
+/// All workspaces of one rank send filings and look-ups. Of these, filings are refused last.
+#[test]
+fn within_a_rank_of_workspaces_routes_are_ordered() {
+    let workspace = workspace("north", "k1", Some(1));
+    let filing = whole_rank(&route(false, 0), Some(&workspace));
+    let look_up = whole_rank(&route(false, 2), Some(&workspace));
+    assert!(filing < look_up);
+}
--- a/crates/kumquatquay-wire/src/routed/configuration.rs
+++ b/crates/kumquatquay-wire/src/routed/configuration.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::WorkspaceSettings;
 use crate::ServiceName;
 
 /// Number of a configuration; a node never goes back to a lower one.
@@ -22,7 +23,7 @@
 pub type Priority = u32;
 
 /// Everything that operators set for calls on routes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RouteConfiguration {
     /// Which configuration this is.
     pub version: RouteVersion,
@@ -32,6 +33,9 @@
     pub hosts: Vec<HostRoutes>,
     /// What holds for all backend servers of a service.
     pub services: Vec<ServiceSettings>,
+    /// Those that may call routes that aren't public. Where operators set none at all, not even
+    /// an empty list, no route asks for a key.
+    pub workspaces: Option<Vec<WorkspaceSettings>>,
 }
 
 /// What callers may send, and how slowly.
@@ -69,6 +73,8 @@
     pub target_latency: Duration,
     /// Rank of its calls.
     pub priority: Priority,
+    /// Whether its calls need no key.
+    pub is_public: bool,
     /// Where its calls go, by weight.
     pub destinations: Vec<Destination>,
     /// The longest time that a caller is kept waiting.
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -3,7 +3,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use super::{FollowState, GateReport, Priority, RouteNews, ServicePressure};
+use super::{FollowState, GateReport, Priority, RouteNews, ServicePressure, WorkspaceName};
 use crate::{BackendLife, ServiceName, WireError};
 
 /// Names a call on one link, in the direction from the node that sent it.
@@ -77,6 +77,8 @@
     pub life: Option<BackendLife>,
     /// Service on the host where the call began.
     pub caller_service: ServiceName,
+    /// Workspace that holds the caller's key.
+    pub workspace: Option<WorkspaceName>,
     /// The id that the caller gave it.
     pub attempt: String,
     /// Rank of its route.
--- a/crates/kumquatquay-wire/src/routed/mod.rs
+++ b/crates/kumquatquay-wire/src/routed/mod.rs
@@ -12,6 +12,7 @@
 mod frame;
 mod gate_report;
 mod route_news;
+mod workspace;
 
 pub use configuration::{
     CallerLimits, Destination, FollowState, HostRoutes, Priority, Repeat, RouteConfiguration,
@@ -23,3 +24,4 @@
 };
 pub use gate_report::GateReport;
 pub use route_news::{RouteNews, ServicePressure};
+pub use workspace::{KeyDigest, Quota, WorkspaceName, WorkspaceSettings};
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -8,7 +8,7 @@
     ServiceName,
     routed::{
         CallHead, HeaderField, LinkOutcome, NotRunReason, Priority, Repeat, RouteSettings,
-        RouteVersion, UnknownReason,
+        RouteVersion, UnknownReason, WorkspaceSettings,
     },
 };
 use rand::Rng;
@@ -46,6 +46,8 @@
     pub(crate) route: Arc<TableRoute>,
     pub(crate) service: ServiceName,
     pub(crate) version: RouteVersion,
+    /// Workspace that holds the caller's key.
+    pub(crate) workspace: Option<Arc<WorkspaceSettings>>,
     /// Rank of the whole request that it belongs to, as far as that is known.
     pub(crate) whole_priority: Cell<Priority>,
     pub(crate) attempt: String,
@@ -60,6 +62,15 @@
     pub(crate) handed_over: HandedOver,
 }
 
+impl OutgoingCall {
+    /// Rank of the call by itself.
+    fn priority(&self) -> Priority {
+        let workspace = self.workspace.as_ref();
+        let priority = workspace.and_then(|workspace| workspace.priority);
+        priority.unwrap_or(self.route.settings.priority)
+    }
+}
+
 /// What a call went through so far.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Progress {
@@ -403,8 +414,12 @@
         service: call.service.clone(),
         life: choice.life.clone(),
         caller_service: node.settings.service.clone(),
+        workspace: call
+            .workspace
+            .as_ref()
+            .map(|workspace| workspace.name.clone()),
         attempt: call.attempt.clone(),
-        priority: settings.priority,
+        priority: call.priority(),
         whole_priority: call.whole_priority.get(),
         target_latency_ms: settings.target_latency.as_millis() as u64,
         level_permille: (level * 1_000.0) as u16,
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -6,7 +6,9 @@
 use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use kumquatquay_core::routed::{EntryRequest, Mechanism, RouteTable, TableRoute};
+use kumquatquay_core::routed::{
+    EntryRequest, KeyVerdict, Mechanism, RouteTable, TableRoute, whole_rank,
+};
 use kumquatquay_wire::routed::{GateReport, LinkOutcome, NotRunReason, UnknownReason};
 use rand::Rng;
 
@@ -69,7 +71,7 @@
 
 async fn answer_entry(node: &Rc<RoutedNode>, request: Request<Incoming>) -> Response<WholeBody> {
     let began = node.now();
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
     let Some(table) = node.routes() else {
         node.decisions.count("refused", "no_configuration");
         let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -86,6 +88,22 @@
         return own_answer(StatusCode::SERVICE_UNAVAILABLE, retry, "this node stops\n");
     }
     let marks = (node.dialect.read_request)(&parts.headers);
+    let workspace = match table.workspaces().identify(&route.settings, marks.key) {
+        KeyVerdict::NotAsked => None,
+        KeyVerdict::Workspace(workspace) => Some(workspace),
+        KeyVerdict::Missing => {
+            node.decisions.count("refused", "no_key");
+            return own_answer(StatusCode::UNAUTHORIZED, None, "no key\n");
+        }
+        KeyVerdict::Unknown(_) => {
+            node.decisions.count("refused", "unknown_key");
+            return own_answer(StatusCode::UNAUTHORIZED, None, "this key is not known\n");
+        }
+    };
+    if table.workspaces().ask_for_keys() {
+        // Backend servers and other nodes must not come to know the key.
+        (node.dialect.remove_claims)(&mut parts.headers);
+    }
     let body = match read_body(body, table.limits().body_limit_bytes).await {
         Ok(body) => body,
         Err(status) => {
@@ -104,7 +122,8 @@
         caller,
         service,
         version: table.version(),
-        whole_priority: Cell::new(route.settings.priority),
+        whole_priority: Cell::new(whole_rank(&route.settings, workspace.as_deref())),
+        workspace,
         deadline: deadline_of(&route, &marks, began),
         attempt: marks.attempt.unwrap_or_default(),
         method: String::from(parts.method.as_str()),
@@ -180,7 +199,7 @@
     let request = EntryRequest {
         route: &route.name,
         service: &call.service,
-        priority: route.priority,
+        priority: call.whole_priority.get(),
         place,
     };
     let admitted = node
--- a/crates/kumquatquayd/src/routed/interface.rs
+++ b/crates/kumquatquayd/src/routed/interface.rs
@@ -4,7 +4,7 @@
 
 use derive_more::{Display, Error};
 use http::HeaderMap;
-use kumquatquay_core::routed::{BackendLoad, LifeReport, RegisterPlace};
+use kumquatquay_core::routed::{BackendLoad, KeyClaim, LifeReport, RegisterPlace};
 use kumquatquay_wire::{BackendLife, InstanceId, routed::RouteConfiguration};
 
 /// How requests, answers and reports are written on this platform.
@@ -15,6 +15,8 @@
 pub struct Dialect {
     /// Reads what a request says of itself.
     pub read_request: fn(&HeaderMap) -> RequestMarks,
+    /// Takes out what a caller shows or says of the workspace that it belongs to.
+    pub remove_claims: fn(&mut HeaderMap),
     /// Writes what a backend server is told beside the request as the caller sent it.
     pub write_hand_over: fn(&mut HeaderMap, &HandOver<'_>),
     /// Reads what an answer says of itself.
@@ -38,6 +40,8 @@
     pub attempt: Option<String>,
     /// How long the caller waits.
     pub time_left: Option<Duration>,
+    /// The key that it shows.
+    pub key: KeyClaim,
 }
 
 /// What a backend server is told beside the request.
@@ -49,6 +53,8 @@
     pub instance: Option<&'a InstanceId>,
     /// Service on the host where the request began.
     pub caller_service: &'a str,
+    /// Workspace that holds the caller's key.
+    pub workspace: Option<&'a str>,
 }
 
 /// What an answer says of itself.
@@ -125,7 +131,7 @@
 }
 
 /// What a read of configurations brought.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RouteNews {
     /// The one with the highest version, if there were any.
     pub newest: Option<Box<RouteConfiguration>>,
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -404,6 +404,7 @@
         time_left,
         instance: call.life.as_ref().map(|life| &life.instance),
         caller_service: &call.caller_service,
+        workspace: call.workspace.as_deref(),
     };
     (node.dialect.write_hand_over)(request.headers_mut(), &hand_over);
     Some(request)
