Accept keys only while the configuration is proved to be the newest

A key that is taken away must be refused everywhere within a bound, at nodes that are cut off too. A version tells nothing of its age, so each node keeps the moment before which nothing newer than its configuration was confirmed: that at which it sent a read of the store, or a question to another node less that node's own age. No clocks of two hosts are compared; the clock counts the time in which a host is suspended.

Holds of up to 4.5 s, as before, proved nothing in time.

A key that is not known is refused for good only once a read that began after the request has shown it; such reads have a pause between them and 64 requests wait for them at the most.

--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -17,6 +17,7 @@
 mod level_setter;
 mod link_health;
 mod mechanisms;
+mod newest_proof;
 mod out_of_line;
 mod pooled_news;
 mod register_course;
@@ -27,6 +28,7 @@
 mod store_follower;
 mod store_readers;
 mod target_table;
+mod unknown_keys;
 mod workspaces;
 
 pub use backend_lives::{BackendLives, LifeReport, LifeState, ReportRefusal};
@@ -40,6 +42,7 @@
 pub use level_setter::{GateState, LevelSetter};
 pub use link_health::{LinkHealth, LinkStep};
 pub use mechanisms::{Mechanism, Mechanisms, UnknownMechanism};
+pub use newest_proof::NewestProof;
 pub use out_of_line::LineChange;
 pub use register_course::{
     RegisterCourse, RegisterLook, RegisterPlace, RegisterStep, register_place,
@@ -51,4 +54,5 @@
 pub use store_follower::{FollowStep, FollowerFleet, StoreFollower};
 pub use store_readers::StoreReaders;
 pub use target_table::{Choice, Target, TargetEnded, TargetTable};
+pub use unknown_keys::UnknownKeys;
 pub use workspaces::{KeyClaim, KeyVerdict, Workspaces, whole_rank};
--- a/crates/kumquatquay-core/src/routed/store_follower.rs
+++ b/crates/kumquatquay-core/src/routed/store_follower.rs
@@ -45,6 +45,22 @@
 const AFTER_NEWS_PER_NODE: Duration = Duration::from_millis(2);
 const AFTER_NEWS_LEAST: Duration = Duration::from_millis(100);
 
+/// Parts of the time within which a configuration must be proved to be the newest: for which the
+/// store may hold a read at the most, and after which a node without a newer proof asks for one.
+/// What is left between them takes a proof from node to node; what is left behind them is for
+/// asking.
+const PROOF_HOLD_RATIO: f64 = 0.3;
+const PROOF_ASK_RATIO: f64 = 0.6;
+
+/// Part of the longest hold that is drawn at the least where proofs are wanted: a read proves
+/// nothing before it ends.
+const PROOF_HOLD_LEAST: f64 = 0.8;
+
+/// Least time between reads that are wanted out of turn: for each node that is known, and at the
+/// least.
+const WANTED_PER_NODE: Duration = Duration::from_millis(1);
+const WANTED_LEAST: Duration = Duration::from_millis(500);
+
 /// Decides when a node asks the store for a newer configuration.
 ///
 /// A few nodes of each data centre hold a read that the store answers once there is news; all
@@ -67,6 +83,11 @@
 /// two nodes could tell each other for ever that the store was there just now.
 ///
 /// All times grow with the number of nodes, since the store counts the calls of all.
+///
+/// Where keys must not be accepted long after they were taken away, a node also needs proof that
+/// its configuration is the newest, no older than a bound. The store proves that at the end of
+/// each read, for the moment at which the read began. So holds are short then, and a node whose
+/// proof grows old asks another node, then the store.
 #[derive(Debug)]
 pub struct StoreFollower {
     random: StdRng,
@@ -91,6 +112,13 @@
     has_asked: bool,
     /// How long this node waits for word of the store, in shares of the least time.
     patience: f64,
+    /// Within what time the configuration must be proved to be the newest.
+    proof_bound: Option<Duration>,
+    /// Until when it was.
+    proven: Option<Duration>,
+    /// When a read out of turn may begin, if one is wanted, and when the last one began.
+    wanted_at: Option<Duration>,
+    wanted_last: Option<Duration>,
 }
 
 /// The fleet as far as a node knows it.
@@ -138,11 +166,29 @@
             answers_count: 0,
             told: now,
             has_asked: false,
+            proof_bound: None,
+            proven: None,
+            wanted_at: None,
+            wanted_last: None,
         }
     }
 
+    /// Follows so closely that the configuration is proved to be the newest within this time.
+    #[must_use]
+    pub fn proof_within(mut self, bound: Duration) -> Self {
+        self.proof_bound = Some(bound);
+        self
+    }
+
     /// What is to be done now.
     pub fn step(&mut self, now: Duration, fleet: FollowerFleet) -> FollowStep {
+        if self.wanted_at.is_some_and(|wanted_at| now >= wanted_at) {
+            self.wanted_at = None;
+            self.wanted_last = Some(now);
+            return FollowStep::Read {
+                hold: Duration::ZERO,
+            };
+        }
         let nodes_count = u32::try_from(fleet.nodes_count).unwrap_or(u32::MAX);
         let readers_count = u32::try_from(fleet.readers.count).unwrap_or(u32::MAX);
         let is_told = now < self.untold_at(nodes_count);
@@ -154,7 +200,8 @@
         }
         let due = self.due(nodes_count, fleet.readers);
         if now < due {
-            return FollowStep::Wait { until: due };
+            let until = self.wanted_at.map_or(due, |wanted_at| wanted_at.min(due));
+            return FollowStep::Wait { until };
         }
         let is_waiting = !self.is_ailing && !self.is_under_way;
         if !fleet.readers.is_reader && is_waiting && !self.has_asked {
@@ -190,7 +237,11 @@
             // Nobody tells: it reads for itself alone.
             UNTOLD_PER_NODE * nodes_count
         };
-        let hold = self.hold(most);
+        let hold = if fleet.readers.is_reader || !self.is_proof_due(now) {
+            self.hold(most)
+        } else {
+            Duration::ZERO
+        };
         self.next_at = now + hold + PATIENCE;
         FollowStep::Read { hold }
     }
@@ -218,7 +269,38 @@
     /// When this node has been without word of the store for too long.
     fn untold_at(&self, nodes_count: u32) -> Duration {
         let least = UNTOLD_LEAST.max(UNTOLD_PER_NODE * nodes_count);
-        self.told + least.mul_f64(self.patience)
+        let untold_at = self.told + least.mul_f64(self.patience);
+        self.proof_due()
+            .map_or(untold_at, |proof_due| proof_due.min(untold_at))
+    }
+
+    /// When a newer proof is asked for.
+    fn proof_due(&self) -> Option<Duration> {
+        let age = self.proof_bound?.mul_f64(PROOF_ASK_RATIO);
+        Some(self.proven.map_or(self.started, |proven| proven + age))
+    }
+
+    /// Whether the proof is so old that other nodes are to be asked for a newer one, again with
+    /// each read that this node begins: the store may turn it away and serve others.
+    pub fn is_proof_due(&self, now: Duration) -> bool {
+        self.proof_due().is_some_and(|due| now >= due)
+    }
+
+    /// The configuration in force was the newest at this moment.
+    pub fn proven(&mut self, moment: Duration) {
+        if self.proven.is_none_or(|proven| moment > proven) {
+            self.proven = Some(moment);
+            self.has_asked = false;
+        }
+    }
+
+    /// Somebody waits for a read that begins now or later. Reads out of turn have a pause between
+    /// them that grows with the fleet: whoever makes nodes want them can't flood the store.
+    pub fn want(&mut self, now: Duration, nodes_count: usize) {
+        let nodes_count = u32::try_from(nodes_count).unwrap_or(u32::MAX);
+        let pause = WANTED_LEAST.max(WANTED_PER_NODE * nodes_count);
+        let earliest = self.wanted_last.map_or(now, |last| now.max(last + pause));
+        self.wanted_at.get_or_insert(earliest);
     }
 
     /// The store answered a read; the others under way are to be dropped.
@@ -240,7 +322,8 @@
         if answers_count > self.answers_count {
             self.answers_count = answers_count;
             self.told = now;
-            self.has_asked = false;
+            // Without a proof the node goes on to read for itself, whatever it is told.
+            self.has_asked &= self.is_proof_due(now);
             self.patience = draw_patience(&mut self.random);
         }
     }
@@ -270,6 +353,11 @@
 
     fn hold(&mut self, most: Duration) -> Duration {
         let drawn: f64 = self.random.random();
+        if let Some(bound) = self.proof_bound {
+            let most = most.clamp(HOLD_LEAST, HOLD_MOST);
+            let most = most.min(bound.mul_f64(PROOF_HOLD_RATIO));
+            return most.mul_f64(PROOF_HOLD_LEAST + (1.0 - PROOF_HOLD_LEAST) * drawn);
+        }
         // Squared, a fifth of the holds are under a twentieth of the longest one.
         most.clamp(HOLD_LEAST, HOLD_MOST).mul_f64(drawn * drawn)
     }
--- a/crates/kumquatquay-core/src/routed/workspaces.rs
+++ b/crates/kumquatquay-core/src/routed/workspaces.rs
@@ -29,7 +29,7 @@
     /// The route asks for a key and none that can be read was shown.
     Missing,
     /// No workspace of this configuration holds the key; a newer one may know it.
-    Unknown(KeyDigest),
+    Unknown,
 }
 
 /// The workspaces of a configuration, by their keys.
@@ -60,6 +60,12 @@
         self.asks_for_keys
     }
 
+    /// Keys that these workspaces hold and others don't.
+    pub fn keys_not_in<'a>(&'a self, others: &'a Self) -> impl Iterator<Item = KeyDigest> + 'a {
+        let keys = self.by_key.keys().copied();
+        keys.filter(|key| !others.by_key.contains_key(key))
+    }
+
     /// Finds out who a caller on a route is.
     pub fn identify(&self, route: &RouteSettings, key: KeyClaim) -> KeyVerdict {
         if !self.asks_for_keys {
@@ -72,7 +78,7 @@
         match (known, key) {
             (Some(workspace), _) => KeyVerdict::Workspace(Arc::clone(workspace)),
             (None, _) if route.is_public => KeyVerdict::NotAsked,
-            (None, KeyClaim::Shown(key)) => KeyVerdict::Unknown(key),
+            (None, KeyClaim::Shown(_)) => KeyVerdict::Unknown,
             (None, KeyClaim::Missing | KeyClaim::Malformed) => KeyVerdict::Missing,
         }
     }
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -12,6 +12,8 @@
 mod level_setter;
 mod link_health;
 mod mechanisms;
+mod newest_proof;
+mod proof_fleet;
 mod register_course;
 mod retry_window;
 mod route_table;
@@ -20,6 +22,7 @@
 mod store_follower;
 mod store_readers;
 mod target_table;
+mod unknown_keys;
 mod workspaces;
 
 use std::time::Duration;
--- /dev/null
+++ b/crates/kumquatquay-core/tests/routed/newest_proof.rs
@@ -0,0 +1,123 @@
+//! Until when a configuration was the newest for sure.
+
+use std::time::Duration;
+
+use kumquatquay_core::routed::NewestProof;
+
+use crate::at_ms;
+
+/// Time of the clocks before anything happens here.
+const START_MS: u64 = 60_000;
+
+fn at(ms: u64) -> Duration {
+    at_ms(START_MS + ms)
+}
+
+fn age_ms(proof: &NewestProof, now_ms: u64) -> Option<u128> {
+    proof.age(at(now_ms)).map(|age| age.as_millis())
+}
+
+#[test]
+fn without_a_read_nothing_is_proved() {
+    let mut proof = NewestProof::default();
+    proof.applied(7);
+    assert_eq!(age_ms(&proof, 100), None);
+}
+
+/// A read is held for a second. A key is taken away meanwhile, and the news is lost with the
+/// connection that it was written to. The answer says what was true when the read was sent.
+#[test]
+fn a_read_proves_what_was_true_when_it_was_sent() {
+    let mut proof = NewestProof::default();
+    proof.applied(7);
+    proof.read(at(100));
+    assert_eq!(age_ms(&proof, 1_200), Some(1_100));
+}
+
+#[test]
+fn a_peers_age_counts_from_the_question() {
+    let mut proof = NewestProof::default();
+    proof.applied(7);
+    proof.told(at(900), at(500), 7, Some(at_ms(300)));
+    assert_eq!(age_ms(&proof, 1_000), Some(800));
+}
+
+/// A node is suspended for a minute between its question and the answer, and its peer's answer
+/// lay in the connection all the while.
+#[test]
+fn an_answer_that_lay_about_is_as_old_as_its_question() {
+    let mut proof = NewestProof::default();
+    proof.applied(7);
+    proof.told(at(60_500), at(500), 7, Some(at_ms(0)));
+    assert_eq!(age_ms(&proof, 60_500), Some(60_000));
+}
+
+/// A reader is cut off from the store and still answers its peers: all that it tells is how old
+/// its last read is, and asked again it tells the same moment.
+#[test]
+fn a_reader_that_is_cut_off_makes_nobody_younger() {
+    let mut proof = NewestProof::default();
+    proof.applied(7);
+    for asked_ms in (1_000..9_000).step_by(500) {
+        let reader_age = at_ms(asked_ms);
+        proof.told(at(asked_ms + 5), at(asked_ms), 7, Some(reader_age));
+    }
+    assert_eq!(age_ms(&proof, 9_000), Some(9_000));
+}
+
+/// Two nodes that are cut off from all others ask each other for ever.
+#[test]
+fn two_nodes_do_not_keep_each_other_young() {
+    let mut nodes = [NewestProof::default(), NewestProof::default()];
+    for node in &mut nodes {
+        node.applied(7);
+    }
+    nodes[0].read(at(0));
+    for ms in (10..8_000).step_by(10) {
+        let [asker, asked] = if ms % 20 == 0 { [0, 1] } else { [1, 0] };
+        let age = nodes[asked].age(at(ms + 1));
+        nodes[asker].told(at(ms + 2), at(ms), 7, age);
+    }
+    assert!(nodes.iter().all(|node| age_ms(node, 8_000) >= Some(8_000)));
+}
+
+/// A peer has a newer configuration, in which a key is taken away, and vouches for that one.
+#[test]
+fn a_proof_of_a_newer_configuration_counts_once_that_is_in_force() {
+    let mut proof = NewestProof::default();
+    proof.applied(7);
+    proof.read(at(100));
+    proof.told(at(900), at(800), 8, Some(at_ms(50)));
+    assert_eq!(age_ms(&proof, 1_000), Some(900));
+    proof.applied(8);
+    assert_eq!(age_ms(&proof, 1_000), Some(250));
+}
+
+#[test]
+fn proofs_that_come_out_of_order_change_nothing() {
+    let mut proof = NewestProof::default();
+    proof.applied(7);
+    proof.read(at(700));
+    proof.read(at(100));
+    proof.told(at(900), at(800), 7, Some(at_ms(600)));
+    assert_eq!(age_ms(&proof, 1_000), Some(300));
+}
+
+/// Bytes of a broken peer: a question that will be asked tomorrow, a proof from before time began.
+#[test]
+fn senseless_ages_are_passed_over() {
+    let mut proof = NewestProof::default();
+    proof.applied(7);
+    proof.told(at(100), at(86_400_000), 7, Some(at_ms(0)));
+    proof.told(at(100), at(50), 7, Some(Duration::MAX));
+    proof.told(at(100), at(50), 7, None);
+    assert_eq!(age_ms(&proof, 1_000), None);
+}
+
+#[test]
+fn a_moment_is_covered_from_the_proof_on() {
+    let mut proof = NewestProof::default();
+    proof.applied(7);
+    proof.read(at(700));
+    assert!(proof.covers(at(700)) && !proof.covers(at(701)));
+}
--- a/crates/kumquatquay-core/tests/routed/workspaces.rs
+++ b/crates/kumquatquay-core/tests/routed/workspaces.rs
@@ -41,7 +41,7 @@
         KeyVerdict::NotAsked => String::from("not asked"),
         KeyVerdict::Workspace(workspace) => workspace.name.clone(),
         KeyVerdict::Missing => String::from("missing"),
-        KeyVerdict::Unknown(_) => String::from("unknown"),
+        KeyVerdict::Unknown => String::from("unknown"),
     }
 }
 
--- a/crates/kumquatquay-wire/src/routed/configuration.rs
+++ b/crates/kumquatquay-wire/src/routed/configuration.rs
@@ -17,6 +17,9 @@
     pub version: RouteVersion,
     /// Answers of the store that the node knows of, its own and those of others.
     pub store_answers_count: u64,
+    /// How long ago that configuration was the newest for sure, in milliseconds; `None` if that
+    /// isn't known. It counts only for who asked, from the moment of the question.
+    pub proof_age_ms: Option<u32>,
 }
 
 /// Rank of a route's calls: 0 is refused last.
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -52,11 +52,15 @@
     Ping {
         /// How far the sender follows the configuration.
         followed: FollowState,
+        /// When it was asked, by the sender's clock, in milliseconds.
+        asked_ms: u64,
     },
     /// Answers a [`FrameHead::Ping`].
     Pong {
         /// How far the sender follows the configuration.
         followed: FollowState,
+        /// What the question said.
+        asked_ms: u64,
     },
     /// Asks for the configuration in force at the receiver.
     ConfigurationAsk,
--- /dev/null
+++ b/crates/kumquatquayd/src/routed/caller_identity.rs
@@ -0,0 +1,184 @@
+//! Which route a request is for, and whose it is.
+
+use std::{sync::Arc, time::Duration};
+
+use http::{StatusCode, header, request::Parts};
+use kumquatquay_core::routed::{KeyClaim, KeyVerdict, RouteTable, TableRoute};
+use kumquatquay_wire::routed::WorkspaceSettings;
+
+use super::node::RoutedNode;
+use crate::clock::unsuspended;
+
+/// How long a request waits at most until it is known whether its key is; a read of the store
+/// takes some milliseconds, and a quarter of a second where the store is slow.
+const KEY_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Requests that may wait for that at the same time. A flood of keys of nobody holds no more
+/// memory than this.
+const KEY_WAITS_LIMIT_COUNT: usize = 64;
+
+/// A request whose route and caller are known.
+pub(crate) struct Identified {
+    pub(crate) table: Arc<RouteTable>,
+    pub(crate) route: Arc<TableRoute>,
+    /// The workspace that holds the caller's key.
+    pub(crate) workspace: Option<Arc<WorkspaceSettings>>,
+}
+
+/// Why a request is refused before anything else is looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum IdentityRefusal {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// No route leads anywhere.
+    NoRoute,
+    /// The route asks for a key and none that can be read was shown.
+    NoKey,
+    /// No workspace holds the key.
+    UnknownKey,
+    /// Whether any workspace holds the key isn't known.
+    UnsureKey,
+    /// The key may have been taken away.
+    NoProof,
+}
+
+impl IdentityRefusal {
+    /// What counters and log lines call it.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoRoute => "no_route",
+            Self::NoKey => "no_key",
+            Self::UnknownKey => "unknown_key",
+            Self::UnsureKey => "unsure_key",
+            Self::NoProof => "no_proof",
+        }
+    }
+
+    pub(crate) fn status(self) -> StatusCode {
+        match self {
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoKey | Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::NoConfiguration | Self::UnsureKey | Self::NoProof => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+        }
+    }
+
+    /// What the caller reads.
+    pub(crate) fn text(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no configuration yet\n",
+            Self::NoRoute => "no route\n",
+            Self::NoKey => "this route asks for a key\n",
+            Self::UnknownKey => "this key is not known\n",
+            Self::UnsureKey => "whether this key is known is not known yet\n",
+            Self::NoProof => "this node can't tell whether the key is still good\n",
+        }
+    }
+}
+
+/// Finds the route of a request and whose it is.
+///
+/// A key that isn't known may have been added a moment ago. It is refused for good only by a node
+/// whose configuration is proved to be the newest at the moment of the request.
+pub(crate) async fn identify(
+    node: &RoutedNode,
+    parts: &Parts,
+    key: KeyClaim,
+) -> Result<Identified, IdentityRefusal> {
+    let read_at = unsuspended();
+    let found = look_up(node, parts, key);
+    let found = match found {
+        Err(IdentityRefusal::UnknownKey) if !is_refused_again(node, key) => {
+            wait_for_proof(node, read_at).await?;
+            let found = look_up(node, parts, key);
+            remember_unknown(node, key, &found);
+            found?
+        }
+        found => found?,
+    };
+    if found.workspace.is_some() && node.lacks_proof() {
+        return Err(IdentityRefusal::NoProof);
+    }
+    Ok(found)
+}
+
+/// Whether the key was found to be one of nobody before. Asked again each time, the store would
+/// be flooded by callers who go on with a key that was taken away.
+fn is_refused_again(node: &RoutedNode, key: KeyClaim) -> bool {
+    let unknown_keys = node.unknown_keys.borrow();
+    let KeyClaim::Shown(key) = key else {
+        return false;
+    };
+    node.is_current() && unknown_keys.has(node.now(), key)
+}
+
+fn remember_unknown(node: &RoutedNode, key: KeyClaim, found: &Result<Identified, IdentityRefusal>) {
+    if let (KeyClaim::Shown(key), Err(IdentityRefusal::UnknownKey)) = (key, found) {
+        node.unknown_keys.borrow_mut().add(node.now(), key);
+    }
+}
+
+fn look_up(node: &RoutedNode, parts: &Parts, key: KeyClaim) -> Result<Identified, IdentityRefusal> {
+    let table = node.routes().ok_or(IdentityRefusal::NoConfiguration)?;
+    let route = find_route(&table, parts).ok_or(IdentityRefusal::NoRoute)?;
+    let route = Arc::clone(route);
+    let workspace = match table.workspaces().identify(&route.settings, key) {
+        KeyVerdict::NotAsked => None,
+        KeyVerdict::Workspace(workspace) => Some(workspace),
+        KeyVerdict::Missing => return Err(IdentityRefusal::NoKey),
+        KeyVerdict::Unknown => return Err(IdentityRefusal::UnknownKey),
+    };
+    Ok(Identified {
+        table,
+        route,
+        workspace,
+    })
+}
+
+fn find_route<'a>(table: &'a RouteTable, parts: &Parts) -> Option<&'a Arc<TableRoute>> {
+    let host = parts.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host())?;
+    table.find(host, parts.uri.path())
+}
+
+/// Waits until the configuration in force is proved to be as new as a moment.
+async fn wait_for_proof(node: &RoutedNode, moment: Duration) -> Result<(), IdentityRefusal> {
+    if node.key_waits_count.get() >= KEY_WAITS_LIMIT_COUNT {
+        return Err(IdentityRefusal::UnsureKey);
+    }
+    let _waits = KeyWait::new(node);
+    node.want_proof();
+    let proved = async {
+        loop {
+            let news = node.proof_news.notified();
+            if node.proof_covers(moment) {
+                return;
+            }
+            news.await;
+        }
+    };
+    let proved = tokio::time::timeout(KEY_PATIENCE, proved).await;
+    proved.map_err(|_| IdentityRefusal::UnsureKey)
+}
+
+/// A request that waits for a proof.
+struct KeyWait<'a> {
+    node: &'a RoutedNode,
+}
+
+impl<'a> KeyWait<'a> {
+    fn new(node: &'a RoutedNode) -> Self {
+        node.key_waits_count.set(node.key_waits_count.get() + 1);
+        Self { node }
+    }
+}
+
+impl Drop for KeyWait<'_> {
+    fn drop(&mut self) {
+        let count = &self.node.key_waits_count;
+        count.set(count.get() - 1);
+    }
+}
--- a/crates/kumquatquayd/src/routed/configuration_exchange.rs
+++ b/crates/kumquatquayd/src/routed/configuration_exchange.rs
@@ -1,8 +1,11 @@
 //! What nodes tell each other of the configuration, on each link.
 
+use std::time::Duration;
+
 use kumquatquay_wire::routed::{FollowState, FrameHead};
 
 use super::{link_frames::FrameWriter, node::RoutedNode};
+use crate::clock::unsuspended;
 
 /// Asks for a configuration that the other node has and this one lacks.
 pub(crate) fn on_followed(node: &RoutedNode, frames: &FrameWriter, followed: FollowState) {
@@ -14,6 +17,30 @@
     }
 }
 
+/// Takes in what another node answers, of how far it follows, to a question asked at `asked`.
+///
+/// Who wasn't asked may have told it long ago: it may have lain in a link that was cut.
+pub(crate) fn on_follow_answer(
+    node: &RoutedNode,
+    frames: &FrameWriter,
+    followed: FollowState,
+    asked: Duration,
+) {
+    on_followed(node, frames, followed);
+    let age = followed.proof_age_ms.map(u64::from);
+    let age = age.map(Duration::from_millis);
+    let version = followed.version;
+    node.prove(|proof| proof.told(unsuspended(), asked, version, age));
+}
+
+/// A question how far another node follows.
+pub(crate) fn ping(node: &RoutedNode) -> FrameHead {
+    FrameHead::Ping {
+        followed: node.follow_state(),
+        asked_ms: unsuspended().as_millis() as u64,
+    }
+}
+
 /// Takes in a configuration of another node.
 pub(crate) fn on_configuration(node: &RoutedNode, body: &[u8]) {
     match postcard::from_bytes(body) {
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -1,18 +1,17 @@
 //! The entry listener: calls of callers and of the backend server on this host.
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use kumquatquay_core::routed::{
-    EntryRequest, KeyVerdict, Mechanism, RouteTable, TableRoute, whole_rank,
-};
+use kumquatquay_core::routed::{EntryRequest, Mechanism, TableRoute, whole_rank};
 use kumquatquay_wire::routed::{GateReport, LinkOutcome, NotRunReason, UnknownReason};
 use rand::Rng;
 
 use super::{
+    caller_identity::{Identified, IdentityRefusal, identify},
     carry::{OutgoingCall, Progress, carry, retry_after},
     http_io::{Caller, WholeBody, fields_of, headers_of, own_answer},
     interface::RequestMarks,
@@ -20,7 +19,8 @@
     node::{RoutedNode, StopPhase},
 };
 
-/// Time after which a caller is asked to come back while no configuration is known.
+/// Time after which a caller is asked to come back while no configuration is known, or none that
+/// is proved to be the newest.
 const NOT_CONFIGURED_RETRY: Duration = Duration::from_millis(300);
 
 /// Serves one request of a caller.
@@ -72,34 +72,21 @@
 async fn answer_entry(node: &Rc<RoutedNode>, request: Request<Incoming>) -> Response<WholeBody> {
     let began = node.now();
     let (mut parts, body) = request.into_parts();
-    let Some(table) = node.routes() else {
-        node.decisions.count("refused", "no_configuration");
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        return own_answer(status, Some(NOT_CONFIGURED_RETRY), "no configuration yet\n");
-    };
-    let Some(route) = find_route(&table, &parts) else {
-        node.decisions.count("refused", "no_route");
-        return own_answer(StatusCode::NOT_FOUND, None, "no route\n");
+    let marks = (node.dialect.read_request)(&parts.headers);
+    let identified = match identify(node, &parts, marks.key).await {
+        Ok(identified) => identified,
+        Err(refusal) => return refuse_unidentified(node, &marks, refusal),
     };
-    let route = Arc::clone(route);
+    let Identified {
+        table,
+        route,
+        workspace,
+    } = identified;
     if is_too_late(node, &route) {
         node.decisions.count("refused", "stopping");
         let retry = Some(retry_after(node, &route.settings));
         return own_answer(StatusCode::SERVICE_UNAVAILABLE, retry, "this node stops\n");
     }
-    let marks = (node.dialect.read_request)(&parts.headers);
-    let workspace = match table.workspaces().identify(&route.settings, marks.key) {
-        KeyVerdict::NotAsked => None,
-        KeyVerdict::Workspace(workspace) => Some(workspace),
-        KeyVerdict::Missing => {
-            node.decisions.count("refused", "no_key");
-            return own_answer(StatusCode::UNAUTHORIZED, None, "no key\n");
-        }
-        KeyVerdict::Unknown(_) => {
-            node.decisions.count("refused", "unknown_key");
-            return own_answer(StatusCode::UNAUTHORIZED, None, "this key is not known\n");
-        }
-    };
     if table.workspaces().ask_for_keys() {
         // Backend servers and other nodes must not come to know the key.
         (node.dialect.remove_claims)(&mut parts.headers);
@@ -156,6 +143,30 @@
     }
 }
 
+/// Answers a request of which it isn't known whose it is, or for which there is no route.
+fn refuse_unidentified(
+    node: &RoutedNode,
+    marks: &RequestMarks,
+    refusal: IdentityRefusal,
+) -> Response<WholeBody> {
+    node.decisions.count("refused", refusal.name());
+    if node.decisions.has_line(node.now()) {
+        let proof_age_ms = node.proof_age().map(|age| age.as_millis() as u64);
+        log::info!(
+            event = "request",
+            request = marks.attempt.as_deref().unwrap_or_default(),
+            outcome = "refused",
+            why = refusal.name(),
+            version = node.route_version(),
+            proof_age_ms = proof_age_ms;
+            "a request ended"
+        );
+    }
+    let may_return = refusal.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let retry = may_return.then_some(NOT_CONFIGURED_RETRY);
+    own_answer(refusal.status(), retry, refusal.text())
+}
+
 /// A call that the backend server of this host made has failed: the run that made it
 /// will end without its other calls.
 fn count_failed_call(node: &RoutedNode, call: &OutgoingCall) {
@@ -229,13 +240,6 @@
     ))
 }
 
-fn find_route<'a>(table: &'a RouteTable, parts: &Parts) -> Option<&'a Arc<TableRoute>> {
-    let host = parts.headers.get(header::HOST);
-    let host = host.and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| parts.uri.host())?;
-    table.find(host, parts.uri.path())
-}
-
 fn target_of(parts: &Parts) -> String {
     let target = parts.uri.path_and_query();
     target.map_or_else(|| String::from("/"), ToString::to_string)
--- a/crates/kumquatquayd/src/routed/interface.rs
+++ b/crates/kumquatquayd/src/routed/interface.rs
@@ -137,6 +137,8 @@
     pub newest: Option<Box<RouteConfiguration>>,
     /// For each one that can't be read all that is wrong about it, with its place.
     pub malformed: Vec<Vec<String>>,
+    /// Whether all that the store had when it was asked has been read by now.
+    pub is_all: bool,
 }
 
 impl RouteNews {
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -20,11 +20,14 @@
 };
 
 use super::{
-    configuration_exchange::{on_configuration, on_followed, tell_configuration},
+    configuration_exchange::{
+        on_configuration, on_follow_answer, on_followed, ping, tell_configuration,
+    },
     link_answer::{HandedOver, LinkAnswer},
     link_frames::{FrameWriter, read_frames},
     node::RoutedNode,
 };
+use crate::clock::unsuspended;
 
 /// Bodies above this go over a second link, so that short calls don't wait behind
 /// them: at 200 Mbit/s this many bytes take 1.3 ms.
@@ -82,6 +85,8 @@
 #[derive(Debug)]
 struct Pending {
     answer: oneshot::Sender<LinkAnswer>,
+    /// When it was sent, by the clock that counts suspended time.
+    asked: Duration,
     /// Bytes of the link up to the end of the frame that lets the call run.
     end_bytes: u64,
     /// Whether it may run only once this node has committed to it.
@@ -117,9 +122,11 @@
         handed_over.set();
     }
     let (sender, mut receiver) = oneshot::channel();
+    let asked = unsuspended();
     let end_bytes = link.frames.push(&FrameHead::Call(call), body);
     let pending = Pending {
         answer: sender,
+        asked,
         end_bytes,
         needs_commit,
         handed_over: handed_over.clone(),
@@ -249,9 +256,11 @@
     match head {
         FrameHead::Answer(answer) => on_answer(node, link, answer, body),
         FrameHead::Granted { number } => on_granted(link, number),
-        FrameHead::Pong { followed } | FrameHead::Ping { followed } => {
-            on_followed(node, &link.frames, followed);
+        FrameHead::Pong { followed, asked_ms } => {
+            let asked = Duration::from_millis(asked_ms);
+            on_follow_answer(node, &link.frames, followed, asked);
         }
+        FrameHead::Ping { followed, .. } => on_followed(node, &link.frames, followed),
         FrameHead::Configuration => on_configuration(node, &body),
         FrameHead::ConfigurationAsk => tell_configuration(node, &link.frames),
         FrameHead::Call(_) | FrameHead::Cancel { .. } | FrameHead::Commit { .. } => {
@@ -306,15 +315,19 @@
 async fn answers(node: &Rc<RoutedNode>, peer: SocketAddr) -> bool {
     let link = link_to(node, peer, 0);
     let news = link.news.notified();
-    let followed = node.follow_state();
-    link.frames.push(&FrameHead::Ping { followed }, &[]);
+    link.frames.push(&ping(node), &[]);
     let _ = tokio::time::timeout(CONNECT_TIMEOUT, news).await;
     link.has_heard.get() && !*link.is_silent.borrow()
 }
 
 fn on_answer(node: &RoutedNode, link: &Link, answer: AnswerHead, body: Vec<u8>) {
-    on_followed(node, &link.frames, answer.followed);
     let pending = link.pending.borrow_mut().remove(&answer.number);
+    match &pending {
+        Some(pending) => {
+            on_follow_answer(node, &link.frames, answer.followed, pending.asked);
+        }
+        None => on_followed(node, &link.frames, answer.followed),
+    }
     // Without one the call was given up; the answer has crossed the cancellation.
     if let Some(pending) = pending {
         let _ = pending.answer.send(LinkAnswer {
@@ -330,8 +343,7 @@
 /// Asks another node for a sign of life, which tells how far it follows the configuration.
 pub(crate) fn ask_sign_of_life(node: &Rc<RoutedNode>, peer: SocketAddr) {
     let link = link_to(node, peer, 0);
-    let followed = node.follow_state();
-    link.frames.push(&FrameHead::Ping { followed }, &[]);
+    link.frames.push(&ping(node), &[]);
 }
 
 /// Asks another node for its configuration.
@@ -357,8 +369,7 @@
     match health.look(node.now(), WATCH_INTERVAL, is_waited_for) {
         LinkStep::Keep => {}
         LinkStep::Ask => {
-            let followed = node.follow_state();
-            link.frames.push(&FrameHead::Ping { followed }, &[]);
+            link.frames.push(&ping(node), &[]);
         }
         LinkStep::Avoid if !node.is_on(Mechanism::SilentLinks) => {}
         LinkStep::Avoid => {
--- a/crates/kumquatquayd/src/routed/link_server.rs
+++ b/crates/kumquatquayd/src/routed/link_server.rs
@@ -139,10 +139,11 @@
                 let _ = commit.send(());
             }
         }
-        FrameHead::Ping { followed } => {
+        FrameHead::Ping { followed, asked_ms } => {
             on_followed(node, &link.frames, followed);
             let followed = node.follow_state();
-            link.frames.push(&FrameHead::Pong { followed }, &[]);
+            link.frames
+                .push(&FrameHead::Pong { followed, asked_ms }, &[]);
         }
         FrameHead::ConfigurationAsk => tell_configuration(node, &link.frames),
         FrameHead::Configuration => on_configuration(node, &body),
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -11,6 +11,7 @@
 //! kept.
 
 mod backend_pool;
+mod caller_identity;
 mod carry;
 mod configuration_exchange;
 mod decisions;
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -13,8 +13,9 @@
     Clock,
     routed::{
         BackendLives, BackendPulse, CallGraph, CallTracer, CallerCensus, EntryLevels,
-        FollowerFleet, GateRepeats, GraphRow, HostGate, LevelSetter, Mechanism, RetryWindow,
-        RouteTable, RunFailures, StoreFollower, StoreReaders, TargetTable,
+        FollowerFleet, GateRepeats, GraphRow, HostGate, LevelSetter, Mechanism, NewestProof,
+        RetryWindow, RouteTable, RunFailures, StoreFollower, StoreReaders, TargetTable,
+        UnknownKeys,
     },
 };
 use kumquatquay_wire::{
@@ -22,18 +23,26 @@
     routed::{FollowState, GateReport, RouteConfiguration, RouteNews, RouteVersion},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 
 use super::{
     backend_pool::BackendPool, decisions::Decisions, interface::Dialect, learnt_log::LearntLog,
     link::Links, settings::RoutedSettings,
 };
-use crate::{clock::SystemClock, engine::Engine, tasks::Tasks};
+use crate::{
+    clock::{SystemClock, unsuspended},
+    engine::Engine,
+    tasks::Tasks,
+};
 
 /// Pause between questions for a configuration; a document takes a few
 /// milliseconds.
 const CONFIGURATION_ASK_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time before a proof is too old at which it counts as too old: a request is read a moment before
+/// that is judged.
+const PROOF_MARGIN: Duration = Duration::from_millis(100);
+
 /// Time after a node's start in which its word on routes counts less than that of
 /// nodes that have seen more.
 const SETTLING_TIME: Duration = Duration::from_secs(4);
@@ -86,6 +95,12 @@
     pub(crate) configuration: RefCell<Option<RouteConfiguration>>,
     /// When the store is asked for configurations.
     pub(crate) follower: RefCell<StoreFollower>,
+    /// Told that the store is to be asked out of turn.
+    pub(crate) follower_wake: Notify,
+    /// Until when the configuration in force was the newest.
+    proof: RefCell<NewestProof>,
+    /// Told of each new proof.
+    pub(crate) proof_news: Notify,
     /// When another node may next be asked for a configuration.
     next_ask: Cell<Duration>,
     pub(crate) targets: RefCell<TargetTable>,
@@ -114,6 +129,10 @@
     pub(crate) backend: BackendPool,
     pub(crate) decisions: Decisions,
     pub(crate) learnt: LearntLog,
+    /// Keys that no workspace holds and that were shown here, or were taken away.
+    pub(crate) unknown_keys: RefCell<UnknownKeys>,
+    /// Requests that wait until it is known whether their keys are.
+    pub(crate) key_waits_count: Cell<usize>,
     /// Second of the node's life in which the last line on a refused report was written.
     pub(crate) refused_report_second: Cell<Option<u64>>,
     /// Requests at the entry that have no answer yet.
@@ -152,8 +171,15 @@
         let at_gate = RetryWindow::new(budget.window, budget.ratio * AT_GATE_RATIO, 0.0);
         let census = CallerCensus::at(settings.service.clone());
         let follower = StoreFollower::new(Duration::ZERO, random.random());
+        let follower = match settings.bounds.revoke {
+            Some(bound) => follower.proof_within(bound),
+            None => follower,
+        };
         Rc::new(Self {
             follower: RefCell::new(follower),
+            follower_wake: Notify::new(),
+            proof: RefCell::default(),
+            proof_news: Notify::new(),
             backend: BackendPool::new(settings.backend),
             phase: random.random(),
             targets: RefCell::new(TargetTable::new(settings.mechanisms)),
@@ -181,6 +207,8 @@
             levels: RefCell::default(),
             decisions: Decisions::new(),
             learnt: LearntLog::default(),
+            unknown_keys: RefCell::default(),
+            key_waits_count: Cell::new(0),
             refused_report_second: Cell::new(None),
             in_flight_count: Cell::new(0),
             nodes_count: Cell::new(1),
@@ -225,6 +253,7 @@
         FollowState {
             version: self.route_version(),
             store_answers_count: self.follower.borrow().answers_count(),
+            proof_age_ms: self.proof_age().and_then(age_ms),
         }
     }
 
@@ -247,13 +276,66 @@
             return;
         }
         let table = RouteTable::new(configuration.clone(), self.phase);
+        if let Some(old) = self.routes() {
+            let taken_away = old.workspaces().keys_not_in(table.workspaces());
+            let mut unknown_keys = self.unknown_keys.borrow_mut();
+            taken_away.for_each(|key| unknown_keys.add(self.now(), key));
+        }
         self.routes.replace(Some(Arc::new(table)));
         self.configuration.replace(Some(configuration));
+        self.prove(|proof| proof.applied(version));
         self.decisions.count("configuration", from);
         log::info!(event = "configuration_in_force", version = version, from = from;
             "a newer configuration is in force");
     }
 
+    /// How long ago the configuration in force was the newest for sure.
+    pub(crate) fn proof_age(&self) -> Option<Duration> {
+        self.proof.borrow().age(unsuspended())
+    }
+
+    /// Whether keys may have been taken away too long ago for this node to accept any.
+    ///
+    /// Nodes that stay without word of the store refuse what needs a key before it could be run
+    /// with one that was taken away longer ago than is allowed.
+    pub(crate) fn lacks_proof(&self) -> bool {
+        let Some(bound) = self.settings.bounds.revoke else {
+            return false;
+        };
+        let bound = bound.saturating_sub(PROOF_MARGIN);
+        self.proof_age().is_none_or(|age| age >= bound)
+    }
+
+    /// Whether the configuration in force is so new that another one needn't be in force yet.
+    pub(crate) fn is_current(&self) -> bool {
+        let bound = self.settings.bounds.configuration;
+        self.proof_age().is_some_and(|age| age < bound)
+    }
+
+    /// Asks for a proof that begins now.
+    pub(crate) fn want_proof(&self) {
+        let nodes_count = self.follower_fleet().nodes_count;
+        self.follower.borrow_mut().want(self.now(), nodes_count);
+        self.follower_wake.notify_one();
+    }
+
+    /// Whether nothing newer than the configuration in force was confirmed before a moment of
+    /// the clock that counts suspended time.
+    pub(crate) fn proof_covers(&self, moment: Duration) -> bool {
+        self.proof.borrow().covers(moment)
+    }
+
+    /// Takes in what shows until when the configuration in force was the newest.
+    pub(crate) fn prove(&self, learn: impl FnOnce(&mut NewestProof)) {
+        let mut proof = self.proof.borrow_mut();
+        learn(&mut proof);
+        if let Some(age) = proof.age(unsuspended()) {
+            let proven = self.now().saturating_sub(age);
+            self.follower.borrow_mut().proven(proven);
+            self.proof_news.notify_waiters();
+        }
+    }
+
     /// Whether the node stops.
     pub(crate) fn stop_phase(&self) -> StopPhase {
         *self.stop.borrow()
@@ -413,3 +495,8 @@
         self.settings.listen.links
     }
 }
+
+/// An age as other nodes are told, rounded up: it must not get younger on the way.
+fn age_ms(age: Duration) -> Option<u32> {
+    u32::try_from(age.as_millis() + 1).ok()
+}
--- a/crates/kumquatquayd/src/routed/reports.rs
+++ b/crates/kumquatquayd/src/routed/reports.rs
@@ -126,14 +126,21 @@
     if !(node.dialect.asks_readiness)(&parts) {
         return own_answer(StatusCode::NOT_FOUND, None, "not found\n");
     }
-    let is_configured = node.routes.borrow().is_some();
-    if is_configured && node.stop_phase() == StopPhase::Serving {
+    if can_serve(&node) && node.stop_phase() == StopPhase::Serving {
         own_answer(StatusCode::OK, None, "ready\n")
     } else {
         own_answer(StatusCode::SERVICE_UNAVAILABLE, None, "not ready\n")
     }
 }
 
+/// Whether callers are served here: those with keys too, where there are any.
+fn can_serve(node: &RoutedNode) -> bool {
+    let Some(table) = node.routes() else {
+        return false;
+    };
+    !table.workspaces().ask_for_keys() || !node.lacks_proof()
+}
+
 /// Serves the node's metrics as text.
 pub(crate) async fn serve_metrics(
     node: Rc<RoutedNode>,
--- a/crates/kumquatquayd/src/routed/routes_watch.rs
+++ b/crates/kumquatquayd/src/routed/routes_watch.rs
@@ -12,6 +12,7 @@
     link::{ask_configuration, ask_sign_of_life},
     node::RoutedNode,
 };
+use crate::clock::unsuspended;
 
 /// Pause between the nodes that are asked for a configuration.
 const PEER_PAUSE: Duration = Duration::from_millis(150);
@@ -20,6 +21,8 @@
 struct EndedRead {
     /// Time since the node's start at which it began.
     began: Duration,
+    /// The same by the clock that counts suspended time.
+    asked: Duration,
     news: Result<RouteNews, StoreError>,
 }
 
@@ -30,6 +33,9 @@
         let step = next_step(&node);
         let until = match step {
             FollowStep::Read { hold } => {
+                if is_proof_due(&node) {
+                    ask_reader(&node);
+                }
                 reads.spawn_local(read(Rc::clone(&node), store.clone(), hold));
                 continue;
             }
@@ -51,6 +57,7 @@
                 }
             }
             () = pause => {}
+            () = node.follower_wake.notified() => {}
         }
     }
 }
@@ -75,17 +82,37 @@
     step
 }
 
-/// Asks a node that reads the store for all how far it is; its answer on the link tells.
+fn is_proof_due(node: &RoutedNode) -> bool {
+    node.follower.borrow().is_proof_due(node.now())
+}
+
+/// Asks a node that reads the store for all how far it is; its answer on the link tells. A node
+/// whose proof grows old asks all that are near, and any other one: readers may be turned away.
 fn ask_reader(node: &Rc<RoutedNode>) {
     let own = node.links_address();
-    let readers = node.near_readers.borrow();
-    let others = readers.iter().filter(|peer| **peer != own);
-    let reader = others.choose(&mut *node.random.borrow_mut()).copied();
-    if let Some(reader) = reader {
-        ask_sign_of_life(node, reader);
+    let mut others = node.near_readers.borrow().clone();
+    others.retain(|peer| *peer != own);
+    if !is_proof_due(node) {
+        let reader = others.choose(&mut *node.random.borrow_mut()).copied();
+        others = Vec::from_iter(reader);
+    } else if let Some(peer) = any_peer(node) {
+        others.push(peer);
+    }
+    for other in others {
+        ask_sign_of_life(node, other);
     }
 }
 
+/// Address for links of any node that is there.
+fn any_peer(node: &RoutedNode) -> Option<SocketAddr> {
+    let own = node.links_address();
+    let members = node.engine.members().into_iter();
+    let peers = members
+        .filter(|member| member.state != MemberState::Gone && member.peer != own)
+        .map(|member| member.peer);
+    peers.choose(&mut *node.random.borrow_mut())
+}
+
 fn log_lost(node: &RoutedNode, unheard: Duration, why: &str) {
     log::warn!(event = "store_lost", unheard_ms = unheard.as_millis() as u64,
         in_force = node.route_version(); "the configuration can't be followed: {why}");
@@ -93,8 +120,9 @@
 
 async fn read(node: Rc<RoutedNode>, store: PlatformStore, hold: Duration) -> EndedRead {
     let began = node.now();
+    let asked = unsuspended();
     let news = (store.read_routes)(hold).await;
-    EndedRead { began, news }
+    EndedRead { began, asked, news }
 }
 
 /// Takes in what came of a read; whether the store answered it.
@@ -113,7 +141,11 @@
                     took_ms = took_ms, in_force = node.route_version();
                     "the store answers again");
             }
+            let proves = news.is_all && news.malformed.is_empty();
             take_news(node, news);
+            if proves {
+                node.prove(|proof| proof.read(ended.asked));
+            }
             true
         }
         Err(error) => {
@@ -134,13 +166,7 @@
 pub(crate) async fn ask_for_configuration(node: Rc<RoutedNode>) {
     while node.route_version() == 0 {
         tokio::time::sleep(PEER_PAUSE).await;
-        let own = node.links_address();
-        let members = node.engine.members().into_iter();
-        let peers: Vec<SocketAddr> = members
-            .filter(|member| member.state != MemberState::Gone && member.peer != own)
-            .map(|member| member.peer)
-            .collect();
-        let peer = peers.choose(&mut *node.random.borrow_mut()).copied();
+        let peer = any_peer(&node);
         if let Some(peer) = peer.filter(|_| node.route_version() == 0) {
             ask_configuration(&node, peer);
         }
--- a/crates/kumquatquayd/src/routed/settings.rs
+++ b/crates/kumquatquayd/src/routed/settings.rs
@@ -63,6 +63,10 @@
     pub drain: Duration,
     /// How long a node may take to stop.
     pub grace: Duration,
+    /// How long after its confirmation a configuration may not be in force yet.
+    pub configuration: Duration,
+    /// How long a key may be accepted after it was taken away; `None` if that isn't bounded.
+    pub revoke: Option<Duration>,
 }
 
 /// What all nodes together may send once more to a service.
