--- a/crates/kumquatquay-core/src/routed/store_follower.rs
+++ b/crates/kumquatquay-core/src/routed/store_follower.rs
@@ -59,7 +59,7 @@
 /// Least time between reads that are wanted out of turn: for each node that is known, and at the
 /// least.
 const WANTED_PER_NODE: Duration = Duration::from_millis(1);
-const WANTED_LEAST: Duration = Duration::from_millis(500);
+const WANTED_LEAST: Duration = Duration::from_millis(250);
 
 /// Decides when a node asks the store for a newer configuration.
 ///
