Keep quotas of workspaces over all nodes together, by shares that are lent

Each node owns an equal part of each quota and lends it, in two halves and for a second at a time, to keepers: the first half to one of its data centre, the second, in fleets of up to 256 nodes, to one for all.

--- a/crates/kumquatquay-core/src/lib.rs
+++ b/crates/kumquatquay-core/src/lib.rs
@@ -38,6 +38,7 @@
 mod overload;
 mod policy;
 mod quarantine;
+pub mod quota;
 pub mod routed;
 mod state_dump;
 
--- /dev/null
+++ b/crates/kumquatquay-core/src/quota/node_quotas.rs
@@ -0,0 +1,100 @@
+//! What one node owns, lends and keeps.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use kumquatquay_wire::routed::SliceSets;
+
+use super::{Lender, Loan, OverQuota, QuotaLimit, QuotaPool};
+
+/// Stands for the node itself, as a keeper of what nobody has asked it to lend.
+const OWN_REST: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
+/// What one node owns, lends and keeps.
+///
+/// All times are of one clock that also counts while the host is suspended.
+#[derive(Debug)]
+pub struct NodeQuotas {
+    lender: Lender,
+    pool: QuotaPool,
+}
+
+impl NodeQuotas {
+    /// A node that starts now.
+    pub fn new(now: Duration) -> Self {
+        Self {
+            lender: Lender::new(now),
+            pool: QuotaPool::default(),
+        }
+    }
+
+    /// Lends a keeper what it asks for. `nodes_count` is among how many nodes quotas are split;
+    /// while that isn't known, nothing is lent.
+    pub fn lend(
+        &mut self,
+        now: Duration,
+        keeper: SocketAddr,
+        wanted: SliceSets,
+        nodes_count: Option<usize>,
+    ) -> SliceSets {
+        if nodes_count.is_none() {
+            return SliceSets::default();
+        }
+        let granted = self.lender.lend(now, keeper, wanted);
+        self.use_rest(now, nodes_count);
+        granted
+    }
+
+    /// What isn't lent counts for this node; to be said again before a loan's time is over.
+    pub fn use_rest(&mut self, now: Duration, nodes_count: Option<usize>) {
+        let granted = match nodes_count {
+            Some(_) => self.lender.kept(now),
+            None => SliceSets::default(),
+        };
+        let loan = Loan {
+            granted,
+            asked: now,
+            nodes_count: nodes_count.unwrap_or(usize::MAX),
+        };
+        self.pool.lent(now, OWN_REST, loan);
+    }
+
+    /// Another node, or this one, lends this much. A loan that was asked for in the future makes
+    /// no sense and is passed over.
+    pub fn lent(&mut self, now: Duration, lender: SocketAddr, loan: Loan) {
+        if loan.asked <= now {
+            self.pool.lent(now, lender, loan);
+        }
+    }
+
+    /// Takes a token for a request of a workspace from what is kept here.
+    ///
+    /// # Errors
+    ///
+    /// [`OverQuota`] if there is none.
+    pub fn take(
+        &mut self,
+        now: Duration,
+        workspace: &str,
+        limit: QuotaLimit,
+    ) -> Result<(), OverQuota> {
+        self.pool.take(now, workspace, limit)
+    }
+
+    /// A request for which a token was taken has not run.
+    pub fn give_back(&mut self, now: Duration, workspace: &str, limit: QuotaLimit) {
+        self.pool.give_back(now, workspace, limit);
+    }
+
+    /// Part of a workspace's quota that counts for this node now.
+    pub fn share(&mut self, now: Duration, workspace: &str) -> f64 {
+        self.pool.share(now, workspace)
+    }
+
+    /// Forgets workspaces that are no more.
+    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
+        self.pool.retain(is_known);
+    }
+}
--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -57,11 +57,14 @@
     /// A backend server that fails more than its peers is left nearly alone.
     #[display("out-of-line")]
     OutOfLine,
+    /// What nodes own of the quotas of workspaces is lent to keepers.
+    #[display("quota-loans")]
+    QuotaLoans,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::EntryLevels,
         Self::KeptGraph,
         Self::TracedCalls,
@@ -78,6 +81,7 @@
         Self::SlowNear,
         Self::LateLeaving,
         Self::OutOfLine,
+        Self::QuotaLoans,
     ];
 
     fn bit(self) -> u32 {
--- a/crates/kumquatquay-core/src/routed/workspaces.rs
+++ b/crates/kumquatquay-core/src/routed/workspaces.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use kumquatquay_wire::routed::{KeyDigest, Priority, RouteSettings, WorkspaceSettings};
+use kumquatquay_wire::routed::{
+    KeyDigest, Priority, Quota, RouteSettings, WorkspaceName, WorkspaceSettings,
+};
 
 /// Ranks of routes that are told apart within one rank of workspaces.
 const ROUTE_RANKS_COUNT: Priority = 64;
@@ -38,20 +40,26 @@
     /// Whether routes that aren't public ask for a key.
     asks_for_keys: bool,
     by_key: HashMap<KeyDigest, Arc<WorkspaceSettings>>,
+    quotas: HashMap<WorkspaceName, Quota>,
 }
 
 impl Workspaces {
     /// Lays out workspaces; `None` asks nobody for a key.
     pub fn new(workspaces: Option<Vec<WorkspaceSettings>>) -> Self {
         let asks_for_keys = workspaces.is_some();
-        let workspaces = workspaces.into_iter().flatten().map(Arc::new);
-        let by_key = workspaces.flat_map(|workspace| {
+        let workspaces: Vec<_> = workspaces.into_iter().flatten().map(Arc::new).collect();
+        let quotas = workspaces
+            .iter()
+            .filter_map(|workspace| Some((workspace.name.clone(), workspace.quota?)));
+        let quotas = quotas.collect();
+        let by_key = workspaces.into_iter().flat_map(|workspace| {
             let keys = workspace.keys.clone().into_iter();
             keys.map(move |key| (key, Arc::clone(&workspace)))
         });
         Self {
             asks_for_keys,
             by_key: by_key.collect(),
+            quotas,
         }
     }
 
@@ -60,6 +68,16 @@
         self.asks_for_keys
     }
 
+    /// Whether any workspace has a quota.
+    pub fn have_quotas(&self) -> bool {
+        !self.quotas.is_empty()
+    }
+
+    /// The quota of a workspace, if it has one.
+    pub fn quota(&self, workspace: &str) -> Option<Quota> {
+        self.quotas.get(workspace).copied()
+    }
+
     /// Keys that these workspaces hold and others don't.
     pub fn keys_not_in<'a>(&'a self, others: &'a Self) -> impl Iterator<Item = KeyDigest> + 'a {
         let keys = self.by_key.keys().copied();
--- /dev/null
+++ b/crates/kumquatquay-core/tests/quota/lender.rs
@@ -0,0 +1,55 @@
+//! What is lent, and to whom.
+
+use kumquatquay_core::quota::{LOAN_TIME, Lender};
+use kumquatquay_wire::routed::SliceSets;
+
+use crate::{at_ms, node};
+
+/// A lender that has been there for a while.
+fn lender() -> Lender {
+    Lender::new(at_ms(0))
+}
+
+#[test]
+fn what_is_lent_to_one_keeper_is_lent_to_no_other() {
+    let mut lender = lender();
+    let now = at_ms(5_000);
+    assert_eq!(lender.lend(now, node(1), SliceSets::ALL), SliceSets::ALL);
+    assert!(lender.lend(now, node(2), SliceSets::ALL).is_empty());
+    assert!(lender.kept(now).is_empty());
+}
+
+#[test]
+fn a_loan_goes_on_for_who_has_it_and_ends_for_who_does_not_ask() {
+    let mut lender = lender();
+    lender.lend(at_ms(5_000), node(1), SliceSets::ALL);
+    let renewed = at_ms(5_900);
+    assert_eq!(
+        lender.lend(renewed, node(1), SliceSets::ALL),
+        SliceSets::ALL
+    );
+    let before = renewed + LOAN_TIME - at_ms(1);
+    assert!(lender.lend(before, node(2), SliceSets::ALL).is_empty());
+    let after = renewed + LOAN_TIME;
+    assert_eq!(lender.lend(after, node(2), SliceSets::ALL), SliceSets::ALL);
+}
+
+/// A node is killed and is back at once. What it lent before its end is still used; lent a second
+/// time it would count twice.
+#[test]
+fn a_node_that_starts_lends_nothing_for_the_time_of_a_loan() {
+    let mut lender = lender();
+    let before = LOAN_TIME - at_ms(1);
+    assert!(lender.lend(before, node(1), SliceSets::ALL).is_empty());
+    assert!(lender.kept(before).is_empty());
+    assert_eq!(lender.kept(LOAN_TIME), SliceSets::ALL);
+}
+
+#[test]
+fn what_is_not_lent_is_kept() {
+    let mut lender = lender();
+    let now = at_ms(5_000);
+    let first_half = SliceSets::ALL.of_half(0);
+    lender.lend(now, node(1), first_half);
+    assert_eq!(lender.kept(now), SliceSets::ALL.of_half(1));
+}
--- a/crates/kumquatquay-wire/src/routed/configuration.rs
+++ b/crates/kumquatquay-wire/src/routed/configuration.rs
@@ -20,6 +20,8 @@
     /// How long ago that configuration was the newest for sure, in milliseconds; `None` if that
     /// isn't known. It counts only for who asked, from the moment of the question.
     pub proof_age_ms: Option<u32>,
+    /// The most nodes that it has known at the same time, itself included.
+    pub nodes_count: u32,
 }
 
 /// Rank of a route's calls: 0 is refused last.
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -1,9 +1,14 @@
 //! Frames on a link between two nodes.
 
+use std::net::SocketAddr;
+
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use super::{FollowState, GateReport, Priority, RouteNews, ServicePressure, WorkspaceName};
+use super::{
+    FollowState, GateReport, Priority, QuotaVerdict, RouteNews, ServicePressure, SliceSets,
+    WorkspaceName,
+};
 use crate::{BackendLife, ServiceName, WireError};
 
 /// Names a call on one link, in the direction from the node that sent it.
@@ -62,6 +67,45 @@
         /// What the question said.
         asked_ms: u64,
     },
+    /// A keeper of quotas asks for a loan of what the receiver owns.
+    LoanAsk {
+        /// Control address of the keeper.
+        keeper: SocketAddr,
+        /// What it keeps.
+        wanted: SliceSets,
+        /// When it was asked, by the keeper's clock, in milliseconds.
+        asked_ms: u64,
+    },
+    /// Answers a [`FrameHead::LoanAsk`].
+    Loan {
+        /// Control address of the lender.
+        lender: SocketAddr,
+        /// What is lent.
+        granted: SliceSets,
+        /// What the question said.
+        asked_ms: u64,
+        /// Nodes among which quotas are split.
+        nodes_count: u32,
+    },
+    /// Asks a keeper for a token.
+    QuotaAsk {
+        /// Names the question in its answer.
+        number: u64,
+        /// Whose request it is.
+        workspace: WorkspaceName,
+    },
+    /// Answers a [`FrameHead::QuotaAsk`].
+    QuotaAnswer {
+        /// The question.
+        number: u64,
+        /// Whether there was a token.
+        verdict: QuotaVerdict,
+    },
+    /// Gives a token back to a keeper: the request has not run.
+    QuotaReturn {
+        /// Whose request it was.
+        workspace: WorkspaceName,
+    },
     /// Asks for the configuration in force at the receiver.
     ConfigurationAsk,
     /// A configuration; a `RouteConfiguration` by `postcard` follows as the body.
--- a/crates/kumquatquay-wire/src/routed/mod.rs
+++ b/crates/kumquatquay-wire/src/routed/mod.rs
@@ -11,6 +11,7 @@
 mod configuration;
 mod frame;
 mod gate_report;
+mod quota;
 mod route_news;
 mod workspace;
 
@@ -23,5 +24,6 @@
     NotRunReason, UnknownReason, encode_frame,
 };
 pub use gate_report::GateReport;
+pub use quota::{HALVES_COUNT, QuotaVerdict, SLICES_COUNT, SliceSets};
 pub use route_news::{RouteNews, ServicePressure};
 pub use workspace::{KeyDigest, Quota, WorkspaceName, WorkspaceSettings};
--- a/crates/kumquatquayd/src/routed/configuration_exchange.rs
+++ b/crates/kumquatquayd/src/routed/configuration_exchange.rs
@@ -9,6 +9,9 @@
 
 /// Asks for a configuration that the other node has and this one lacks.
 pub(crate) fn on_followed(node: &RoutedNode, frames: &FrameWriter, followed: FollowState) {
+    let told_nodes_count = node.told_nodes_count.get();
+    let nodes_count = told_nodes_count.max(followed.nodes_count as usize);
+    node.told_nodes_count.set(nodes_count);
     let mut follower = node.follower.borrow_mut();
     follower.told(node.now(), followed.store_answers_count);
     drop(follower);
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -7,7 +7,9 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use kumquatquay_core::routed::{EntryRequest, Mechanism, TableRoute, whole_rank};
-use kumquatquay_wire::routed::{GateReport, LinkOutcome, NotRunReason, UnknownReason};
+use kumquatquay_wire::routed::{
+    GateReport, LinkOutcome, NotRunReason, UnknownReason, WorkspaceSettings,
+};
 use rand::Rng;
 
 use super::{
@@ -17,6 +19,7 @@
     interface::RequestMarks,
     link_answer::{HandedOver, LinkAnswer},
     node::{RoutedNode, StopPhase},
+    quotas::{QuotaRefusal, give_back, take_token},
 };
 
 /// Time after which a caller is asked to come back while no configuration is known, or none that
@@ -87,6 +90,13 @@
         let retry = Some(retry_after(node, &route.settings));
         return own_answer(StatusCode::SERVICE_UNAVAILABLE, retry, "this node stops\n");
     }
+    let token = match &workspace {
+        None => None,
+        Some(workspace) => match take_token(node, workspace).await {
+            Ok(token) => token,
+            Err(refusal) => return refuse_over_quota(node, &marks, &route, workspace, refusal),
+        },
+    };
     if table.workspaces().ask_for_keys() {
         // Backend servers and other nodes must not come to know the key.
         (node.dialect.remove_claims)(&mut parts.headers);
@@ -122,6 +132,9 @@
         handed_over: HandedOver::default(),
     };
     if let Some(refusal) = refuse_for_shortage(node, &call, began, expires) {
+        if let Some(token) = token {
+            give_back(node, token);
+        }
         return refusal;
     }
     let wait = call.deadline.saturating_sub(node.now());
@@ -129,11 +142,17 @@
     if !carried.as_ref().is_ok_and(LinkAnswer::is_success) {
         count_failed_call(node, &call);
     }
+    let carried = match carried {
+        Err(_) if !call.handed_over.get() => Ok(LinkAnswer::not_run(NotRunReason::Late)),
+        carried => carried,
+    };
     match carried {
-        Ok(answer) => answer_carried(node, &call, answer, began),
-        Err(_) if !call.handed_over.get() => {
-            let late = LinkAnswer::not_run(NotRunReason::Late);
-            answer_carried(node, &call, late, began)
+        Ok(answer) => {
+            let has_not_run = matches!(answer.outcome, LinkOutcome::NotRun(_));
+            if let Some(token) = token.filter(|_| has_not_run) {
+                give_back(node, token);
+            }
+            answer_carried(node, &call, answer, began)
         }
         Err(_) => {
             node.decisions.count("failed", "deadline");
@@ -167,6 +186,53 @@
     own_answer(refusal.status(), retry, refusal.text())
 }
 
+/// Answers a request that is beyond the quota of its workspace.
+fn refuse_over_quota(
+    node: &RoutedNode,
+    marks: &RequestMarks,
+    route: &TableRoute,
+    workspace: &WorkspaceSettings,
+    refusal: QuotaRefusal,
+) -> Response<WholeBody> {
+    let (status, why) = match refusal {
+        QuotaRefusal::Over { .. } => (StatusCode::TOO_MANY_REQUESTS, "over_quota"),
+        QuotaRefusal::NoKeeper => (StatusCode::SERVICE_UNAVAILABLE, "no_keeper"),
+    };
+    node.decisions.count("refused", why);
+    if node.decisions.has_line(node.now()) {
+        let quota = workspace.quota;
+        let share = match refusal {
+            QuotaRefusal::Over {
+                share_millionths, ..
+            } => f64::from(share_millionths) / 1e6,
+            QuotaRefusal::NoKeeper => 0.0,
+        };
+        log::info!(
+            event = "request",
+            request = marks.attempt.as_deref().unwrap_or_default(),
+            route = route.settings.name.as_str(),
+            workspace = workspace.name.as_str(),
+            outcome = "refused",
+            why = why,
+            rate_per_s = quota.map_or(0.0, |quota| quota.rate_per_s),
+            burst = quota.map_or(0.0, |quota| quota.burst_count),
+            share = share;
+            "a request ended"
+        );
+    }
+    let wait = match refusal {
+        QuotaRefusal::Over { wait_ms, .. } => wait_ms.map(u64::from).map(Duration::from_millis),
+        QuotaRefusal::NoKeeper => None,
+    };
+    // Tokens that come sooner are taken by requests that come sooner.
+    let retry = retry_after(node, &route.settings).max(wait.unwrap_or_default());
+    own_answer(
+        status,
+        Some(retry),
+        "the quota of the workspace is used up\n",
+    )
+}
+
 /// A call that the backend server of this host made has failed: the run that made it
 /// will end without its other calls.
 fn count_failed_call(node: &RoutedNode, call: &OutgoingCall) {
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -10,7 +10,10 @@
 };
 
 use bytes::Bytes;
-use kumquatquay_core::routed::{LinkHealth, LinkStep, Mechanism};
+use kumquatquay_core::{
+    quota::Loan,
+    routed::{LinkHealth, LinkStep, Mechanism},
+};
 use kumquatquay_wire::routed::{
     AnswerHead, CallHead, CallNumber, FrameHead, NotRunReason, UnknownReason,
 };
@@ -26,6 +29,7 @@
     link_answer::{HandedOver, LinkAnswer},
     link_frames::{FrameWriter, read_frames},
     node::RoutedNode,
+    quotas::{on_loan, on_quota_answer},
 };
 use crate::clock::unsuspended;
 
@@ -263,7 +267,26 @@
         FrameHead::Ping { followed, .. } => on_followed(node, &link.frames, followed),
         FrameHead::Configuration => on_configuration(node, &body),
         FrameHead::ConfigurationAsk => tell_configuration(node, &link.frames),
-        FrameHead::Call(_) | FrameHead::Cancel { .. } | FrameHead::Commit { .. } => {
+        FrameHead::Loan {
+            lender,
+            granted,
+            asked_ms,
+            nodes_count,
+        } => {
+            let loan = Loan {
+                granted,
+                asked: Duration::from_millis(asked_ms),
+                nodes_count: nodes_count as usize,
+            };
+            on_loan(node, lender, loan);
+        }
+        FrameHead::QuotaAnswer { number, verdict } => on_quota_answer(node, number, verdict),
+        FrameHead::Call(_)
+        | FrameHead::Cancel { .. }
+        | FrameHead::Commit { .. }
+        | FrameHead::LoanAsk { .. }
+        | FrameHead::QuotaAsk { .. }
+        | FrameHead::QuotaReturn { .. } => {
             log::warn!(event = "link_confused"; "a frame came from the wrong side of a link");
         }
     }
@@ -346,6 +369,14 @@
     link.frames.push(&ping(node), &[]);
 }
 
+/// Sends a frame that isn't a call to another node.
+pub(crate) fn send_frame(node: &Rc<RoutedNode>, peer: SocketAddr, head: &FrameHead) {
+    let link = link_to(node, peer, 0);
+    if link.frames.has_room() {
+        link.frames.push(head, &[]);
+    }
+}
+
 /// Asks another node for its configuration.
 pub(crate) fn ask_configuration(node: &Rc<RoutedNode>, peer: SocketAddr) {
     let link = link_to(node, peer, 0);
--- a/crates/kumquatquayd/src/routed/link_server.rs
+++ b/crates/kumquatquayd/src/routed/link_server.rs
@@ -18,6 +18,7 @@
     link_answer::LinkAnswer,
     link_frames::{FrameWriter, read_frames},
     node::RoutedNode,
+    quotas::{give_back_here, lend, take_here},
     run_here::run_here,
 };
 
@@ -147,7 +148,25 @@
         }
         FrameHead::ConfigurationAsk => tell_configuration(node, &link.frames),
         FrameHead::Configuration => on_configuration(node, &body),
-        FrameHead::Pong { .. } | FrameHead::Answer(_) | FrameHead::Granted { .. } => {}
+        FrameHead::LoanAsk {
+            keeper,
+            wanted,
+            asked_ms,
+        } => {
+            let loan = lend(node, keeper, wanted, asked_ms);
+            link.frames.push(&loan, &[]);
+        }
+        FrameHead::QuotaAsk { number, workspace } => {
+            let verdict = take_here(node, &workspace);
+            link.frames
+                .push(&FrameHead::QuotaAnswer { number, verdict }, &[]);
+        }
+        FrameHead::QuotaReturn { workspace } => give_back_here(node, &workspace),
+        FrameHead::Pong { .. }
+        | FrameHead::Answer(_)
+        | FrameHead::Granted { .. }
+        | FrameHead::Loan { .. }
+        | FrameHead::QuotaAnswer { .. } => {}
     }
 }
 
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -27,6 +27,7 @@
 mod members;
 mod metrics_text;
 mod node;
+mod quotas;
 mod reports;
 mod routes_watch;
 mod run_here;
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -27,7 +27,7 @@
 
 use super::{
     backend_pool::BackendPool, decisions::Decisions, interface::Dialect, learnt_log::LearntLog,
-    link::Links, settings::RoutedSettings,
+    link::Links, quotas::Quotas, settings::RoutedSettings,
 };
 use crate::{
     clock::{SystemClock, unsuspended},
@@ -129,6 +129,10 @@
     pub(crate) backend: BackendPool,
     pub(crate) decisions: Decisions,
     pub(crate) learnt: LearntLog,
+    /// Quotas of workspaces: what this node owns and keeps.
+    pub(crate) quotas: RefCell<Quotas>,
+    /// The most nodes that any other one has told that it knew at the same time; 0 before that.
+    pub(crate) told_nodes_count: Cell<usize>,
     /// Keys that no workspace holds and that were shown here, or were taken away.
     pub(crate) unknown_keys: RefCell<UnknownKeys>,
     /// Requests that wait until it is known whether their keys are.
@@ -207,6 +211,8 @@
             levels: RefCell::default(),
             decisions: Decisions::new(),
             learnt: LearntLog::default(),
+            quotas: RefCell::new(Quotas::new(unsuspended())),
+            told_nodes_count: Cell::new(0),
             unknown_keys: RefCell::default(),
             key_waits_count: Cell::new(0),
             refused_report_second: Cell::new(None),
@@ -254,6 +260,7 @@
             version: self.route_version(),
             store_answers_count: self.follower.borrow().answers_count(),
             proof_age_ms: self.proof_age().and_then(age_ms),
+            nodes_count: self.nodes_count.get() as u32,
         }
     }
 
@@ -281,6 +288,9 @@
             let mut unknown_keys = self.unknown_keys.borrow_mut();
             taken_away.for_each(|key| unknown_keys.add(self.now(), key));
         }
+        let mut quotas = self.quotas.borrow_mut();
+        quotas.retain(|workspace| table.workspaces().quota(workspace).is_some());
+        drop(quotas);
         self.routes.replace(Some(Arc::new(table)));
         self.configuration.replace(Some(configuration));
         self.prove(|proof| proof.applied(version));
--- a/crates/kumquatquayd/src/routed/start.rs
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -17,6 +17,7 @@
     link_server::serve_link,
     members::{carry_out, follow_members, look_for_returned, tick, use_register},
     node::{RoutedNode, StopPhase},
+    quotas::keep_quotas,
     reports::{serve_metrics, serve_readiness, serve_report},
     routes_watch::{ask_for_configuration, follow_routes},
     run_here::set_level,
@@ -82,6 +83,7 @@
     tasks.spawn_local(use_register(Rc::clone(&node), store));
     tasks.spawn_local(look_for_returned(Rc::clone(&node)));
     tasks.spawn_local(watch_links(Rc::clone(&node)));
+    tasks.spawn_local(keep_quotas(Rc::clone(&node)));
     tasks.spawn_local(set_level(Rc::clone(&node)));
     tasks.spawn_local(look_for_backend(Rc::clone(&node)));
     tasks.spawn_local(ask_for_configuration(Rc::clone(&node)));
