--- a/crates/kumquatquay-core/src/quota/node_quotas.rs
+++ b/crates/kumquatquay-core/src/quota/node_quotas.rs
@@ -61,10 +61,10 @@
         self.pool.lent(now, OWN_REST, loan);
     }
 
-    /// Another node, or this one, lends this much. A loan that was asked for in the future makes
-    /// no sense and is passed over.
+    /// Another node, or this one, lends this much. A loan that was asked for in the future, or of
+    /// a fleet without nodes, makes no sense and is passed over.
     pub fn lent(&mut self, now: Duration, lender: SocketAddr, loan: Loan) {
-        if loan.asked <= now {
+        if loan.asked <= now && loan.nodes_count > 0 {
             self.pool.lent(now, lender, loan);
         }
     }
--- a/crates/kumquatquay-core/src/quota/pool.rs
+++ b/crates/kumquatquay-core/src/quota/pool.rs
@@ -166,5 +166,9 @@
                 slice.share += owned * part_of(loan.granted, number);
             }
         }
+        // Lenders that know too few nodes lend more than there is.
+        for slice in &mut self.slices {
+            slice.share = slice.share.min(1.0);
+        }
     }
 }
--- a/crates/kumquatquay-core/tests/quota/pool.rs
+++ b/crates/kumquatquay-core/tests/quota/pool.rs
@@ -128,6 +128,22 @@
     assert_eq!(take_all(&mut pool, now + wait + at_ms(1)), 1);
 }
 
+/// A broken node lends as if it were alone, others beside it. The keeper lets in the whole quota
+/// and no more.
+#[test]
+fn no_loans_add_up_to_more_than_the_quota() {
+    let mut pool = QuotaPool::default();
+    for lender in 0..5 {
+        let loan = Loan {
+            granted: SliceSets::ALL,
+            asked: at_ms(0),
+            nodes_count: 1,
+        };
+        pool.lent(at_ms(0), node(lender), loan);
+    }
+    assert_eq!(take_all(&mut pool, at_ms(500)), 20);
+}
+
 /// Eighty workspaces share a keeper. One that sends without end takes no token of another.
 #[test]
 fn a_hot_workspace_takes_nothing_of_the_others() {
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -90,13 +90,6 @@
         let retry = Some(retry_after(node, &route.settings));
         return own_answer(StatusCode::SERVICE_UNAVAILABLE, retry, "this node stops\n");
     }
-    let token = match &workspace {
-        None => None,
-        Some(workspace) => match take_token(node, workspace).await {
-            Ok(token) => token,
-            Err(refusal) => return refuse_over_quota(node, &marks, &route, workspace, refusal),
-        },
-    };
     if table.workspaces().ask_for_keys() {
         // Backend servers and other nodes must not come to know the key.
         (node.dialect.remove_claims)(&mut parts.headers);
@@ -113,6 +106,13 @@
         let retry = Some(NOT_CONFIGURED_RETRY);
         return own_answer(StatusCode::SERVICE_UNAVAILABLE, retry, "no destination\n");
     };
+    let token = match &workspace {
+        None => None,
+        Some(workspace) => match take_token(node, workspace).await {
+            Ok(token) => token,
+            Err(refusal) => return refuse_over_quota(node, &marks, &route, workspace, refusal),
+        },
+    };
     let expires = marks.time_left.map(|time_left| began + time_left);
     let caller = parts.extensions.get::<Caller>().map(|caller| caller.0);
     let call = OutgoingCall {
--- a/crates/kumquatquayd/src/routed/metrics_text.rs
+++ b/crates/kumquatquayd/src/routed/metrics_text.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use super::node::RoutedNode;
+use super::{node::RoutedNode, quotas::nodes_count};
 
 /// Quantiles of the latency that are told.
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
@@ -22,6 +22,8 @@
     }
     let report = node.gate_report();
     let unheard = node.follower.borrow().unheard(node.now());
+    let proof_age = node.proof_age().unwrap_or_default();
+    let quota_nodes_count = nodes_count(node).unwrap_or_default();
     let gauges = [
         ("in_flight", node.in_flight_count.get() as u64),
         ("gate_running", u64::from(report.running_count)),
@@ -31,6 +33,8 @@
         ("gate_level_permille", u64::from(report.level_permille)),
         ("route_version", node.route_version()),
         ("store_unheard_ms", unheard.as_millis() as u64),
+        ("proof_age_ms", proof_age.as_millis() as u64),
+        ("quota_nodes", quota_nodes_count as u64),
         ("links", node.links.borrow().len() as u64),
     ];
     for (name, value) in gauges {
--- a/crates/kumquatquayd/src/routed/quotas.rs
+++ b/crates/kumquatquayd/src/routed/quotas.rs
@@ -261,7 +261,7 @@
 /// Too few would let each own too much: a node that starts, or is cut off, sees only some. So the
 /// most that it or any other one ever saw counts, and at first, or while no other one has told
 /// it, what the register seems to have.
-fn nodes_count(node: &RoutedNode) -> Option<usize> {
+pub(crate) fn nodes_count(node: &RoutedNode) -> Option<usize> {
     let told_count = node.told_nodes_count.get();
     let registered_count = node.register_estimate_count.get();
     let now = node.now();
