--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -60,11 +60,14 @@
     /// What nodes own of the quotas of workspaces is lent to keepers.
     #[display("quota-loans")]
     QuotaLoans,
+    /// Refused callers are asked back the later, the longer a shortage has lasted.
+    #[display("late-return")]
+    LateReturn,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::EntryLevels,
         Self::KeptGraph,
         Self::TracedCalls,
@@ -82,6 +85,7 @@
         Self::LateLeaving,
         Self::OutOfLine,
         Self::QuotaLoans,
+        Self::LateReturn,
     ];
 
     fn bit(self) -> u32 {
--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -22,6 +22,7 @@
 mod pooled_news;
 mod register_course;
 mod retry_window;
+mod return_time;
 mod route_table;
 mod run_failures;
 mod split;
@@ -48,6 +49,7 @@
     RegisterCourse, RegisterLook, RegisterPlace, RegisterStep, register_place,
 };
 pub use retry_window::RetryWindow;
+pub use return_time::ReturnTime;
 pub use route_table::{RouteTable, TableRoute};
 pub use run_failures::RunFailures;
 pub use split::Split;
--- /dev/null
+++ b/crates/kumquatquay-core/src/routed/return_time.rs
@@ -0,0 +1,44 @@
+//! When a refused caller should come back.
+
+use std::{ops::Range, time::Duration};
+
+use rand::Rng;
+
+/// Part of the time within which an answer is worth most that a refused caller is asked to wait,
+/// at the least and at the most: what is left is enough to be served in. Spread out, those who
+/// were refused together don't return together.
+const SOON_RATIOS: Range<f64> = 0.35..0.7;
+
+/// Time that a shortage is expected to last on, in the time that it has lasted: nothing else is
+/// known of its end.
+const LASTS_ON_RATIOS: Range<f64> = 0.5..1.5;
+
+/// Part of the time that a caller has left for which it waits at the most.
+const WAITS_RATIO: f64 = 1.0 / 3.0;
+
+/// What is known of a refused caller.
+#[derive(Clone, Copy, Debug)]
+pub struct ReturnTime {
+    /// Time within which its answer is worth most.
+    pub target_latency: Duration,
+    /// Time for which it goes on waiting, if it has said so.
+    pub time_left: Option<Duration>,
+    /// How long there has been no room for it.
+    pub short_for: Duration,
+}
+
+impl ReturnTime {
+    /// Draws the time after which it should come back.
+    ///
+    /// It answers the pattern in which a surge lasts for many seconds and callers come back once:
+    /// asked to return soon, they find the same shortage and are refused for good. So the longer
+    /// the shortage has lasted, the later they are asked back, up to what they wait for at all.
+    pub fn draw(self, random: &mut impl Rng) -> Duration {
+        let soon = self
+            .target_latency
+            .mul_f64(random.random_range(SOON_RATIOS));
+        let expected = self.short_for.mul_f64(random.random_range(LASTS_ON_RATIOS));
+        let latest = self.time_left.unwrap_or_default().mul_f64(WAITS_RATIO);
+        soon.max(expected.min(latest))
+    }
+}
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -16,6 +16,7 @@
 mod proof_fleet;
 mod register_course;
 mod retry_window;
+mod return_time;
 mod route_table;
 mod run_failures;
 mod split;
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -1,17 +1,16 @@
 //! Carries a call from its entry to a backend server.
 
-use std::{cell::Cell, net::SocketAddr, ops::Range, pin::pin, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, pin::pin, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use kumquatquay_core::routed::{Choice, Mechanism, TableRoute, TargetEnded};
 use kumquatquay_wire::{
     ServiceName,
     routed::{
-        CallHead, HeaderField, LinkOutcome, NotRunReason, Priority, Repeat, RouteSettings,
-        RouteVersion, UnknownReason, WorkspaceSettings,
+        CallHead, HeaderField, LinkOutcome, NotRunReason, Priority, Repeat, RouteVersion,
+        UnknownReason, WorkspaceSettings,
     },
 };
-use rand::Rng;
 
 use super::{
     link::{send_call, silence_of},
@@ -433,14 +432,3 @@
         headers: call.headers.clone(),
     }
 }
-
-/// Part of the time within which an answer is worth most that a refused caller is
-/// asked to wait, at the least and at the most: what is left is enough to be served
-/// in. Spread out, those who were refused together don't return together.
-const RETRY_RATIOS: Range<f64> = 0.35..0.7;
-
-/// When a refused caller should come back.
-pub(crate) fn retry_after(node: &RoutedNode, route: &RouteSettings) -> Duration {
-    let share = node.random.borrow_mut().random_range(RETRY_RATIOS);
-    route.target_latency.mul_f64(share)
-}
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -6,15 +6,15 @@
 use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use kumquatquay_core::routed::{EntryRequest, Mechanism, TableRoute, whole_rank};
+use kumquatquay_core::routed::{EntryRequest, Mechanism, ReturnTime, TableRoute, whole_rank};
 use kumquatquay_wire::routed::{
-    GateReport, LinkOutcome, NotRunReason, UnknownReason, WorkspaceSettings,
+    GateReport, LinkOutcome, NotRunReason, RouteSettings, UnknownReason, WorkspaceSettings,
 };
 use rand::Rng;
 
 use super::{
     caller_identity::{Identified, IdentityRefusal, identify},
-    carry::{OutgoingCall, Progress, carry, retry_after},
+    carry::{OutgoingCall, Progress, carry},
     http_io::{Caller, WholeBody, fields_of, headers_of, own_answer},
     interface::RequestMarks,
     link_answer::{HandedOver, LinkAnswer},
@@ -284,7 +284,16 @@
         .borrow_mut()
         .admit(now, &request, table.priorities());
     let shortage = admitted.err()?;
-    let wait = retry_after(node, &call.route.settings);
+    let returns = ReturnTime {
+        target_latency: route.target_latency,
+        time_left: expires.map(|expires| expires.saturating_sub(now)),
+        short_for: if node.is_on(Mechanism::LateReturn) {
+            shortage.lasts
+        } else {
+            Duration::ZERO
+        },
+    };
+    let wait = returns.draw(&mut *node.random.borrow_mut());
     node.decisions.count("refused", "shortage");
     if node.decisions.has_line(now) {
         let why = format!(
@@ -451,3 +460,13 @@
         "a request ended"
     );
 }
+
+/// When a caller should come back that wasn't refused for a shortage of which more is known.
+fn retry_after(node: &RoutedNode, route: &RouteSettings) -> Duration {
+    let returns = ReturnTime {
+        target_latency: route.target_latency,
+        time_left: None,
+        short_for: Duration::ZERO,
+    };
+    returns.draw(&mut *node.random.borrow_mut())
+}
