--- a/crates/kumquatquay-core/src/quota/lender.rs
+++ b/crates/kumquatquay-core/src/quota/lender.rs
@@ -6,7 +6,7 @@
 
 /// How long a loan lasts. A keeper asks again well before its end; one that is gone takes what
 /// was lent to it along for so long.
-pub const LOAN_TIME: Duration = Duration::from_secs(1);
+pub const LOAN_TIME: Duration = Duration::from_millis(600);
 
 /// Time after a node's start in which it owns nothing: what it lent in its life before may
 /// still be used.
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use kumquatquay_core::routed::{EntryRequest, Mechanism, ReturnTime, TableRoute, whole_rank};
 use kumquatquay_wire::routed::{
-    GateReport, LinkOutcome, NotRunReason, RouteSettings, UnknownReason, WorkspaceSettings,
+    LinkOutcome, NotRunReason, RouteSettings, UnknownReason, WorkspaceSettings,
 };
 use rand::Rng;
 
@@ -20,6 +20,10 @@
     link_answer::{HandedOver, LinkAnswer},
     node::{RoutedNode, StopPhase},
     quotas::{QuotaRefusal, give_back, take_token},
+    request_log::{
+        log_ended, log_line, log_over_quota, log_unidentified, log_unless_many, not_run_name,
+        unknown_name,
+    },
 };
 
 /// Time after which a caller is asked to come back while no configuration is known, or none that
@@ -169,18 +173,7 @@
     refusal: IdentityRefusal,
 ) -> Response<WholeBody> {
     node.decisions.count("refused", refusal.name());
-    if node.decisions.has_line(node.now()) {
-        let proof_age_ms = node.proof_age().map(|age| age.as_millis() as u64);
-        log::info!(
-            event = "request",
-            request = marks.attempt.as_deref().unwrap_or_default(),
-            outcome = "refused",
-            why = refusal.name(),
-            version = node.route_version(),
-            proof_age_ms = proof_age_ms;
-            "a request ended"
-        );
-    }
+    log_unidentified(node, marks, refusal);
     let may_return = refusal.status() == StatusCode::SERVICE_UNAVAILABLE;
     let retry = may_return.then_some(NOT_CONFIGURED_RETRY);
     own_answer(refusal.status(), retry, refusal.text())
@@ -199,27 +192,7 @@
         QuotaRefusal::NoKeeper => (StatusCode::SERVICE_UNAVAILABLE, "no_keeper"),
     };
     node.decisions.count("refused", why);
-    if node.decisions.has_line(node.now()) {
-        let quota = workspace.quota;
-        let share = match refusal {
-            QuotaRefusal::Over {
-                share_millionths, ..
-            } => f64::from(share_millionths) / 1e6,
-            QuotaRefusal::NoKeeper => 0.0,
-        };
-        log::info!(
-            event = "request",
-            request = marks.attempt.as_deref().unwrap_or_default(),
-            route = route.settings.name.as_str(),
-            workspace = workspace.name.as_str(),
-            outcome = "refused",
-            why = why,
-            rate_per_s = quota.map_or(0.0, |quota| quota.rate_per_s),
-            burst = quota.map_or(0.0, |quota| quota.burst_count),
-            share = share;
-            "a request ended"
-        );
-    }
+    log_over_quota(node, marks, route, workspace, why, refusal);
     let wait = match refusal {
         QuotaRefusal::Over { wait_ms, .. } => wait_ms.map(u64::from).map(Duration::from_millis),
         QuotaRefusal::NoKeeper => None,
@@ -373,94 +346,6 @@
     }
 }
 
-fn not_run_name(reason: NotRunReason) -> &'static str {
-    match reason {
-        NotRunReason::Full => "full",
-        NotRunReason::Closed => "closed",
-        NotRunReason::TurnedAway => "turned_away",
-        NotRunReason::Late => "late",
-        NotRunReason::Unsent => "unsent",
-        NotRunReason::Failing => "failing",
-        NotRunReason::Quarantined => "quarantined",
-    }
-}
-
-fn unknown_name(reason: UnknownReason) -> &'static str {
-    match reason {
-        UnknownReason::LinkLost => "link_lost",
-        UnknownReason::BackendBroke => "backend_broke",
-        UnknownReason::Garbled => "garbled",
-        UnknownReason::NoAnswer => "no_answer",
-    }
-}
-
-fn log_ended(
-    node: &RoutedNode,
-    call: &OutgoingCall,
-    answer: &LinkAnswer,
-    outcome: &'static str,
-    began: Duration,
-) {
-    let why = match &answer.outcome {
-        LinkOutcome::Answered { status, .. } => status.to_string(),
-        LinkOutcome::NotRun(reason) => reason.to_string(),
-        LinkOutcome::Unknown(reason) => reason.to_string(),
-    };
-    if outcome == "served" {
-        log_line(node, call, outcome, &why, answer.report, began);
-    } else {
-        log_unless_many(node, call, outcome, &why, answer.report, began);
-    }
-}
-
-/// Writes a line on a request, unless this second has had its lines.
-fn log_unless_many(
-    node: &RoutedNode,
-    call: &OutgoingCall,
-    outcome: &'static str,
-    why: &str,
-    report: Option<GateReport>,
-    began: Duration,
-) {
-    if node.decisions.has_line(node.now()) {
-        log_line(node, call, outcome, why, report, began);
-    }
-}
-
-fn log_line(
-    node: &RoutedNode,
-    call: &OutgoingCall,
-    outcome: &'static str,
-    why: &str,
-    report: Option<GateReport>,
-    began: Duration,
-) {
-    let now = node.now();
-    let progress = call.progress.get();
-    let caller = call.caller.map(|caller| caller.to_string());
-    let last = progress.last.map(|last| last.to_string());
-    let report = report.unwrap_or_default();
-    log::info!(
-        event = "request",
-        request = call.attempt.as_str(),
-        caller = caller.as_deref().unwrap_or_default(),
-        route = call.route.settings.name.as_str(),
-        service = call.service.as_str(),
-        outcome = outcome,
-        why = why,
-        version = call.version,
-        took_ms = now.saturating_sub(began).as_millis() as u64,
-        left_ms = call.deadline.saturating_sub(now).as_millis() as u64,
-        sends = progress.sends_count,
-        refusals = progress.refusals_count as u64,
-        last_node = last.as_deref().unwrap_or_default(),
-        gate_running = report.running_count,
-        gate_waiting = report.waiting_count,
-        gate_limit = report.limit_count;
-        "a request ended"
-    );
-}
-
 /// When a caller should come back that wasn't refused for a shortage of which more is known.
 fn retry_after(node: &RoutedNode, route: &RouteSettings) -> Duration {
     let returns = ReturnTime {
--- /dev/null
+++ b/crates/kumquatquayd/src/routed/proofs.rs
@@ -0,0 +1,66 @@
+//! What the node knows of how new its configuration is.
+
+use std::time::Duration;
+
+use kumquatquay_core::routed::NewestProof;
+
+use super::node::RoutedNode;
+use crate::clock::unsuspended;
+
+/// Time before a proof is too old at which it counts as too old: a request is read a moment before
+/// that is judged.
+const PROOF_MARGIN: Duration = Duration::from_millis(100);
+
+impl RoutedNode {
+    /// How long ago the configuration in force was the newest for sure.
+    pub(crate) fn proof_age(&self) -> Option<Duration> {
+        self.proof.borrow().age(unsuspended())
+    }
+
+    /// Whether keys may have been taken away too long ago for this node to accept any.
+    ///
+    /// Nodes that stay without word of the store refuse what needs a key before it could be run
+    /// with one that was taken away longer ago than is allowed.
+    pub(crate) fn lacks_proof(&self) -> bool {
+        let Some(bound) = self.settings.bounds.revoke else {
+            return false;
+        };
+        let bound = bound.saturating_sub(PROOF_MARGIN);
+        self.proof_age().is_none_or(|age| age >= bound)
+    }
+
+    /// Whether the configuration in force is so new that another one needn't be in force yet.
+    pub(crate) fn is_current(&self) -> bool {
+        let bound = self.settings.bounds.configuration;
+        self.proof_age().is_some_and(|age| age < bound)
+    }
+
+    /// Asks for a proof that begins now.
+    pub(crate) fn want_proof(&self) {
+        let nodes_count = self.follower_fleet().nodes_count;
+        self.follower.borrow_mut().want(self.now(), nodes_count);
+        self.follower_wake.notify_one();
+    }
+
+    /// Whether nothing newer than the configuration in force was confirmed before a moment of
+    /// the clock that counts suspended time.
+    pub(crate) fn proof_covers(&self, moment: Duration) -> bool {
+        self.proof.borrow().covers(moment)
+    }
+
+    /// Takes in what shows until when the configuration in force was the newest.
+    pub(crate) fn prove(&self, learn: impl FnOnce(&mut NewestProof)) {
+        let mut proof = self.proof.borrow_mut();
+        learn(&mut proof);
+        if let Some(age) = proof.age(unsuspended()) {
+            let proven = self.now().saturating_sub(age);
+            self.follower.borrow_mut().proven(proven);
+            self.proof_news.notify_waiters();
+        }
+    }
+}
+
+/// An age as other nodes are told, rounded up: it must not get younger on the way.
+pub(crate) fn age_ms(age: Duration) -> Option<u32> {
+    u32::try_from(age.as_millis() + 1).ok()
+}
--- a/crates/kumquatquayd/src/routed/quotas.rs
+++ b/crates/kumquatquayd/src/routed/quotas.rs
@@ -16,7 +16,7 @@
 use crate::clock::unsuspended;
 
 /// How often keepers ask for loans: a loan outlives two answers that are lost.
-const LOAN_INTERVAL: Duration = Duration::from_millis(300);
+const LOAN_INTERVAL: Duration = Duration::from_millis(200);
 
 /// How long a keeper is waited for; an answer takes a round trip within the data centre. One that
 /// was killed costs each request this until its link is found silent.
@@ -75,6 +75,18 @@
     NoKeeper,
 }
 
+impl QuotaRefusal {
+    /// Part of the quota that is lent to the keeper that was asked last.
+    pub(crate) fn share(self) -> f64 {
+        match self {
+            Self::Over {
+                share_millionths, ..
+            } => f64::from(share_millionths) / 1e6,
+            Self::NoKeeper => 0.0,
+        }
+    }
+}
+
 /// Takes a token for a request of a workspace, if that has a quota.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/kumquatquayd/src/routed/request_log.rs
@@ -0,0 +1,146 @@
+//! Log lines on single requests.
+
+use std::time::Duration;
+
+use kumquatquay_core::routed::TableRoute;
+use kumquatquay_wire::routed::{
+    GateReport, LinkOutcome, NotRunReason, UnknownReason, WorkspaceSettings,
+};
+
+use super::{
+    caller_identity::IdentityRefusal, carry::OutgoingCall, interface::RequestMarks,
+    link_answer::LinkAnswer, node::RoutedNode, quotas::QuotaRefusal,
+};
+
+pub(crate) fn not_run_name(reason: NotRunReason) -> &'static str {
+    match reason {
+        NotRunReason::Full => "full",
+        NotRunReason::Closed => "closed",
+        NotRunReason::TurnedAway => "turned_away",
+        NotRunReason::Late => "late",
+        NotRunReason::Unsent => "unsent",
+        NotRunReason::Failing => "failing",
+        NotRunReason::Quarantined => "quarantined",
+    }
+}
+
+pub(crate) fn unknown_name(reason: UnknownReason) -> &'static str {
+    match reason {
+        UnknownReason::LinkLost => "link_lost",
+        UnknownReason::BackendBroke => "backend_broke",
+        UnknownReason::Garbled => "garbled",
+        UnknownReason::NoAnswer => "no_answer",
+    }
+}
+
+pub(crate) fn log_ended(
+    node: &RoutedNode,
+    call: &OutgoingCall,
+    answer: &LinkAnswer,
+    outcome: &'static str,
+    began: Duration,
+) {
+    let why = match &answer.outcome {
+        LinkOutcome::Answered { status, .. } => status.to_string(),
+        LinkOutcome::NotRun(reason) => reason.to_string(),
+        LinkOutcome::Unknown(reason) => reason.to_string(),
+    };
+    if outcome == "served" {
+        log_line(node, call, outcome, &why, answer.report, began);
+    } else {
+        log_unless_many(node, call, outcome, &why, answer.report, began);
+    }
+}
+
+/// Writes a line on a request, unless this second has had its lines.
+pub(crate) fn log_unless_many(
+    node: &RoutedNode,
+    call: &OutgoingCall,
+    outcome: &'static str,
+    why: &str,
+    report: Option<GateReport>,
+    began: Duration,
+) {
+    if node.decisions.has_line(node.now()) {
+        log_line(node, call, outcome, why, report, began);
+    }
+}
+
+pub(crate) fn log_line(
+    node: &RoutedNode,
+    call: &OutgoingCall,
+    outcome: &'static str,
+    why: &str,
+    report: Option<GateReport>,
+    began: Duration,
+) {
+    let now = node.now();
+    let progress = call.progress.get();
+    let caller = call.caller.map(|caller| caller.to_string());
+    let last = progress.last.map(|last| last.to_string());
+    let report = report.unwrap_or_default();
+    log::info!(
+        event = "request",
+        request = call.attempt.as_str(),
+        caller = caller.as_deref().unwrap_or_default(),
+        route = call.route.settings.name.as_str(),
+        service = call.service.as_str(),
+        outcome = outcome,
+        why = why,
+        version = call.version,
+        took_ms = now.saturating_sub(began).as_millis() as u64,
+        left_ms = call.deadline.saturating_sub(now).as_millis() as u64,
+        sends = progress.sends_count,
+        refusals = progress.refusals_count as u64,
+        last_node = last.as_deref().unwrap_or_default(),
+        gate_running = report.running_count,
+        gate_waiting = report.waiting_count,
+        gate_limit = report.limit_count;
+        "a request ended"
+    );
+}
+
+/// Writes a line on a request of which it isn't known whose it is, or for which there is no
+/// route. Nothing of what it shows as a key is written.
+pub(crate) fn log_unidentified(node: &RoutedNode, marks: &RequestMarks, refusal: IdentityRefusal) {
+    if !node.decisions.has_line(node.now()) {
+        return;
+    }
+    let proof_age_ms = node.proof_age().map(|age| age.as_millis() as u64);
+    log::info!(
+        event = "request",
+        request = marks.attempt.as_deref().unwrap_or_default(),
+        outcome = "refused",
+        why = refusal.name(),
+        version = node.route_version(),
+        proof_age_ms = proof_age_ms;
+        "a request ended"
+    );
+}
+
+/// Writes a line on a request that is beyond the quota of its workspace.
+pub(crate) fn log_over_quota(
+    node: &RoutedNode,
+    marks: &RequestMarks,
+    route: &TableRoute,
+    workspace: &WorkspaceSettings,
+    why: &'static str,
+    refusal: QuotaRefusal,
+) {
+    if !node.decisions.has_line(node.now()) {
+        return;
+    }
+    let quota = workspace.quota;
+    log::info!(
+        event = "request",
+        request = marks.attempt.as_deref().unwrap_or_default(),
+        route = route.settings.name.as_str(),
+        workspace = workspace.name.as_str(),
+        outcome = "refused",
+        why = why,
+        rate_per_s = quota.map_or(0.0, |quota| quota.rate_per_s),
+        burst = quota.map_or(0.0, |quota| quota.burst_count),
+        share = refusal.share();
+        "a request ended"
+    );
+}
