Tell proofs to who asked, ten times a second on a link, and read their clock less often

Only answers and pongs tell it now, on each link once in 0.1 s; a question is dated by the node's usual clock and what it was behind the other when that was read last, which can only make a proof older.

--- a/crates/kumquatquayd/src/routed/caller_identity.rs
+++ b/crates/kumquatquayd/src/routed/caller_identity.rs
@@ -7,7 +7,6 @@
 use kumquatquay_wire::routed::WorkspaceSettings;
 
 use super::node::RoutedNode;
-use crate::clock::unsuspended;
 
 /// How long a request waits at most until it is known whether its key is; a read of the store
 /// takes some milliseconds, and a quarter of a second where the store is slow.
@@ -87,7 +86,7 @@
     parts: &Parts,
     key: KeyClaim,
 ) -> Result<Identified, IdentityRefusal> {
-    let read_at = unsuspended();
+    let read_at = node.unsuspended();
     let found = look_up(node, parts, key);
     let found = match found {
         Err(IdentityRefusal::UnknownKey) if !is_refused_again(node, key) => {
--- a/crates/kumquatquayd/src/routed/configuration_exchange.rs
+++ b/crates/kumquatquayd/src/routed/configuration_exchange.rs
@@ -5,7 +5,6 @@
 use kumquatquay_wire::routed::{FollowState, FrameHead};
 
 use super::{link_frames::FrameWriter, node::RoutedNode};
-use crate::clock::unsuspended;
 
 /// Asks for a configuration that the other node has and this one lacks.
 pub(crate) fn on_followed(node: &RoutedNode, frames: &FrameWriter, followed: FollowState) {
@@ -30,17 +29,19 @@
     asked: Duration,
 ) {
     on_followed(node, frames, followed);
-    let age = followed.proof_age_ms.map(u64::from);
-    let age = age.map(Duration::from_millis);
-    let version = followed.version;
-    node.prove(|proof| proof.told(unsuspended(), asked, version, age));
+    let Some(age_ms) = followed.proof_age_ms else {
+        return;
+    };
+    let age = Duration::from_millis(u64::from(age_ms));
+    let now = node.unsuspended();
+    node.prove(|proof| proof.told(now, asked, followed.version, Some(age)));
 }
 
 /// A question how far another node follows.
 pub(crate) fn ping(node: &RoutedNode) -> FrameHead {
     FrameHead::Ping {
         followed: node.follow_state(),
-        asked_ms: unsuspended().as_millis() as u64,
+        asked_ms: node.unsuspended().as_millis() as u64,
     }
 }
 
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -31,8 +31,6 @@
     node::RoutedNode,
     quotas::{on_loan, on_quota_answer},
 };
-use crate::clock::unsuspended;
-
 /// Bodies above this go over a second link, so that short calls don't wait behind
 /// them: at 200 Mbit/s this many bytes take 1.3 ms.
 const SMALL_BODY_BYTES: usize = 32 * 1024;
@@ -126,7 +124,8 @@
         handed_over.set();
     }
     let (sender, mut receiver) = oneshot::channel();
-    let asked = unsuspended();
+    let now = node.now();
+    let asked = node.unsuspended_at_most(now);
     let end_bytes = link.frames.push(&FrameHead::Call(call), body);
     let pending = Pending {
         answer: sender,
@@ -136,7 +135,7 @@
         handed_over: handed_over.clone(),
     };
     link.pending.borrow_mut().insert(number, pending);
-    link.health.borrow_mut().sent(node.now());
+    link.health.borrow_mut().sent(now);
     let _canceller = Canceller {
         link: &link,
         number,
--- a/crates/kumquatquayd/src/routed/link_server.rs
+++ b/crates/kumquatquayd/src/routed/link_server.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use kumquatquay_wire::routed::{
-    AnswerHead, CallHead, CallNumber, FrameHead, RouteNews, ServicePressure,
+    AnswerHead, CallHead, CallNumber, FollowState, FrameHead, RouteNews, ServicePressure,
 };
 use tokio::{net::TcpStream, sync::oneshot};
 
@@ -32,6 +32,8 @@
     news_told: RefCell<HashMap<String, ToldNews>>,
     /// When pressures were told last.
     pressures_told: Cell<Duration>,
+    /// When it was told last how far this node follows the configuration, with its proof.
+    proof_told: Cell<Duration>,
 }
 
 /// What was told of a route.
@@ -68,6 +70,9 @@
 /// over a tenth of a second.
 const PRESSURES_INTERVAL: Duration = Duration::from_millis(40);
 
+/// How often a proof is told on a link; a proof is good for seconds.
+const PROOF_INTERVAL: Duration = Duration::from_millis(100);
+
 impl ServedLink {
     /// News of a route, unless it was told just now.
     fn news(&self, node: &RoutedNode, route: &str) -> Option<RouteNews> {
@@ -99,6 +104,16 @@
         Some(news)
     }
 
+    /// How far this node follows the configuration, with its proof unless that was told just now.
+    fn followed(&self, node: &RoutedNode) -> FollowState {
+        let now = node.now();
+        if now < self.proof_told.get() + PROOF_INTERVAL {
+            return node.follow_state();
+        }
+        self.proof_told.set(now);
+        node.follow_answer()
+    }
+
     /// Pressures on the services that a route leads to, unless told just now.
     fn pressures(&self, node: &RoutedNode, route: &str) -> Vec<ServicePressure> {
         let now = node.now();
@@ -142,7 +157,7 @@
         }
         FrameHead::Ping { followed, asked_ms } => {
             on_followed(node, &link.frames, followed);
-            let followed = node.follow_state();
+            let followed = node.follow_answer();
             link.frames
                 .push(&FrameHead::Pong { followed, asked_ms }, &[]);
         }
@@ -216,7 +231,7 @@
         number,
         outcome: answer.outcome.clone(),
         report: node.gate_report(),
-        followed: node.follow_state(),
+        followed: link.followed(node),
         news: link.news(node, route),
         pressures: link.pressures(node, route),
     });
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -30,7 +30,6 @@
     interface::Dialect,
     learnt_log::LearntLog,
     link::Links,
-    proofs::age_ms,
     quotas::Quotas,
     retries::{AT_GATE_RATIO, Retries},
     settings::RoutedSettings,
@@ -77,6 +76,8 @@
     pub(crate) follower_wake: Notify,
     /// Until when the configuration in force was the newest.
     pub(super) proof: RefCell<NewestProof>,
+    /// By how much the clock that counts suspended time was ahead when it was read last.
+    pub(super) suspended: Cell<Duration>,
     /// Told of each new proof.
     pub(crate) proof_news: Notify,
     /// When another node may next be asked for a configuration.
@@ -161,6 +162,7 @@
             follower: RefCell::new(follower),
             follower_wake: Notify::new(),
             proof: RefCell::default(),
+            suspended: Cell::default(),
             proof_news: Notify::new(),
             backend: BackendPool::new(settings.backend),
             phase: random.random(),
@@ -232,12 +234,12 @@
         routes.as_ref().map_or(0, |routes| routes.version())
     }
 
-    /// How far this node follows the configuration, as others are told.
+    /// How far this node follows the configuration, as others are told who haven't asked.
     pub(crate) fn follow_state(&self) -> FollowState {
         FollowState {
             version: self.route_version(),
             store_answers_count: self.follower.borrow().answers_count(),
-            proof_age_ms: self.proof_age().and_then(age_ms),
+            proof_age_ms: None,
             nodes_count: self.nodes_count.get() as u32,
         }
     }
--- a/crates/kumquatquayd/src/routed/proofs.rs
+++ b/crates/kumquatquayd/src/routed/proofs.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use kumquatquay_core::routed::NewestProof;
+use kumquatquay_wire::routed::FollowState;
 
 use super::node::RoutedNode;
 use crate::clock::unsuspended;
@@ -12,9 +13,31 @@
 const PROOF_MARGIN: Duration = Duration::from_millis(100);
 
 impl RoutedNode {
+    /// Time by the clock that counts suspended time.
+    pub(crate) fn unsuspended(&self) -> Duration {
+        let now = unsuspended();
+        self.suspended.set(now.saturating_sub(self.now()));
+        now
+    }
+
+    /// A moment by that clock that is now or before: time in which the host was suspended lately may
+    /// be missing. It costs no reading of that clock, and a question that is taken for older than
+    /// it is makes a proof no younger.
+    pub(crate) fn unsuspended_at_most(&self, now: Duration) -> Duration {
+        now + self.suspended.get()
+    }
+
+    /// How far this node follows the configuration, as those are told who asked.
+    pub(crate) fn follow_answer(&self) -> FollowState {
+        FollowState {
+            proof_age_ms: self.proof_age().and_then(age_ms),
+            ..self.follow_state()
+        }
+    }
+
     /// How long ago the configuration in force was the newest for sure.
     pub(crate) fn proof_age(&self) -> Option<Duration> {
-        self.proof.borrow().age(unsuspended())
+        self.proof.borrow().age(self.unsuspended())
     }
 
     /// Whether keys may have been taken away too long ago for this node to accept any.
@@ -52,7 +75,7 @@
     pub(crate) fn prove(&self, learn: impl FnOnce(&mut NewestProof)) {
         let mut proof = self.proof.borrow_mut();
         learn(&mut proof);
-        if let Some(age) = proof.age(unsuspended()) {
+        if let Some(age) = proof.age(self.unsuspended()) {
             let proven = self.now().saturating_sub(age);
             self.follower.borrow_mut().proven(proven);
             self.proof_news.notify_waiters();
@@ -61,6 +84,6 @@
 }
 
 /// An age as other nodes are told, rounded up: it must not get younger on the way.
-pub(crate) fn age_ms(age: Duration) -> Option<u32> {
+fn age_ms(age: Duration) -> Option<u32> {
     u32::try_from(age.as_millis() + 1).ok()
 }
--- a/crates/kumquatquayd/src/routed/quotas.rs
+++ b/crates/kumquatquayd/src/routed/quotas.rs
@@ -13,7 +13,6 @@
 use tokio::sync::oneshot;
 
 use super::{link::send_frame, node::RoutedNode};
-use crate::clock::unsuspended;
 
 /// How often keepers ask for loans: a loan outlives two answers that are lost.
 const LOAN_INTERVAL: Duration = Duration::from_millis(200);
@@ -202,7 +201,7 @@
         return QuotaVerdict::NotKnown;
     };
     let mut quotas = node.quotas.borrow_mut();
-    match quotas.shares.take(unsuspended(), workspace, limit) {
+    match quotas.shares.take(node.unsuspended(), workspace, limit) {
         Ok(()) => QuotaVerdict::Within,
         Err(over) => {
             let wait_ms = over.wait.map(|wait| wait.as_millis());
@@ -228,7 +227,9 @@
 pub(crate) fn give_back_here(node: &RoutedNode, workspace: &str) {
     if let Some(limit) = limit_of(node, workspace) {
         let mut quotas = node.quotas.borrow_mut();
-        quotas.shares.give_back(unsuspended(), workspace, limit);
+        quotas
+            .shares
+            .give_back(node.unsuspended(), workspace, limit);
     }
 }
 
@@ -259,13 +260,13 @@
     let mut quotas = node.quotas.borrow_mut();
     quotas
         .shares
-        .lend(unsuspended(), keeper, wanted, nodes_count)
+        .lend(node.unsuspended(), keeper, wanted, nodes_count)
 }
 
 /// Takes in a loan of another node.
 pub(crate) fn on_loan(node: &RoutedNode, lender: SocketAddr, loan: Loan) {
     let mut quotas = node.quotas.borrow_mut();
-    quotas.shares.lent(unsuspended(), lender, loan);
+    quotas.shares.lent(node.unsuspended(), lender, loan);
 }
 
 /// Nodes among which quotas are split; `None` while that isn't known.
@@ -297,7 +298,7 @@
         if has_quotas {
             let nodes_count = nodes_count(&node);
             let mut quotas = node.quotas.borrow_mut();
-            quotas.shares.use_rest(unsuspended(), nodes_count);
+            quotas.shares.use_rest(node.unsuspended(), nodes_count);
             drop(quotas);
             if node.is_on(Mechanism::QuotaLoans) {
                 ask_for_loans(&node);
@@ -316,7 +317,7 @@
     if wanted.is_empty() {
         return;
     }
-    let asked = unsuspended();
+    let asked = node.unsuspended();
     let granted = lend_parts(node, own, wanted);
     let nodes_count = nodes_count(node).unwrap_or(usize::MAX);
     let loan = Loan {
--- a/crates/kumquatquayd/src/routed/routes_watch.rs
+++ b/crates/kumquatquayd/src/routed/routes_watch.rs
@@ -12,7 +12,6 @@
     link::{ask_configuration, ask_sign_of_life},
     node::RoutedNode,
 };
-use crate::clock::unsuspended;
 
 /// Pause between the nodes that are asked for a configuration.
 const PEER_PAUSE: Duration = Duration::from_millis(150);
@@ -120,7 +119,7 @@
 
 async fn read(node: Rc<RoutedNode>, store: PlatformStore, hold: Duration) -> EndedRead {
     let began = node.now();
-    let asked = unsuspended();
+    let asked = node.unsuspended();
     let news = (store.read_routes)(hold).await;
     EndedRead { began, asked, news }
 }
