Let requests with keys wait for a starting node's first proof and first parts of quotas

In a node's first three seconds such a request waits for half of the target latency at most. Not measured by itself.

--- a/crates/kumquatquayd/src/routed/caller_identity.rs
+++ b/crates/kumquatquayd/src/routed/caller_identity.rs
@@ -5,6 +5,7 @@
 use http::{StatusCode, header, request::Parts};
 use kumquatquay_core::routed::{KeyClaim, KeyVerdict, RouteTable, TableRoute};
 use kumquatquay_wire::routed::WorkspaceSettings;
+use tokio::time::error::Elapsed;
 
 use super::node::RoutedNode;
 
@@ -97,8 +98,11 @@
         }
         found => found?,
     };
-    if found.workspace.is_some() && node.lacks_proof() {
-        return Err(IdentityRefusal::NoProof);
+    if found.workspace.is_some() {
+        let patience = node.starting_patience(&found.route.settings);
+        wait_for(node, patience, || !node.lacks_proof())
+            .await
+            .map_err(|_| IdentityRefusal::NoProof)?;
     }
     Ok(found)
 }
@@ -150,17 +154,26 @@
     }
     let _waits = KeyWait::new(node);
     node.want_proof();
-    let proved = async {
+    let proved = wait_for(node, KEY_PATIENCE, || node.proof_covers(moment)).await;
+    proved.map_err(|_| IdentityRefusal::UnsureKey)
+}
+
+/// Waits for a proof after which something is true; without time to wait it is looked at once.
+async fn wait_for(
+    node: &RoutedNode,
+    patience: Duration,
+    is_true: impl Fn() -> bool,
+) -> Result<(), Elapsed> {
+    tokio::time::timeout(patience, async {
         loop {
             let news = node.proof_news.notified();
-            if node.proof_covers(moment) {
+            if is_true() {
                 return;
             }
             news.await;
         }
-    };
-    let proved = tokio::time::timeout(KEY_PATIENCE, proved).await;
-    proved.map_err(|_| IdentityRefusal::UnsureKey)
+    })
+    .await
 }
 
 /// A request that waits for a proof.
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -112,10 +112,15 @@
     };
     let token = match &workspace {
         None => None,
-        Some(workspace) => match take_token(node, workspace).await {
-            Ok(token) => token,
-            Err(refusal) => return refuse_over_quota(node, &marks, &route, workspace, refusal),
-        },
+        Some(workspace) => {
+            let patience = node.starting_patience(&route.settings);
+            match take_token(node, workspace, patience).await {
+                Ok(token) => token,
+                Err(refusal) => {
+                    return refuse_over_quota(node, &marks, &route, workspace, refusal);
+                }
+            }
+        }
     };
     let expires = marks.time_left.map(|time_left| began + time_left);
     let caller = parts.extensions.get::<Caller>().map(|caller| caller.0);
--- a/crates/kumquatquayd/src/routed/proofs.rs
+++ b/crates/kumquatquayd/src/routed/proofs.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kumquatquay_core::routed::NewestProof;
-use kumquatquay_wire::routed::FollowState;
+use kumquatquay_wire::routed::{FollowState, RouteSettings};
 
 use super::node::RoutedNode;
 use crate::clock::unsuspended;
@@ -12,7 +12,23 @@
 /// that is judged.
 const PROOF_MARGIN: Duration = Duration::from_millis(100);
 
+/// Time after a node's start in which it soon learns what it needs to let requests with keys in.
+const STARTING_TIME: Duration = Duration::from_secs(3);
+
+/// Part of the time within which an answer is worth most for which a request waits for that.
+const STARTING_PATIENCE_RATIO: f64 = 0.5;
+
 impl RoutedNode {
+    /// How long a request waits for what a node lacks that has just started: a proof, and parts of
+    /// quotas. Refused, its caller would come back later than it could have been served.
+    pub(crate) fn starting_patience(&self, route: &RouteSettings) -> Duration {
+        if self.now() < STARTING_TIME {
+            route.target_latency.mul_f64(STARTING_PATIENCE_RATIO)
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Time by the clock that counts suspended time.
     pub(crate) fn unsuspended(&self) -> Duration {
         let now = unsuspended();
--- a/crates/kumquatquayd/src/routed/quotas.rs
+++ b/crates/kumquatquayd/src/routed/quotas.rs
@@ -21,6 +21,9 @@
 /// was killed costs each request this until its link is found silent.
 const KEEPER_PATIENCE: Duration = Duration::from_millis(100);
 
+/// Pause before a request looks again for keepers that can tell.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
 /// Time after the start in which a node that nobody has told how many nodes there are owns
 /// nothing.
 const UNTOLD_TIME: Duration = Duration::from_secs(10);
@@ -88,12 +91,30 @@
 
 /// Takes a token for a request of a workspace, if that has a quota.
 ///
+/// While the node starts, a request waits until there are keepers that can tell.
+///
 /// # Errors
 ///
 /// [`QuotaRefusal`] if there is none.
 pub(crate) async fn take_token(
     node: &Rc<RoutedNode>,
     workspace: &WorkspaceSettings,
+    patience: Duration,
+) -> Result<Option<QuotaToken>, QuotaRefusal> {
+    let until = node.now() + patience;
+    loop {
+        let token = take_token_once(node, workspace).await;
+        let can_wait = node.now() + LOOK_AGAIN < until;
+        if token.as_ref().err() != Some(&QuotaRefusal::NoKeeper) || !can_wait {
+            return token;
+        }
+        tokio::time::sleep(LOOK_AGAIN).await;
+    }
+}
+
+async fn take_token_once(
+    node: &Rc<RoutedNode>,
+    workspace: &WorkspaceSettings,
 ) -> Result<Option<QuotaToken>, QuotaRefusal> {
     if workspace.quota.is_none() {
         return Ok(None);
