Pass over keepers of quotas that give no answer, until they do or two seconds are over

Members find out a death without a word within seconds; until then half of a workspace's quota stood still and each request that needed it waited for 0.1 s. Nodes that name other keepers for a while cost nothing of the bound: each part is lent to one at a time.

--- a/crates/kumquatquayd/src/routed/quotas.rs
+++ b/crates/kumquatquayd/src/routed/quotas.rs
@@ -7,7 +7,7 @@
     routed::Mechanism,
 };
 use kumquatquay_wire::{
-    MemberState,
+    MemberRecord, MemberState,
     routed::{FrameHead, HALVES_COUNT, QuotaVerdict, SliceSets, WorkspaceName, WorkspaceSettings},
 };
 use tokio::sync::oneshot;
@@ -21,6 +21,10 @@
 /// was killed costs each request this until its link is found silent.
 const KEEPER_PATIENCE: Duration = Duration::from_millis(100);
 
+/// Time for which a keeper that gave no answer is passed over. Members find out a death within
+/// seconds, and until then half of each quota would stand still and each request would wait.
+const SILENT_TIME: Duration = Duration::from_secs(2);
+
 /// Pause before a request looks again for keepers that can tell.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
 
@@ -36,6 +40,8 @@
 pub(crate) struct Quotas {
     shares: NodeQuotas,
     keepers: Keepers,
+    /// Keepers that gave no answer, by when they were asked last.
+    silent: HashMap<SocketAddr, Duration>,
     asked: HashMap<u64, oneshot::Sender<QuotaVerdict>>,
     last_number: u64,
 }
@@ -45,6 +51,7 @@
         Self {
             shares: NodeQuotas::new(now),
             keepers: Keepers::default(),
+            silent: HashMap::new(),
             asked: HashMap::new(),
             last_number: 0,
         }
@@ -179,7 +186,11 @@
     send_frame(node, keeper, &ask);
     let answer = tokio::time::timeout(KEEPER_PATIENCE, receiver).await;
     drop(open);
-    if answer.is_err() {
+    let mut quotas = node.quotas.borrow_mut();
+    if answer.is_ok() {
+        quotas.silent.remove(&keeper);
+    } else {
+        quotas.silent.insert(keeper, node.now());
         node.decisions.count("quota", "no_answer");
     }
     answer.ok()?.ok()
@@ -328,11 +339,21 @@
     }
 }
 
+/// Members that didn't fail to answer just now.
+fn heard_members(node: &RoutedNode, mut members: Vec<MemberRecord>) -> Vec<MemberRecord> {
+    let now = node.now();
+    let silent = &mut node.quotas.borrow_mut().silent;
+    silent.retain(|_, asked| now < *asked + SILENT_TIME);
+    members.retain(|member| !silent.contains_key(&member.peer));
+    members
+}
+
 fn ask_for_loans(node: &Rc<RoutedNode>) {
     let own = node.settings.listen.control;
     let data_centre = &node.settings.data_centre;
     let members = node.engine.members();
-    let keepers = Keepers::among(data_centre, &members);
+    let heard = heard_members(node, members.clone());
+    let keepers = Keepers::among(data_centre, &heard);
     let wanted = keepers.kept_by(own);
     node.quotas.borrow_mut().keepers = keepers;
     if wanted.is_empty() {
