Look a key up again when a newer configuration came while its request waited

A request that waits for a starting node's first proof held the workspace that it was found to belong to before. The proof may be of a newer configuration, in which the key is taken away. Counts of nodes beyond 20,000 are passed over.

--- a/crates/kumquatquayd/src/routed/caller_identity.rs
+++ b/crates/kumquatquayd/src/routed/caller_identity.rs
@@ -104,6 +104,10 @@
             .await
             .map_err(|_| IdentityRefusal::NoProof)?;
     }
+    if found.table.version() != node.route_version() {
+        // The proof is one of the configuration that came meanwhile.
+        return look_up(node, parts, key);
+    }
     Ok(found)
 }
 
--- a/crates/kumquatquayd/src/routed/configuration_exchange.rs
+++ b/crates/kumquatquayd/src/routed/configuration_exchange.rs
@@ -6,11 +6,16 @@
 
 use super::{link_frames::FrameWriter, node::RoutedNode};
 
+/// Nodes that a fleet has at the most; a broken node that tells more would shrink all quotas.
+const NODES_LIMIT_COUNT: usize = 20_000;
+
 /// Asks for a configuration that the other node has and this one lacks.
 pub(crate) fn on_followed(node: &RoutedNode, frames: &FrameWriter, followed: FollowState) {
     let told_nodes_count = node.told_nodes_count.get();
-    let nodes_count = told_nodes_count.max(followed.nodes_count as usize);
-    node.told_nodes_count.set(nodes_count);
+    let nodes_count = followed.nodes_count as usize;
+    if (told_nodes_count..=NODES_LIMIT_COUNT).contains(&nodes_count) {
+        node.told_nodes_count.set(nodes_count);
+    }
     let mut follower = node.follower.borrow_mut();
     follower.told(node.now(), followed.store_answers_count);
     drop(follower);
