Count what is under way by one piece of code

Requests in flight and requests that wait for a proof each had a guard of their own that did the same. Behaviour stays as it is.

--- a/crates/kumquatquayd/src/routed/caller_identity.rs
+++ b/crates/kumquatquayd/src/routed/caller_identity.rs
@@ -7,7 +7,7 @@
 use kumquatquay_wire::routed::WorkspaceSettings;
 use tokio::time::error::Elapsed;
 
-use super::node::RoutedNode;
+use super::{counted::Counted, node::RoutedNode};
 
 /// How long a request waits at most until it is known whether its key is; a read of the store
 /// takes some milliseconds, and a quarter of a second where the store is slow.
@@ -156,7 +156,7 @@
     if node.key_waits_count.get() >= KEY_WAITS_LIMIT_COUNT {
         return Err(IdentityRefusal::UnsureKey);
     }
-    let _waits = KeyWait::new(node);
+    let _waits = Counted::new(&node.key_waits_count);
     node.want_proof();
     let proved = wait_for(node, KEY_PATIENCE, || node.proof_covers(moment)).await;
     proved.map_err(|_| IdentityRefusal::UnsureKey)
@@ -179,22 +179,3 @@
     })
     .await
 }
-
-/// A request that waits for a proof.
-struct KeyWait<'a> {
-    node: &'a RoutedNode,
-}
-
-impl<'a> KeyWait<'a> {
-    fn new(node: &'a RoutedNode) -> Self {
-        node.key_waits_count.set(node.key_waits_count.get() + 1);
-        Self { node }
-    }
-}
-
-impl Drop for KeyWait<'_> {
-    fn drop(&mut self) {
-        let count = &self.node.key_waits_count;
-        count.set(count.get() - 1);
-    }
-}
--- /dev/null
+++ b/crates/kumquatquayd/src/routed/counted.rs
@@ -0,0 +1,22 @@
+//! A count of what is under way.
+
+use std::cell::Cell;
+
+/// One of the things that are counted, for as long as it lives.
+pub(crate) struct Counted<'a> {
+    count: &'a Cell<usize>,
+}
+
+impl<'a> Counted<'a> {
+    /// Counts one more.
+    pub(crate) fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self { count }
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.count.set(self.count.get() - 1);
+    }
+}
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -15,6 +15,7 @@
 use super::{
     caller_identity::{Identified, IdentityRefusal, identify},
     carry::{OutgoingCall, Progress, carry},
+    counted::Counted,
     http_io::{Caller, WholeBody, fields_of, headers_of, own_answer},
     interface::RequestMarks,
     link_answer::{HandedOver, LinkAnswer},
@@ -35,7 +36,7 @@
     node: Rc<RoutedNode>,
     request: Request<Incoming>,
 ) -> Response<WholeBody> {
-    let _in_flight = InFlight::new(&node);
+    let _in_flight = Counted::new(&node.in_flight_count);
     let mut answer = answer_entry(&node, request).await;
     if node.stop_phase() > StopPhase::Serving {
         let close = HeaderValue::from_static("close");
@@ -57,25 +58,6 @@
     node.stop_phase() == StopPhase::Closing && !is_called
 }
 
-/// A request that has no answer yet; counted for a stop.
-struct InFlight<'a> {
-    node: &'a RoutedNode,
-}
-
-impl<'a> InFlight<'a> {
-    fn new(node: &'a RoutedNode) -> Self {
-        node.in_flight_count.set(node.in_flight_count.get() + 1);
-        Self { node }
-    }
-}
-
-impl Drop for InFlight<'_> {
-    fn drop(&mut self) {
-        let count = &self.node.in_flight_count;
-        count.set(count.get() - 1);
-    }
-}
-
 async fn answer_entry(node: &Rc<RoutedNode>, request: Request<Incoming>) -> Response<WholeBody> {
     let began = node.now();
     let (mut parts, body) = request.into_parts();
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -14,6 +14,7 @@
 mod caller_identity;
 mod carry;
 mod configuration_exchange;
+mod counted;
 mod decisions;
 mod entry;
 mod first_look;
