Read how long work takes on a backend server's machine at this moment

The load field of answers has a fourth figure now: time of work on that machine, in percent of the usual. It was passed over unread. It is read into a ratio (missing, senseless, zero or endless figures are none, the three before it hold), kept beside the gate for a second, since it changes many times a second, and told to other nodes in the gate's report in thousandths, 0 where it isn't known. One gauge shows it. Nothing decides by it yet.

Checked: a test for each form of the field, one for its age and range, the fuzz of fields. The report grows by two bytes.

--- a/crates/kumquatquay-core/src/routed/host_gate.rs
+++ b/crates/kumquatquay-core/src/routed/host_gate.rs
@@ -227,8 +227,8 @@
     }
 
     /// How busy the backend server is, with the level for whole requests. While no call
-    /// has ended it tells no time, which is not the same as a guess. Of failures a gate
-    /// knows nothing.
+    /// has ended it tells no time, which is not the same as a guess. Of failures and
+    /// of the machine's pace a gate knows nothing.
     pub fn report(&self, level: f64) -> GateReport {
         let work = if self.timed_count == 0 {
             Duration::ZERO
@@ -238,6 +238,7 @@
         GateReport {
             level_permille: (level * 1_000.0) as u16,
             failed_permille: 0,
+            pace_permille: 0,
             running_count: self.running_count as u32,
             waiting_count: self.waiting.len() as u32,
             limit_count: self.limit_count() as u32,
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -11,6 +11,7 @@
 mod host_gate;
 mod level_setter;
 mod link_health;
+mod machine_pace;
 mod mechanisms;
 mod newest_proof;
 mod proof_fleet;
--- a/crates/kumquatquay-core/tests/routed/target_table.rs
+++ b/crates/kumquatquay-core/tests/routed/target_table.rs
@@ -35,6 +35,7 @@
         work_us: work_ms * 1_000,
         level_permille: 1_000,
         failed_permille: 0,
+        pace_permille: 0,
     }
 }
 
--- a/crates/kumquatquay-wire/src/routed/gate_report.rs
+++ b/crates/kumquatquay-wire/src/routed/gate_report.rs
@@ -20,6 +20,9 @@
     pub level_permille: u16,
     /// Share of the backend server's last runs that failed by its own doing, in thousandths.
     pub failed_permille: u16,
+    /// Time that work takes on the backend server's machine at this moment over its usual
+    /// one, in thousandths; 0 while that isn't known.
+    pub pace_permille: u16,
 }
 
 impl GateReport {
@@ -38,6 +41,13 @@
         f64::from(self.failed_permille.min(1_000)) / 1_000.0
     }
 
+    /// Time that work takes on the backend server's machine at this moment over its usual
+    /// one, if it is known: 2 where it takes twice as long.
+    pub fn pace_ratio(&self) -> Option<f64> {
+        let is_known = self.pace_permille > 0;
+        is_known.then(|| f64::from(self.pace_permille) / 1_000.0)
+    }
+
     /// Calls at the gate over those that it lets run.
     pub fn fill_ratio(&self) -> f64 {
         let calls_count = self.running_count + self.waiting_count;
@@ -55,6 +65,7 @@
             work_us: 0,
             level_permille: 1_000,
             failed_permille: 0,
+            pace_permille: 0,
         }
     }
 }
--- a/crates/kumquatquayd/src/routed/interface.rs
+++ b/crates/kumquatquayd/src/routed/interface.rs
@@ -58,7 +58,7 @@
 }
 
 /// What an answer says of itself.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerMarks {
     /// Id of the request that it answers.
     pub attempt: Option<String>,
@@ -76,6 +76,9 @@
     pub slots_count: Option<usize>,
     /// How busy the backend server is; not all tell it.
     pub load: Option<BackendLoad>,
+    /// Time that work takes on its machine at this moment over its usual one; not all tell
+    /// it.
+    pub pace_ratio: Option<f64>,
 }
 
 /// A report of the backend server on this host.
--- a/crates/kumquatquayd/src/routed/metrics_text.rs
+++ b/crates/kumquatquayd/src/routed/metrics_text.rs
@@ -31,6 +31,7 @@
         ("gate_limit", u64::from(report.limit_count)),
         ("gate_work_us", u64::from(report.work_us)),
         ("gate_level_permille", u64::from(report.level_permille)),
+        ("gate_pace_permille", u64::from(report.pace_permille)),
         ("route_version", node.route_version()),
         ("store_unheard_ms", unheard.as_millis() as u64),
         ("proof_age_ms", proof_age.as_millis() as u64),
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -13,9 +13,9 @@
     Clock,
     routed::{
         BackendLives, BackendPulse, CallGraph, CallTracer, CallerCensus, EntryLevels,
-        FollowerFleet, GateRepeats, GraphRow, HostGate, LevelSetter, Mechanism, NewestProof,
-        RetryWindow, RouteTable, RunFailures, StoreFollower, StoreReaders, TargetTable,
-        UnknownKeys,
+        FollowerFleet, GateRepeats, GraphRow, HostGate, LevelSetter, MachinePace, Mechanism,
+        NewestProof, RetryWindow, RouteTable, RunFailures, StoreFollower, StoreReaders,
+        TargetTable, UnknownKeys,
     },
 };
 use kumquatquay_wire::routed::{
@@ -91,6 +91,8 @@
     pub(crate) lives: RefCell<BackendLives>,
     /// Whether the backend server of this host gives answers.
     pub(crate) pulse: RefCell<BackendPulse>,
+    /// How fast its machine works at this moment.
+    pub(crate) pace: RefCell<MachinePace>,
     /// Failures of the backend server of this host.
     pub(crate) failures: RefCell<RunFailures>,
     /// Sets the level of the gate of this host.
@@ -182,6 +184,7 @@
             gate: RefCell::default(),
             lives: RefCell::default(),
             pulse: RefCell::default(),
+            pace: RefCell::default(),
             failures: RefCell::default(),
             news: RefCell::default(),
             level: RefCell::default(),
@@ -288,8 +291,10 @@
     pub(crate) fn gate_report(&self) -> GateReport {
         let level = self.level.borrow().level();
         let failed_ratio = self.failures.borrow().ratio();
+        let pace_ratio = self.pace.borrow().ratio(self.now());
         GateReport {
             failed_permille: (failed_ratio * 1_000.0) as u16,
+            pace_permille: (pace_ratio.unwrap_or_default() * 1_000.0) as u16,
             ..self.gate.borrow().report(level)
         }
     }
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -422,6 +422,9 @@
     {
         node.gate.borrow_mut().on_backend_load(load);
     }
+    if let Some(ratio) = marks.pace_ratio {
+        node.pace.borrow_mut().on_told(node.now(), ratio);
+    }
     let is_other = marks
         .attempt
         .as_ref()
