Tell what slot time one request of a route takes at each service

Who weighs requests against each other needs the slot time that one takes, not its count of calls. For now it is calls times the mean time of a call at the service.

--- a/crates/kumquatquay-core/src/routed/entry_levels.rs
+++ b/crates/kumquatquay-core/src/routed/entry_levels.rs
@@ -39,6 +39,9 @@
 /// Services and routes that are remembered, of each.
 const LIMIT_COUNT: usize = 1_024;
 
+/// Time to run a call that is assumed where no gate has told.
+const FIRST_WORK_S: f64 = 0.05;
+
 /// Ranks that are told apart on one route.
 const RANKS_LIMIT_COUNT: usize = 64;
 
@@ -79,9 +82,20 @@
     level: f64,
     /// Calls a second that the gate can run.
     capacity_per_s: f64,
+    /// Mean time that it takes to run a call, in seconds; 0 while it isn't known.
+    work_s: f64,
     told: Duration,
 }
 
+/// Time for which the calls of one request keep slots of a service busy.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceWork {
+    /// The service.
+    pub service: ServiceName,
+    /// Slot time of all its calls there.
+    pub work: Duration,
+}
+
 #[derive(Debug, Default)]
 struct RouteLevels {
     known: BTreeMap<ServiceName, PooledNews>,
@@ -152,6 +166,7 @@
         let told = Told {
             level: report.level(),
             capacity_per_s: self.capacity_per_s(service, report),
+            work_s: report.work().as_secs_f64(),
             told: now,
         };
         if let Some(known) = self.services.get_mut(service) {
@@ -187,6 +202,7 @@
             known.heard = Some(Told {
                 level: f64::from(pressure.level),
                 capacity_per_s: 0.0,
+                work_s: 0.0,
                 told,
             });
         }
@@ -239,6 +255,24 @@
             .collect()
     }
 
+    /// Slot time that one request of a route takes at each service that it reaches; empty while
+    /// nothing is known of the route.
+    pub fn work_at(&self, now: Duration, route: &str, service: &str) -> Vec<ServiceWork> {
+        let reached = self.leads_to(now, route, service).iter();
+        let works = reached.map(|(service, calls)| ServiceWork {
+            service: service.clone(),
+            work: Duration::from_secs_f64(f64::from(*calls) * self.mean_work_s(now, service)),
+        });
+        works.collect()
+    }
+
+    /// Mean time that a call takes at a service.
+    fn mean_work_s(&self, now: Duration, service: &str) -> f64 {
+        let told = self.services.get(service).and_then(|known| known.told(now));
+        let told_s = told.map_or(0.0, |told| told.work_s);
+        if told_s > 0.0 { told_s } else { FIRST_WORK_S }
+    }
+
     /// Level of a service as this node knows it, with the age of the newest word.
     pub fn level(&self, now: Duration, service: &str) -> Option<(f64, Duration)> {
         let told = self.services.get(service)?.told(now)?;
@@ -427,10 +461,12 @@
     fn told(&self, now: Duration) -> Option<Told> {
         let fresh = self.gates.values().filter(|gate| now < gate.told + LAPSE);
         let (mut level, mut capacity_per_s, mut newest) = (0.0, 0.0, Duration::ZERO);
+        let mut slots_count = 0.0;
         for gate in fresh {
             let weight = gate.capacity_per_s.max(1.0);
             level += weight * gate.at(now);
             capacity_per_s += weight;
+            slots_count += weight * gate.work_s;
             newest = newest.max(gate.told);
         }
         if capacity_per_s == 0.0 {
@@ -439,6 +475,7 @@
         Some(Told {
             level: level / capacity_per_s,
             capacity_per_s,
+            work_s: slots_count / capacity_per_s,
             told: newest,
         })
     }
--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -38,7 +38,7 @@
 pub use call_graph::{CallGraph, GraphRow};
 pub use call_tracer::{CallTracer, RunNumber};
 pub use caller_census::CallerCensus;
-pub use entry_levels::{EntryLevels, EntryRequest, Shortage};
+pub use entry_levels::{EntryLevels, EntryRequest, ServiceWork, Shortage};
 pub use gate_repeats::{GateRepeats, TurnedAwayCall};
 pub use host_gate::{Admission, BackendLoad, GateCall, HostGate, WaitKey};
 pub use level_setter::{GateState, LevelSetter};
--- a/crates/kumquatquay-core/tests/routed/entry_levels.rs
+++ b/crates/kumquatquay-core/tests/routed/entry_levels.rs
@@ -123,6 +123,18 @@
     assert!((level - 0.4).abs() < 0.01, "{level}");
 }
 
+/// A history makes eight calls at the register, where one takes 22 ms.
+#[test]
+fn a_request_weighs_the_slot_time_of_its_calls() {
+    let mut levels = levels();
+    tell(&mut levels, 0, 1, 0.5);
+    let works = levels.work_at(at_ms(1), "history", "archive");
+    let register = works.iter().find(|work| work.service == "register");
+    let work = register.expect("histories lead to the register").work;
+    assert!(work.abs_diff(Duration::from_millis(176)) < Duration::from_millis(1));
+    assert!(levels.work_at(at_ms(1), "unheard", "archive").is_empty());
+}
+
 /// Why the last of a rank is refused.
 fn refusal(levels: &mut EntryLevels, at: u64, route: &str) -> Shortage {
     admit(levels, at, route, 0.999).unwrap_err()
