Read the store anew when it comes back from a copy

Cause: a store that comes back from a copy some seconds old gives offsets out again. A reader that stood at 120 and asks once there are 121 again gets the last record alone, and never those between; a read that finds nothing newer counted as proof although what was confirmed just before the return is gone; answers of the time before were counted with those after.

Each answer, a refusal too, tells the era of the store. An answer of an era that is over may bring a configuration (versions only rise) and counts as a failed read else: no offset, no proof. Nodes tell each other the era with the count of answers, which begins anew with each, and a reader that hears of a return reads at once.

A proof is a statement on confirmations, so one from before the return stands. From after it one counts a second after the return became known, and not while the store lacks the version in force: until then operators write again what was lost. The same holds for what a peer tells, which may have started since and know of no return. Left open, since nothing in a fresh process can tell: a whole fleet that starts anew between the return and that writing.

Each node enters itself in the register again, spread over 2 ms a node; those that know few others look as well.

--- a/crates/kumquatquay-core/src/routed/newest_proof.rs
+++ b/crates/kumquatquay-core/src/routed/newest_proof.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use kumquatquay_wire::routed::RouteVersion;
+use kumquatquay_wire::routed::{RouteVersion, StoreEra};
+
+/// Time after the store's return from a copy in which operators write again what it lost. A read
+/// that begins in it may miss what was confirmed before.
+const REWRITE_TIME: Duration = Duration::from_secs(1);
 
 /// Proof that a configuration was the newest at some moment.
 ///
@@ -16,6 +20,12 @@
 /// confirmed while the answer is on its way is not covered by it, however late the answer
 /// comes; and no clocks of two hosts are compared.
 ///
+/// What was confirmed stays confirmed, also if the store comes back from a copy without it: a key
+/// that was taken away by such a configuration must not be accepted, though the store knows it
+/// again. So a proof from before the return stands, and one from after it counts only once
+/// operators have written again what was lost: some time after the return, and not while the
+/// store lacks the version in force. Nodes keep that version meanwhile.
+///
 /// All times are of one clock that also counts while the host is suspended. They may be
 /// measured from any moment well before the node's start.
 #[derive(Debug, Default)]
@@ -25,6 +35,41 @@
     proven: Option<Duration>,
     /// The same, for a newer version that another node has.
     ahead: Option<(RouteVersion, Duration)>,
+    /// The store's last return from a copy.
+    returned: Option<Return>,
+}
+
+#[derive(Debug)]
+struct Return {
+    era: StoreEra,
+    /// When what was lost is written again.
+    rewritten: Duration,
+    /// Highest version that the store had in this era.
+    stored: RouteVersion,
+}
+
+impl Return {
+    fn is_over(&self, asked: Duration) -> bool {
+        asked >= self.rewritten
+    }
+
+    /// Whether something was told in this era, or in a later one.
+    fn holds_in(&self, era: Option<StoreEra>) -> bool {
+        era >= Some(self.era)
+    }
+}
+
+/// What another node tells of its proof.
+#[derive(Clone, Copy, Debug)]
+pub struct ToldProof {
+    /// When it was asked.
+    pub asked: Duration,
+    /// Configuration in force there.
+    pub version: RouteVersion,
+    /// How old the proof was; `None` if there was none.
+    pub age: Option<Duration>,
+    /// Highest era of the store that it knows of.
+    pub era: Option<StoreEra>,
 }
 
 impl NewestProof {
@@ -39,29 +84,63 @@
         }
     }
 
-    /// A read of the store that began at `asked` has ended, and all that it brought is in force
-    /// or older.
-    pub fn read(&mut self, asked: Duration) {
-        self.prove(asked);
+    /// The store has come back from a copy, in this era.
+    pub fn returned(&mut self, now: Duration, era: StoreEra) {
+        if self.returned.as_ref().is_none_or(|known| era > known.era) {
+            self.returned = Some(Return {
+                era,
+                rewritten: now + REWRITE_TIME,
+                stored: 0,
+            });
+        }
+    }
+
+    /// The store has a configuration in an era.
+    pub fn stored(&mut self, era: Option<StoreEra>, version: RouteVersion) {
+        if let Some(returned) = &mut self.returned
+            && returned.holds_in(era)
+        {
+            returned.stored = returned.stored.max(version);
+        }
+    }
+
+    /// Whether the store came back without the configuration in force, and still lacks it.
+    pub fn is_store_behind(&self) -> bool {
+        let returned = self.returned.as_ref();
+        returned.is_some_and(|returned| returned.stored < self.version)
+    }
+
+    /// A read of the store that began at `asked` was answered in an era, and all that it brought
+    /// is in force or older.
+    pub fn read(&mut self, asked: Duration, era: Option<StoreEra>) {
+        let returned = self.returned.as_ref();
+        let returned = returned.filter(|returned| returned.holds_in(era));
+        let may_lack = returned
+            .is_some_and(|returned| !returned.is_over(asked) || returned.stored < self.version);
+        if !may_lack {
+            self.prove(asked);
+        }
     }
 
-    /// Another node, asked at `asked`, has this version in force, and a proof of this age.
+    /// Another node has told of its proof.
     ///
     /// What makes no sense is passed over: a question from the future, a proof from before the
-    /// clock began.
-    pub fn told(
-        &mut self,
-        now: Duration,
-        asked: Duration,
-        version: RouteVersion,
-        age: Option<Duration>,
-    ) {
-        let Some(moment) = age.and_then(|age| asked.checked_sub(age)) else {
+    /// clock began. So is a proof from the time in which the store is filled again, or of a node
+    /// that lacks what the store lost: one that has just started doesn't know of the return.
+    pub fn told(&mut self, now: Duration, told: ToldProof) {
+        let Some(moment) = told.age.and_then(|age| told.asked.checked_sub(age)) else {
             return;
         };
-        if asked > now {
+        let returned = self.returned.as_ref();
+        let returned = returned.filter(|returned| returned.holds_in(told.era));
+        let may_lack = returned.is_some_and(|returned| {
+            let is_behind = returned.stored < self.version && told.version < self.version;
+            !returned.is_over(moment) || is_behind
+        });
+        if told.asked > now || may_lack {
             return;
         }
+        let version = told.version;
         if version <= self.version {
             self.prove(moment);
         } else if self.ahead.is_none_or(|(_, known)| moment > known) {
--- a/crates/kumquatquay-core/src/routed/register_course.rs
+++ b/crates/kumquatquay-core/src/routed/register_course.rs
@@ -22,6 +22,11 @@
 const ANSWER_PAUSE: Duration = Duration::from_millis(1_500);
 const ANSWER_PAUSE_MOST: Duration = Duration::from_secs(30);
 
+/// Time over which the entries that the store lost are made again, for each node that is known,
+/// and at the least: 500 a second, whatever the size of the fleet.
+const ENTER_AGAIN_PER_NODE: Duration = Duration::from_millis(2);
+const ENTER_AGAIN_LEAST: Duration = Duration::from_millis(500);
+
 /// The least part of the register that a page is taken to span: one at its end may hold a
 /// single entry.
 const ESTIMATE_LEAST_SHARE: f64 = 0.005;
@@ -85,6 +90,11 @@
 /// places are drawn by a hash, each node finds others, of all data centres. It looks again only
 /// while nobody that it found has answered.
 ///
+/// The store may come back from a copy that is older than an entry. Whoever starts then would find
+/// neither this node nor, maybe, any other, so each enters itself again. The look behind it is for
+/// nodes that know few others: two that have entered themselves on either side of the return
+/// know nothing of each other.
+///
 /// Reading the whole register at each start costs as many pages as there are nodes, over fifty:
 /// at 5,100 nodes all starts of a day, or one of all nodes, would take more than the store
 /// gives.
@@ -94,6 +104,10 @@
     random: StdRng,
     stage: Stage,
     next_at: Duration,
+    /// Whether the entry is made again, since the store may have lost it.
+    is_again: bool,
+    /// Whether the store came back since the entry was begun.
+    is_entry_void: bool,
     retry_pause: Duration,
     answer_pause: Duration,
 }
@@ -119,6 +133,8 @@
             random: StdRng::seed_from_u64(random_seed),
             stage: Stage::Enter,
             next_at: now,
+            is_again: false,
+            is_entry_void: false,
             retry_pause: RETRY_PAUSE,
             answer_pause: ANSWER_PAUSE,
         }
@@ -132,7 +148,14 @@
             };
         }
         match self.stage {
-            Stage::Enter => RegisterStep::Enter,
+            Stage::Enter => {
+                self.is_entry_void = false;
+                RegisterStep::Enter
+            }
+            Stage::Look { .. } if self.is_again && peers_count >= ENOUGH_COUNT => {
+                self.stage = Stage::Done;
+                RegisterStep::Done
+            }
             Stage::Look { place } => RegisterStep::Look { place },
             Stage::Introduced { found_count } if peers_count < found_count.min(1) => {
                 self.look_elsewhere()
@@ -145,15 +168,39 @@
         }
     }
 
-    /// The store has taken the entry.
+    /// The store has taken the entry. If it came back meanwhile, the entry may be in what it lost.
     pub fn entered(&mut self, now: Duration) {
         self.retry_pause = RETRY_PAUSE;
+        if self.is_entry_void {
+            return;
+        }
         self.stage = Stage::Look { place: self.own };
         self.next_at = now;
     }
 
+    /// The store has come back from a copy, in a fleet of so many nodes. All of them learn it
+    /// within a second, so their entries are spread over time.
+    pub fn store_returned(&mut self, now: Duration, nodes_count: usize) {
+        let is_due = self.stage == Stage::Enter && now < self.next_at;
+        self.is_entry_void = true;
+        self.is_again = true;
+        self.stage = Stage::Enter;
+        if is_due {
+            // Another return must not put it off for ever.
+            return;
+        }
+        let nodes_count = u32::try_from(nodes_count).unwrap_or(u32::MAX);
+        let most = ENTER_AGAIN_LEAST.max(ENTER_AGAIN_PER_NODE.saturating_mul(nodes_count));
+        self.next_at = now + most.mul_f64(self.random.random());
+    }
+
     /// A page was read, and those on it were introduced to.
+    ///
+    /// One that was asked for before the store's return says nothing of the register as it is now.
     pub fn looked(&mut self, now: Duration, look: RegisterLook) {
+        if !matches!(self.stage, Stage::Look { .. }) {
+            return;
+        }
         self.retry_pause = RETRY_PAUSE;
         let is_first_page = self.stage == Stage::Look { place: 0 };
         if look.others_count < ENOUGH_COUNT && look.is_last && !is_first_page {
--- /dev/null
+++ b/crates/kumquatquay-core/src/routed/store_eras.rs
@@ -0,0 +1,68 @@
+//! Which era the store is in, as far as a node knows.
+
+use kumquatquay_wire::routed::StoreEra;
+
+/// Eras by which another node may be ahead. A store comes back from a copy now and then; a broken
+/// node that tells of a far era would else drown the true ones for good.
+const AHEAD_LIMIT_COUNT: StoreEra = 1_000;
+
+/// The eras of a store that may come back from an older copy.
+///
+/// What the store acknowledged lately is gone then, and offsets are given out again: the number
+/// 121 of one era says nothing of the number 121 of the next. So all that a node knows of the
+/// store belongs to an era, and a higher one, in any answer or told by another node, starts it
+/// anew. What is in force stays in force.
+///
+/// A store that tells no era costs nothing: all its answers count.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreEras {
+    known: Option<StoreEra>,
+}
+
+/// What an era says of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EraNews {
+    /// Nothing new; the one of an answer that came late is no higher either.
+    None,
+    /// It is the first one that is known.
+    First,
+    /// The store has come back from a copy since.
+    Returned {
+        /// The highest one that was known before.
+        before: StoreEra,
+    },
+    /// It is too far ahead to be true.
+    Senseless,
+}
+
+impl StoreEras {
+    /// The highest one that is known.
+    pub fn known(&self) -> Option<StoreEra> {
+        self.known
+    }
+
+    /// An answer of the store told it.
+    pub fn seen(&mut self, era: Option<StoreEra>) -> EraNews {
+        let Some(era) = era else {
+            return EraNews::None;
+        };
+        match self.known {
+            Some(known) if era <= known => EraNews::None,
+            known => {
+                self.known = Some(era);
+                known.map_or(EraNews::First, |before| EraNews::Returned { before })
+            }
+        }
+    }
+
+    /// Another node told it.
+    pub fn told(&mut self, era: Option<StoreEra>) -> EraNews {
+        let most = self
+            .known
+            .map(|known| known.saturating_add(AHEAD_LIMIT_COUNT));
+        match (era, most) {
+            (Some(era), Some(most)) if era > most => EraNews::Senseless,
+            _ => self.seen(era),
+        }
+    }
+}
--- a/crates/kumquatquay-core/src/routed/store_follower.rs
+++ b/crates/kumquatquay-core/src/routed/store_follower.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use kumquatquay_wire::routed::StoreEra;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use super::StoreReaders;
+use super::{EraNews, StoreEras, StoreReaders};
 
 /// Longest time for which the store may hold a read, for each node that reads, and its
 /// bounds. Holds are drawn with a mean of a third of it, so that all readers together end four
@@ -82,6 +83,10 @@
 /// an age: ages that are told on become younger by the time that they take on the way, so that
 /// two nodes could tell each other for ever that the store was there just now.
 ///
+/// The store may come back from an older copy. Its answers are counted anew then, since counts of
+/// the era before would hide those of the new one, and readers read at once: what they hold
+/// may never be answered.
+///
 /// All times grow with the number of nodes, since the store counts the calls of all.
 ///
 /// Where keys must not be accepted long after they were taken away, a node also needs proof that
@@ -105,7 +110,10 @@
     after_news: Duration,
     /// When the store answered this node last.
     answered: Duration,
-    /// Answers of the store that are known of, and when another node told of a new one.
+    eras: StoreEras,
+    /// Whether the store came back from a copy and this node hasn't read since.
+    has_returned: bool,
+    /// Answers of the store in its era that are known of, and when another node told of a new one.
     answers_count: u64,
     told: Duration,
     /// Whether a reader was asked for word of the store, which hasn't come.
@@ -163,6 +171,8 @@
             is_turned_away: false,
             after_news: AFTER_NEWS_LEAST,
             answered: now,
+            eras: StoreEras::default(),
+            has_returned: false,
             answers_count: 0,
             told: now,
             has_asked: false,
@@ -182,6 +192,9 @@
 
     /// What is to be done now.
     pub fn step(&mut self, now: Duration, fleet: FollowerFleet) -> FollowStep {
+        if std::mem::take(&mut self.has_returned) && fleet.readers.is_reader {
+            self.want(now, fleet.nodes_count);
+        }
         if self.wanted_at.is_some_and(|wanted_at| now >= wanted_at) {
             self.wanted_at = None;
             self.wanted_last = Some(now);
@@ -314,21 +327,46 @@
         self.is_ailing = false;
         self.is_under_way = false;
         self.answered = now;
+        self.has_returned = false;
         self.answers_count += 1;
     }
 
-    /// Another node knows of so many answers of the store.
-    pub fn told(&mut self, now: Duration, answers_count: u64) {
-        if answers_count > self.answers_count {
+    /// An answer of the store told its era, whatever else it was.
+    pub fn era_seen(&mut self, era: Option<StoreEra>) -> EraNews {
+        let news = self.eras.seen(era);
+        self.begin_era(news);
+        news
+    }
+
+    /// Another node knows of so many answers of the store in an era.
+    ///
+    /// Those of an era that is over are no word of the store as it is now.
+    pub fn told(&mut self, now: Duration, era: Option<StoreEra>, answers_count: u64) -> EraNews {
+        let news = self.eras.told(era);
+        self.begin_era(news);
+        if era == self.eras.known() && answers_count > self.answers_count {
             self.answers_count = answers_count;
             self.told = now;
             // Without a proof the node goes on to read for itself, whatever it is told.
             self.has_asked &= self.is_proof_due(now);
             self.patience = draw_patience(&mut self.random);
         }
+        news
+    }
+
+    fn begin_era(&mut self, news: EraNews) {
+        if let EraNews::Returned { .. } = news {
+            self.answers_count = 0;
+            self.has_returned = true;
+        }
+    }
+
+    /// The highest era of the store that is known; told to other nodes.
+    pub fn era(&self) -> Option<StoreEra> {
+        self.eras.known()
     }
 
-    /// Answers of the store that are known of; told to other nodes.
+    /// Answers of the store in that era that are known of; told to other nodes.
     pub fn answers_count(&self) -> u64 {
         self.answers_count
     }
--- a/crates/kumquatquay-core/tests/routed/proof_fleet.rs
+++ b/crates/kumquatquay-core/tests/routed/proof_fleet.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use kumquatquay_core::routed::{
-    FollowStep, FollowerFleet, NewestProof, StoreFollower, StoreReaders,
+    FollowStep, FollowerFleet, NewestProof, StoreFollower, StoreReaders, ToldProof,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -148,7 +148,7 @@
         let is_lost = scene.is_deaf(place, began_ms) || scene.is_deaf(place, now_ms);
         if !is_lost && now_ms >= began_ms + hold_ms + ANSWER_MS {
             node.follower.answered(now, false);
-            node.proof.read(moment(began_ms));
+            node.proof.read(moment(began_ms), None);
             told(node, now_ms);
             node.waits_until = now;
         } else if now_ms >= began_ms + hold_ms + CALL_TIMEOUT_MS {
@@ -194,8 +194,14 @@
     let count = nodes[peer].follower.answers_count();
     let asked = moment(now_ms.saturating_sub(ANSWER_MS));
     let node = &mut nodes[place];
-    node.follower.told(at_ms(now_ms), count);
-    node.proof.told(moment(now_ms), asked, 0, age);
+    node.follower.told(at_ms(now_ms), None, count);
+    let answer = ToldProof {
+        asked,
+        version: 0,
+        age,
+        era: None,
+    };
+    node.proof.told(moment(now_ms), answer);
     told(node, now_ms);
 }
 
--- a/crates/kumquatquay-core/tests/routed/store_follower.rs
+++ b/crates/kumquatquay-core/tests/routed/store_follower.rs
@@ -211,7 +211,7 @@
         let told_count = answers_at(&answers, now.saturating_sub(SPREAD_TIME));
         for host in &mut hosts {
             if scene.hears_peers {
-                host.follower.told(now, told_count);
+                host.follower.told(now, None, told_count);
             }
             act(scene, &confirmations, now, host, &mut outcome);
             let known_count = host.follower.answers_count();
--- a/crates/kumquatquay-wire/src/routed/configuration.rs
+++ b/crates/kumquatquay-wire/src/routed/configuration.rs
@@ -10,12 +10,18 @@
 /// Number of a configuration; a node never goes back to a lower one.
 pub type RouteVersion = u64;
 
+/// Number of a life of the store: one higher each time that it comes back from an older copy,
+/// without what was written since.
+pub type StoreEra = u64;
+
 /// How far a node follows the configuration; nodes tell each other with each call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FollowState {
     /// Configuration in force at the node; 0 without one.
     pub version: RouteVersion,
-    /// Answers of the store that the node knows of, its own and those of others.
+    /// The highest era of the store that the node knows of; `None` if the store tells none.
+    pub store_era: Option<StoreEra>,
+    /// Answers of the store that the node knows of in that era, its own and those of others.
     pub store_answers_count: u64,
     /// How long ago that configuration was the newest for sure, in milliseconds; `None` if that
     /// isn't known. It counts only for who asked, from the moment of the question.
--- a/crates/kumquatquay-wire/src/routed/mod.rs
+++ b/crates/kumquatquay-wire/src/routed/mod.rs
@@ -17,7 +17,7 @@
 
 pub use configuration::{
     CallerLimits, Destination, FollowState, HostRoutes, Priority, Repeat, RouteConfiguration,
-    RouteSettings, RouteVersion, ServiceSettings,
+    RouteSettings, RouteVersion, ServiceSettings, StoreEra,
 };
 pub use frame::{
     AnswerHead, CallHead, CallNumber, FrameHead, FrameReader, HeaderField, LinkOutcome,
--- a/crates/kumquatquayd/src/routed/configuration_exchange.rs
+++ b/crates/kumquatquayd/src/routed/configuration_exchange.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use kumquatquay_core::routed::ToldProof;
 use kumquatquay_wire::routed::{FollowState, FrameHead};
 
 use super::{link_frames::FrameWriter, node::RoutedNode};
@@ -17,8 +18,10 @@
         node.told_nodes_count.set(nodes_count);
     }
     let mut follower = node.follower.borrow_mut();
-    follower.told(node.now(), followed.store_answers_count);
+    let era = followed.store_era;
+    let news = follower.told(node.now(), era, followed.store_answers_count);
     drop(follower);
+    node.on_era_news(news, era, "node");
     if followed.version > node.route_version() && node.may_ask_configuration() {
         frames.push(&FrameHead::ConfigurationAsk, &[]);
     }
@@ -39,7 +42,13 @@
     };
     let age = Duration::from_millis(u64::from(age_ms));
     let now = node.unsuspended();
-    node.prove(|proof| proof.told(now, asked, followed.version, Some(age)));
+    let told = ToldProof {
+        asked,
+        version: followed.version,
+        age: Some(age),
+        era: followed.store_era,
+    };
+    node.prove(|proof| proof.told(now, told));
 }
 
 /// A question how far another node follows.
--- a/crates/kumquatquayd/src/routed/interface.rs
+++ b/crates/kumquatquayd/src/routed/interface.rs
@@ -5,7 +5,10 @@
 use derive_more::{Display, Error};
 use http::HeaderMap;
 use kumquatquay_core::routed::{BackendLoad, KeyClaim, LifeReport, RegisterPlace};
-use kumquatquay_wire::{BackendLife, InstanceId, routed::RouteConfiguration};
+use kumquatquay_wire::{
+    BackendLife, InstanceId,
+    routed::{RouteConfiguration, RouteVersion, StoreEra},
+};
 
 /// How requests, answers and reports are written on this platform.
 ///
@@ -111,6 +114,17 @@
     pub register_page: Arc<dyn Fn(RegisterPlace) -> StoreFuture<RegisterPage>>,
     /// Enters this node, by its control address, at its place.
     pub enter_node: Arc<dyn Fn(SocketAddr, RegisterPlace) -> StoreFuture<()>>,
+    /// What answers of the store, refusals included, have told of its era so far.
+    pub eras: Arc<dyn Fn() -> ToldEras>,
+}
+
+/// What answers of a store have told of its era.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ToldEras {
+    /// The highest one; `None` if none was told.
+    pub highest: Option<StoreEra>,
+    /// Answers whose era can't be read.
+    pub malformed_count: u64,
 }
 
 /// A page of the register of nodes.
@@ -142,6 +156,13 @@
     pub malformed: Vec<Vec<String>>,
     /// Whether all that the store had when it was asked has been read by now.
     pub is_all: bool,
+    /// Era of the store that the read belongs to; `None` if the store tells none.
+    pub era: Option<StoreEra>,
+    /// Whether that era is over: what was read was confirmed once and says nothing of the store
+    /// as it is now.
+    pub is_outdated: bool,
+    /// The highest version that was read in that era; 0 without one.
+    pub stored_version: RouteVersion,
 }
 
 impl RouteNews {
--- a/crates/kumquatquayd/src/routed/members.rs
+++ b/crates/kumquatquayd/src/routed/members.rs
@@ -14,7 +14,7 @@
 use tokio::{net::UdpSocket, sync::mpsc::UnboundedReceiver};
 
 use super::{
-    interface::{PlatformStore, RegisterPage},
+    interface::{PlatformStore, RegisterPage, StoreError},
     node::RoutedNode,
     run_here::turn_away_waiting,
 };
@@ -150,31 +150,59 @@
     let mut course = RegisterCourse::new(node.now(), own, random_seed);
     loop {
         match course.step(node.now(), peers_count(&node)) {
-            RegisterStep::Enter => match (store.enter_node)(own, register_place(own)).await {
-                Ok(()) => course.entered(node.now()),
-                Err(error) => {
-                    log::warn!(event = "register_unreached"; "{error}");
-                    course.failed(node.now());
+            RegisterStep::Enter => {
+                let entered = (store.enter_node)(own, register_place(own)).await;
+                look_for_return(&node, &store, &mut course);
+                match entered {
+                    Ok(()) => on_entered(&node, &mut course),
+                    Err(error) => on_unreached(&node, &mut course, &error),
                 }
-            },
-            RegisterStep::Look { place } => match (store.register_page)(place).await {
-                Ok(page) => {
-                    let look = introduce(&node, place, page);
-                    course.looked(node.now(), look);
-                }
-                Err(error) => {
-                    log::warn!(event = "register_unreached"; "{error}");
-                    course.failed(node.now());
+            }
+            RegisterStep::Look { place } => {
+                let page = (store.register_page)(place).await;
+                look_for_return(&node, &store, &mut course);
+                match page {
+                    Ok(page) => {
+                        let look = introduce(&node, place, page);
+                        course.looked(node.now(), look);
+                    }
+                    Err(error) => on_unreached(&node, &mut course, &error),
                 }
-            },
+            }
             RegisterStep::Wait { until } => {
-                tokio::time::sleep(until.saturating_sub(node.now())).await;
+                let pause = tokio::time::sleep(until.saturating_sub(node.now()));
+                tokio::select! {
+                    () = pause => {}
+                    () = node.store_return.wait() => look_for_return(&node, &store, &mut course),
+                }
+            }
+            RegisterStep::Done => {
+                node.store_return.wait().await;
+                look_for_return(&node, &store, &mut course);
             }
-            RegisterStep::Done => return,
         }
     }
 }
 
+/// Looks whether the store came back from a copy, which may lack this node's entry.
+fn look_for_return(node: &RoutedNode, store: &PlatformStore, course: &mut RegisterCourse) {
+    node.see_store_eras((store.eras)());
+    if node.store_return.take() {
+        course.store_returned(node.now(), node.follower_fleet().nodes_count);
+    }
+}
+
+fn on_entered(node: &RoutedNode, course: &mut RegisterCourse) {
+    course.entered(node.now());
+    node.decisions.count("register", "entered");
+    log::info!(event = "register_entered"; "this node stands in the register");
+}
+
+fn on_unreached(node: &RoutedNode, course: &mut RegisterCourse, error: &StoreError) {
+    log::warn!(event = "register_unreached"; "{error}");
+    course.failed(node.now());
+}
+
 /// Other members that are there.
 fn peers_count(node: &RoutedNode) -> usize {
     let members = node.engine.members();
--- a/crates/kumquatquayd/src/routed/metrics_text.rs
+++ b/crates/kumquatquayd/src/routed/metrics_text.rs
@@ -22,6 +22,8 @@
     }
     let report = node.gate_report();
     let unheard = node.follower.borrow().unheard(node.now());
+    let store_era = node.follower.borrow().era().unwrap_or_default();
+    let is_store_behind = node.proof.borrow().is_store_behind();
     let proof_age = node.proof_age().unwrap_or_default();
     let quota_nodes_count = nodes_count(node).unwrap_or_default();
     let gauges = [
@@ -33,6 +35,8 @@
         ("gate_level_permille", u64::from(report.level_permille)),
         ("gate_pace_permille", u64::from(report.pace_permille)),
         ("route_version", node.route_version()),
+        ("store_era", store_era),
+        ("store_behind", u64::from(is_store_behind)),
         ("store_unheard_ms", unheard.as_millis() as u64),
         ("proof_age_ms", proof_age.as_millis() as u64),
         ("quota_nodes", quota_nodes_count as u64),
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -37,10 +37,11 @@
 mod run_here;
 mod settings;
 mod start;
+mod store_return;
 
 pub use interface::{
     AnswerMarks, BackendReport, Dialect, HandOver, PlatformStore, RegisterPage, RequestMarks,
-    RouteNews, StoreError, StoreFuture,
+    RouteNews, StoreError, StoreFuture, ToldEras,
 };
 pub use settings::{Bounds, Limits, Listen, RetryBudget, RoutedSettings};
 pub use start::run;
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -33,6 +33,7 @@
     quotas::Quotas,
     retries::{AT_GATE_RATIO, Retries},
     settings::RoutedSettings,
+    store_return::StoreReturn,
 };
 use crate::{
     clock::{SystemClock, unsuspended},
@@ -74,6 +75,8 @@
     pub(crate) follower: RefCell<StoreFollower>,
     /// Told that the store is to be asked out of turn.
     pub(crate) follower_wake: Notify,
+    /// What is kept of the store's returns from a copy.
+    pub(super) store_return: StoreReturn,
     /// Until when the configuration in force was the newest.
     pub(super) proof: RefCell<NewestProof>,
     /// By how much the clock that counts suspended time was ahead when it was read last.
@@ -163,6 +166,7 @@
         Rc::new(Self {
             follower: RefCell::new(follower),
             follower_wake: Notify::new(),
+            store_return: StoreReturn::default(),
             proof: RefCell::default(),
             suspended: Cell::default(),
             proof_news: Notify::new(),
@@ -239,9 +243,11 @@
 
     /// How far this node follows the configuration, as others are told who haven't asked.
     pub(crate) fn follow_state(&self) -> FollowState {
+        let follower = self.follower.borrow();
         FollowState {
             version: self.route_version(),
-            store_answers_count: self.follower.borrow().answers_count(),
+            store_era: follower.era(),
+            store_answers_count: follower.answers_count(),
             proof_age_ms: None,
             nodes_count: self.nodes_count.get() as u32,
         }
--- a/crates/kumquatquayd/src/routed/routes_watch.rs
+++ b/crates/kumquatquayd/src/routed/routes_watch.rs
@@ -121,6 +121,7 @@
     let began = node.now();
     let asked = node.unsuspended();
     let news = (store.read_routes)(hold).await;
+    node.see_store_eras((store.eras)());
     EndedRead { began, asked, news }
 }
 
@@ -132,6 +133,13 @@
     let unheard = follower.unheard(now);
     let took_ms = now.saturating_sub(ended.began).as_millis() as u64;
     match ended.news {
+        Ok(news) if news.is_outdated => {
+            follower.failed(now);
+            drop(follower);
+            node.on_outdated_answer(news.era);
+            take_news(node, news);
+            false
+        }
         Ok(news) => {
             follower.answered(now, news.is_news());
             drop(follower);
@@ -141,10 +149,16 @@
                     "the store answers again");
             }
             let proves = news.is_all && news.malformed.is_empty();
+            let era = news.era;
+            let stored_version = news.stored_version;
             take_news(node, news);
-            if proves {
-                node.prove(|proof| proof.read(ended.asked));
-            }
+            node.prove(|proof| {
+                proof.stored(era, stored_version);
+                if proves {
+                    proof.read(ended.asked, era);
+                }
+            });
+            node.log_store_behind();
             true
         }
         Err(error) => {
