Enter nodes again one by one after the store's return

The course of a node's entry learns of a return: an entry under way may be in what the store lost, also if it was acknowledged; a page that was asked for before says nothing. Entries are spread over 2 ms a node, and another return puts none off that is due.

Checked in virtual time: fleets of 2 to 1,000 that start around one to three returns find together and all stand in the register; 5,100 that learn of two returns within a second each begin at most 1,000 calls in any second (2,000 is what the store takes). Broken first: a node whose store returned each 10 ms put its entry off for ever.

--- a/crates/kumquatquay-core/src/routed/register_course.rs
+++ b/crates/kumquatquay-core/src/routed/register_course.rs
@@ -106,8 +106,7 @@
     next_at: Duration,
     /// Whether the entry is made again, since the store may have lost it.
     is_again: bool,
-    /// Whether the store came back since the entry was begun.
-    is_entry_void: bool,
+    entry: Entry,
     retry_pause: Duration,
     answer_pause: Duration,
 }
@@ -125,6 +124,16 @@
     Done,
 }
 
+/// The call that enters this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Entry {
+    /// There is none.
+    None,
+    UnderWay,
+    /// It is under way, and the store came back from a copy since it was begun.
+    Void,
+}
+
 impl RegisterCourse {
     /// A node that starts now; the seed is of its random times.
     pub fn new(now: Duration, control: SocketAddr, random_seed: u64) -> Self {
@@ -134,7 +143,7 @@
             stage: Stage::Enter,
             next_at: now,
             is_again: false,
-            is_entry_void: false,
+            entry: Entry::None,
             retry_pause: RETRY_PAUSE,
             answer_pause: ANSWER_PAUSE,
         }
@@ -149,7 +158,7 @@
         }
         match self.stage {
             Stage::Enter => {
-                self.is_entry_void = false;
+                self.entry = Entry::UnderWay;
                 RegisterStep::Enter
             }
             Stage::Look { .. } if self.is_again && peers_count >= ENOUGH_COUNT => {
@@ -171,7 +180,8 @@
     /// The store has taken the entry. If it came back meanwhile, the entry may be in what it lost.
     pub fn entered(&mut self, now: Duration) {
         self.retry_pause = RETRY_PAUSE;
-        if self.is_entry_void {
+        let entry = std::mem::replace(&mut self.entry, Entry::None);
+        if entry == Entry::Void {
             return;
         }
         self.stage = Stage::Look { place: self.own };
@@ -181,8 +191,10 @@
     /// The store has come back from a copy, in a fleet of so many nodes. All of them learn it
     /// within a second, so their entries are spread over time.
     pub fn store_returned(&mut self, now: Duration, nodes_count: usize) {
-        let is_due = self.stage == Stage::Enter && now < self.next_at;
-        self.is_entry_void = true;
+        let is_due = self.stage == Stage::Enter && self.entry != Entry::UnderWay;
+        if self.entry == Entry::UnderWay {
+            self.entry = Entry::Void;
+        }
         self.is_again = true;
         self.stage = Stage::Enter;
         if is_due {
@@ -216,6 +228,7 @@
     /// A call brought nothing: it was refused, or had no answer in time. An entry that may
     /// have been made is made again; that changes nothing.
     pub fn failed(&mut self, now: Duration) {
+        self.entry = Entry::None;
         self.next_at = now + self.retry_pause.mul_f64(self.random.random_range(0.5..1.5));
         self.retry_pause = (self.retry_pause * 2).min(RETRY_PAUSE_MOST);
     }
--- a/crates/kumquatquay-core/tests/routed/register_course.rs
+++ b/crates/kumquatquay-core/tests/routed/register_course.rs
@@ -16,6 +16,12 @@
 const CALL_MS: u64 = 4;
 const STARTS_MS: u64 = 300;
 
+/// Calls a second that the store takes of all nodes together.
+const CALLS_PER_S: usize = 2_000;
+
+/// The longest time after the store's return from a copy in which nodes learn of it.
+const LEARN_MS: u64 = 1_000;
+
 fn address(host: usize) -> SocketAddr {
     let host = host as u16;
     let [high, low] = host.to_be_bytes();
@@ -33,6 +39,16 @@
     course: RegisterCourse,
     call: Option<Call>,
     wakes: Duration,
+    /// When it learns of a return of the store.
+    learns: Option<Duration>,
+}
+
+/// The store comes back from a copy.
+#[derive(Clone, Copy, Debug)]
+struct Return {
+    at: Duration,
+    /// Moment of the copy.
+    copied: Duration,
 }
 
 /// Hosts that start together, and the register in the store.
@@ -43,6 +59,11 @@
     joined: Vec<usize>,
     peers_counts: Vec<usize>,
     calls_count: usize,
+    /// When calls began.
+    calls: Vec<Duration>,
+    /// Returns of the store to come, and the copies that were made.
+    returns: Vec<Return>,
+    copies: BTreeMap<Duration, BTreeMap<(RegisterPlace, SocketAddr), usize>>,
     /// One call of so many gets no answer, and is done all the same.
     lost_one_of: Option<u32>,
     random: StdRng,
@@ -57,6 +78,7 @@
                 course: RegisterCourse::new(starts, address(host), seed * 10_000 + host as u64),
                 call: None,
                 wakes: starts,
+                learns: None,
             }
         });
         Self {
@@ -65,14 +87,22 @@
             joined: (0..hosts_count).collect(),
             peers_counts: vec![0; hosts_count],
             calls_count: 0,
+            calls: Vec::new(),
+            returns: Vec::new(),
+            copies: BTreeMap::new(),
             lost_one_of: None,
             random,
         }
     }
 
     fn run(&mut self, until: Duration) {
-        let mut now = Duration::ZERO;
+        self.run_on(Duration::ZERO, until);
+    }
+
+    fn run_on(&mut self, from: Duration, until: Duration) {
+        let mut now = from;
         while now < until {
+            self.copy_and_return(now);
             for host in 0..self.hosts.len() {
                 self.act(now, host);
             }
@@ -80,7 +110,42 @@
         }
     }
 
+    fn copy_and_return(&mut self, now: Duration) {
+        if self.returns.iter().any(|to_come| to_come.copied == now) {
+            self.copies.insert(now, self.register.clone());
+        }
+        let Some(returned) = self.returns.iter().find(|to_come| to_come.at == now) else {
+            return;
+        };
+        self.register = self.copies[&returned.copied].clone();
+        for host in &mut self.hosts {
+            let learns = now + at_ms(self.random.random_range(1..LEARN_MS));
+            host.learns = Some(host.learns.map_or(learns, |known| known.min(learns)));
+        }
+    }
+
+    /// The most calls that began in one second.
+    fn most_calls_per_s(&self) -> usize {
+        let of_a_second = |first: &Duration| {
+            let begun = self.calls.iter().skip_while(|call| *call < first);
+            begun
+                .take_while(|call| **call < *first + at_ms(1_000))
+                .count()
+        };
+        let firsts = self.calls.iter().step_by(50);
+        firsts.map(of_a_second).max().unwrap_or_default()
+    }
+
     fn act(&mut self, now: Duration, host: usize) {
+        if self.hosts[host]
+            .learns
+            .take_if(|learns| *learns <= now)
+            .is_some()
+        {
+            let hosts_count = self.hosts.len();
+            self.hosts[host].course.store_returned(now, hosts_count);
+            self.hosts[host].wakes = now;
+        }
         if let Some(call) = self.hosts[host].call.take_if(|call| call.done <= now) {
             self.end_call(now, host, call.step);
         }
@@ -92,6 +157,7 @@
                 RegisterStep::Done => self.hosts[host].wakes = Duration::MAX,
                 RegisterStep::Enter | RegisterStep::Look { .. } => {
                     self.calls_count += 1;
+                    self.calls.push(now);
                     let done = now + at_ms(CALL_MS);
                     self.hosts[host].call = Some(Call { step, done });
                 }
@@ -258,3 +324,102 @@
         assert!((0.66..=1.5).contains(&told), "{hosts_count}: {told}");
     }
 }
+
+/// A fleet whose store comes back, at each of these moments, from a copy of some time before.
+fn fleet_with_returns(hosts_count: usize, seed: u64, returns: &[(u64, u64)]) -> Fleet {
+    let mut fleet = Fleet::new(hosts_count, seed);
+    let returns = returns.iter().map(|(at, copied)| Return {
+        at: at_ms(*at),
+        copied: at_ms(*copied),
+    });
+    fleet.returns = returns.collect();
+    fleet
+}
+
+/// Names each fleet that starts while the store loses entries: nodes on either side of a return
+/// know nothing of each other by the register, and find together all the same.
+macro_rules! all_find_together_beside_returns {
+    ($($name:ident: $hosts_count:literal hosts, $seeds_count:literal seeds, $returns:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            for seed in 0..$seeds_count {
+                let mut fleet = fleet_with_returns($hosts_count, seed, &$returns);
+                fleet.run(at_ms(16_000));
+                assert_eq!(fleet.groups_count(), 1, "seed {seed}");
+                assert_eq!(fleet.register.len(), $hosts_count, "seed {seed}");
+            }
+        }
+    )*};
+}
+
+all_find_together_beside_returns! {
+    two_on_either_side_of_a_return: 2 hosts, 50 seeds, [(150, 0)];
+    sixteen_while_the_store_returns: 16 hosts, 50 seeds, [(150, 0)];
+    sixteen_while_it_returns_again_and_again: 16 hosts, 50 seeds, [(100, 0), (200, 50), (700, 150)];
+    ninety_five_while_the_store_returns: 95 hosts, 20 seeds, [(150, 0)];
+    a_thousand_long_after_the_start: 1_000 hosts, 1 seeds, [(4_000, 100)];
+}
+
+/// All 5,100 nodes learn within a second that their entries may be lost.
+#[test]
+fn five_thousand_enter_themselves_again_within_what_the_store_takes() {
+    let mut fleet = fleet_with_returns(5_100, 1, &[(4_000, 10), (7_000, 4_000)]);
+    fleet.run(at_ms(2_000));
+    let at_start = fleet.calls.len();
+    fleet.peers_counts.fill(5_099);
+    fleet.run_on(at_ms(2_000), at_ms(22_000));
+    fleet.calls.drain(..at_start);
+    assert_eq!(fleet.register.len(), 5_100);
+    let most = fleet.most_calls_per_s();
+    assert!(most <= CALLS_PER_S / 2, "{most}");
+}
+
+/// The store takes an entry, and comes back without it before the node has the answer.
+#[test]
+fn an_entry_that_was_lost_before_its_answer_came_is_made_again() {
+    let mut course = RegisterCourse::new(Duration::ZERO, address(1), 1);
+    assert_eq!(course.step(at_ms(0), 0), RegisterStep::Enter);
+    course.store_returned(at_ms(3), 1);
+    course.entered(at_ms(4));
+    let RegisterStep::Wait { until } = course.step(at_ms(5), 0) else {
+        panic!("{course:?}");
+    };
+    assert_eq!(course.step(until, 0), RegisterStep::Enter);
+    course.entered(until);
+    assert!(matches!(course.step(until, 0), RegisterStep::Look { .. }));
+}
+
+/// A page that was asked for before the return tells nothing of the register as it is now.
+#[test]
+fn a_page_from_before_a_return_does_not_count() {
+    let mut course = RegisterCourse::new(Duration::ZERO, address(1), 1);
+    course.step(at_ms(0), 0);
+    course.entered(at_ms(4));
+    course.store_returned(at_ms(5), 1);
+    let page = RegisterLook {
+        place: register_place(address(1)),
+        last_place: None,
+        others_count: 40,
+        is_last: false,
+    };
+    course.looked(at_ms(6), page);
+    let again = course.step(at_ms(2_000), 40);
+    assert_eq!(again, RegisterStep::Enter);
+}
+
+/// Returns come faster than entries are made again: none puts an entry off that is due.
+#[test]
+fn a_store_that_returns_all_the_time_is_entered_all_the_same() {
+    let mut course = RegisterCourse::new(Duration::ZERO, address(1), 1);
+    course.step(at_ms(0), 0);
+    course.entered(at_ms(4));
+    let mut entries_count = 0;
+    for ms in (10..60_000).step_by(10) {
+        course.store_returned(at_ms(ms), 5_100);
+        if course.step(at_ms(ms), 5_099) == RegisterStep::Enter {
+            entries_count += 1;
+            course.entered(at_ms(ms));
+        }
+    }
+    assert!((5..=30).contains(&entries_count), "{entries_count}");
+}
