Run requests that a caller sends in a row side by side, and answer them in order

The HTTP library reads the next request of a connection when the answer before is written, so of ten look-ups of 200 ms that come at once the last took 2.03 s.

An adapter between socket and library reads on meanwhile and passes on one request at a time. Whole requests on idempotent routes, without a body or with a small one, are started at once; when the library reaches one it picks up the answer that is under way, if it reads the very same request, and runs it as it reads it otherwise. What could be read in two ways (codings, two lengths, other protocols) is never started early, and from there on the connection goes as before. A caller that leaves ends all of its row. A request counts as in flight until its answer is written.

Ruled out: a connection of the library for each request (two framers that must agree, and answers written by own code).

--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -63,11 +63,14 @@
     /// Refused callers are asked back the later, the longer a shortage has lasted.
     #[display("late-return")]
     LateReturn,
+    /// Requests that a caller sends before the first is answered run beside it.
+    #[display("pipelining")]
+    Pipelining,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::EntryLevels,
         Self::KeptGraph,
         Self::TracedCalls,
@@ -86,6 +89,7 @@
         Self::OutOfLine,
         Self::QuotaLoans,
         Self::LateReturn,
+        Self::Pipelining,
     ];
 
     fn bit(self) -> u32 {
--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -23,6 +23,7 @@
 mod out_of_line;
 mod pooled_news;
 mod register_course;
+mod request_row;
 mod retry_window;
 mod return_time;
 mod route_table;
@@ -53,6 +54,7 @@
 pub use register_course::{
     RegisterCourse, RegisterLook, RegisterPlace, RegisterStep, register_place,
 };
+pub use request_row::{RequestRow, RowLimits, RowRequest};
 pub use retry_window::RetryWindow;
 pub use return_time::ReturnTime;
 pub use route_table::{RouteTable, TableRoute};
--- /dev/null
+++ b/crates/kumquatquay-core/src/routed/request_row.rs
@@ -0,0 +1,142 @@
+//! Requests that a caller sends on a connection before the first is answered.
+
+use std::collections::VecDeque;
+
+/// What a connection may have under way behind the request that is answered next.
+#[derive(Clone, Copy, Debug)]
+pub struct RowLimits {
+    /// Requests that were started and are not answered.
+    pub started_count: usize,
+    /// Bytes of answers that wait for their turn.
+    pub held_bytes: usize,
+}
+
+/// What decides whether a request may run beside others of its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RowRequest {
+    /// Whether it may run again.
+    pub is_idempotent: bool,
+    /// Whether the connection may end with its answer, so that nothing behind it counts as
+    /// read.
+    pub ends_row: bool,
+}
+
+impl RowRequest {
+    fn lets_others_run(self) -> bool {
+        self.is_idempotent && !self.ends_row
+    }
+}
+
+/// The requests of one connection that were read and are not answered.
+///
+/// It answers the pattern in which a caller sends ten requests of 200 ms at once: one after
+/// the other the last takes two seconds. Those behind the first are started beside it, and
+/// their answers are kept until it is their turn. A request that may run once at most runs
+/// alone, since a caller must be able to tell what was before it; nothing is started behind
+/// one whose answer may end the connection, since callers send again what is behind that.
+#[derive(Debug)]
+pub struct RequestRow<T> {
+    limits: RowLimits,
+    /// The request that is answered next, once the server has reached it.
+    answering: Option<RowRequest>,
+    /// Those behind it that were started, in their order.
+    started: VecDeque<Started<T>>,
+    /// Whether the one behind the last that was started waits for its turn.
+    is_held: bool,
+    /// Whether nothing more is started on this connection.
+    is_closed: bool,
+}
+
+#[derive(Debug)]
+struct Started<T> {
+    request: RowRequest,
+    ticket: T,
+}
+
+impl<T> RequestRow<T> {
+    /// A connection without requests.
+    pub fn new(limits: RowLimits) -> Self {
+        Self {
+            limits,
+            answering: None,
+            started: VecDeque::new(),
+            is_held: false,
+            is_closed: false,
+        }
+    }
+
+    /// Whether the request behind the last that was started is to be looked at, while
+    /// answers of so many bytes wait for their turn.
+    pub fn has_room(&self, held_bytes: usize) -> bool {
+        let last = self.started.back().map(|started| started.request);
+        let last = last.or(self.answering);
+        last.is_some_and(RowRequest::lets_others_run)
+            && !self.is_held
+            && !self.is_closed
+            && self.started.len() < self.limits.started_count
+            && held_bytes < self.limits.held_bytes
+    }
+
+    /// Whether the request that was looked at may be started now; if not it waits for its
+    /// turn, and all behind it with it.
+    pub fn may_start(&mut self, request: RowRequest) -> bool {
+        self.is_held |= !request.is_idempotent;
+        !self.is_held && !self.is_closed
+    }
+
+    /// It was started; `ticket` brings its answer.
+    pub fn start(&mut self, request: RowRequest, ticket: T) {
+        self.started.push_back(Started { request, ticket });
+    }
+
+    /// The next request waits for its turn, whatever it is.
+    pub fn hold(&mut self) {
+        self.is_held = true;
+    }
+
+    /// The ticket of the request that the server reaches next, if that was started.
+    pub fn front(&self) -> Option<&T> {
+        self.started.front().map(|started| &started.ticket)
+    }
+
+    /// The server has reached the next request, which was started.
+    pub fn reach_started(&mut self) -> Option<T> {
+        let started = self.started.pop_front()?;
+        self.answering = Some(started.request);
+        self.is_held = false;
+        Some(started.ticket)
+    }
+
+    /// The server has reached the next request, which was not started.
+    pub fn reach(&mut self, request: RowRequest) {
+        self.answering = Some(request);
+        self.is_held = false;
+    }
+
+    /// The request that was reached is answered; whether the connection ends with that.
+    ///
+    /// A node that stops wants all connections to end. Where requests behind this one were
+    /// started it ends with the last of them: ended here, they would have run for nothing.
+    pub fn answered(&mut self, wants_close: bool) -> bool {
+        self.answering = None;
+        self.is_closed |= wants_close;
+        wants_close && self.started.is_empty()
+    }
+
+    /// Nothing more is started.
+    pub fn close(&mut self) {
+        self.is_closed = true;
+    }
+
+    /// Gives up what was started, and starts nothing more.
+    pub fn give_up(&mut self) -> usize {
+        self.is_closed = true;
+        let given_up = std::mem::take(&mut self.started);
+        given_up.len()
+    }
+
+    /// Requests that were started and that the server hasn't reached.
+    pub fn started_count(&self) -> usize {
+        self.started.len()
+    }
+}
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -17,6 +17,7 @@
 mod newest_proof;
 mod proof_fleet;
 mod register_course;
+mod request_row;
 mod retry_window;
 mod return_time;
 mod route_table;
--- /dev/null
+++ b/crates/kumquatquay-core/tests/routed/request_row.rs
@@ -0,0 +1,132 @@
+//! Which requests of a connection run beside each other, and where it ends.
+
+use kumquatquay_core::routed::{RequestRow, RowLimits, RowRequest};
+use quickcheck::quickcheck;
+
+const LIMITS: RowLimits = RowLimits {
+    started_count: 4,
+    held_bytes: 1_000,
+};
+
+const LOOK_UP: RowRequest = RowRequest {
+    is_idempotent: true,
+    ends_row: false,
+};
+
+const LAST_LOOK_UP: RowRequest = RowRequest {
+    is_idempotent: true,
+    ends_row: true,
+};
+
+const FILING: RowRequest = RowRequest {
+    is_idempotent: false,
+    ends_row: false,
+};
+
+/// Starts what may be started of the requests behind, as a connection does; how many.
+fn start_behind(row: &mut RequestRow<usize>, behind: &[RowRequest]) -> usize {
+    let mut started_count = 0;
+    for request in behind {
+        if !row.has_room(0) || !row.may_start(*request) {
+            break;
+        }
+        row.start(*request, started_count);
+        started_count += 1;
+    }
+    started_count
+}
+
+macro_rules! starts {
+    ($($name:ident: $first:expr, $behind:expr => $count:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut row = RequestRow::new(LIMITS);
+                row.reach($first);
+                assert_eq!(start_behind(&mut row, &$behind), $count);
+            }
+        )*
+    };
+}
+
+starts! {
+    look_ups_run_side_by_side: LOOK_UP, [LOOK_UP; 3] => 3;
+    no_more_than_the_limit_run: LOOK_UP, [LOOK_UP; 9] => 4;
+    nothing_runs_beside_a_filing: FILING, [LOOK_UP; 3] => 0;
+    a_filing_waits_with_all_behind_it: LOOK_UP, [LOOK_UP, FILING, LOOK_UP] => 1;
+    the_last_one_runs_beside_others: LOOK_UP, [LAST_LOOK_UP, LOOK_UP] => 1;
+    nothing_runs_behind_the_last_one: LAST_LOOK_UP, [LOOK_UP] => 0;
+}
+
+/// Nothing was reached, so what comes next is for the server to read first.
+#[test]
+fn nothing_is_started_before_the_first_is_reached() {
+    let row = RequestRow::<usize>::new(LIMITS);
+    assert!(!row.has_room(0));
+}
+
+/// A caller asks for large answers and doesn't read them. What waits is bounded.
+#[test]
+fn nothing_is_started_while_too_much_is_held() {
+    let mut row = RequestRow::<usize>::new(LIMITS);
+    row.reach(LOOK_UP);
+    assert!(row.has_room(999));
+    assert!(!row.has_room(1_000));
+}
+
+/// A node stops while three requests run. Were the connection closed with the first answer,
+/// the two others would have run for nothing.
+#[test]
+fn a_connection_ends_with_the_last_that_was_started() {
+    let mut row = RequestRow::new(LIMITS);
+    row.reach(LOOK_UP);
+    assert_eq!(start_behind(&mut row, &[LOOK_UP; 2]), 2);
+    assert!(!row.answered(true));
+    assert_eq!(row.reach_started(), Some(0));
+    // Nothing is started any more.
+    assert!(!row.has_room(0));
+    assert!(!row.answered(true));
+    assert_eq!(row.reach_started(), Some(1));
+    assert!(row.answered(true));
+}
+
+quickcheck! {
+    /// Whatever comes, and whenever it is looked at: answers come in order, a filing runs
+    /// alone, and nothing that was started stands behind an answer that ends the connection.
+    fn a_row_keeps_its_order(kinds: Vec<u8>, looks: Vec<bool>, stops_at: u8) -> bool {
+        let kinds: Vec<RowRequest> = kinds
+            .iter()
+            .map(|kind| [LOOK_UP, LOOK_UP, FILING, LAST_LOOK_UP][usize::from(kind % 4)])
+            .collect();
+        let mut row = RequestRow::<usize>::new(LIMITS);
+        let mut looks = looks.into_iter().chain(std::iter::repeat(true));
+        let mut started_to = 0;
+        for (place, kind) in kinds.iter().enumerate() {
+            if let Some(ticket) = row.reach_started() {
+                if ticket != place || !kind.is_idempotent {
+                    return false;
+                }
+            } else {
+                row.reach(*kind);
+                started_to = started_to.max(place + 1);
+            }
+            while started_to < kinds.len() && looks.next() == Some(true) && row.has_room(0) {
+                if !row.may_start(kinds[started_to]) {
+                    break;
+                }
+                row.start(kinds[started_to], started_to);
+                started_to += 1;
+            }
+            let runs_alone = started_to == place + 1;
+            let is_bounded = row.started_count() <= LIMITS.started_count;
+            if !is_bounded || (!kind.is_idempotent || kind.ends_row) && !runs_alone {
+                return false;
+            }
+            let is_stopping = place >= usize::from(stops_at);
+            if row.answered(is_stopping) || kind.ends_row {
+                return row.started_count() == 0;
+            }
+        }
+        true
+    }
+}
--- a/crates/kumquatquayd/src/routed/caller_identity.rs
+++ b/crates/kumquatquayd/src/routed/caller_identity.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::{StatusCode, header, request::Parts};
+use http::{HeaderMap, StatusCode, Uri, header, request::Parts};
 use kumquatquay_core::routed::{KeyClaim, KeyVerdict, RouteTable, TableRoute};
 use kumquatquay_wire::routed::WorkspaceSettings;
 use tokio::time::error::Elapsed;
@@ -129,7 +129,7 @@
 
 fn look_up(node: &RoutedNode, parts: &Parts, key: KeyClaim) -> Result<Identified, IdentityRefusal> {
     let table = node.routes().ok_or(IdentityRefusal::NoConfiguration)?;
-    let route = find_route(&table, parts).ok_or(IdentityRefusal::NoRoute)?;
+    let route = find_route(&table, &parts.headers, &parts.uri).ok_or(IdentityRefusal::NoRoute)?;
     let route = Arc::clone(route);
     let workspace = match table.workspaces().identify(&route.settings, key) {
         KeyVerdict::NotAsked => None,
@@ -144,11 +144,16 @@
     })
 }
 
-fn find_route<'a>(table: &'a RouteTable, parts: &Parts) -> Option<&'a Arc<TableRoute>> {
-    let host = parts.headers.get(header::HOST);
+/// The route of a request.
+pub(crate) fn find_route<'a>(
+    table: &'a RouteTable,
+    headers: &HeaderMap,
+    uri: &Uri,
+) -> Option<&'a Arc<TableRoute>> {
+    let host = headers.get(header::HOST);
     let host = host.and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| parts.uri.host())?;
-    table.find(host, parts.uri.path())
+    let host = host.or_else(|| uri.host())?;
+    table.find(host, uri.path())
 }
 
 /// Waits until the configuration in force is proved to be as new as a moment.
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -3,8 +3,8 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http::{Request, Response, StatusCode, request::Parts};
+use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use kumquatquay_core::routed::{EntryRequest, Mechanism, ReturnTime, TableRoute, whole_rank};
 use kumquatquay_wire::routed::{
@@ -15,7 +15,6 @@
 use super::{
     caller_identity::{Identified, IdentityRefusal, identify},
     carry::{OutgoingCall, Progress, carry},
-    counted::Counted,
     http_io::{Caller, WholeBody, fields_of, headers_of, own_answer},
     interface::RequestMarks,
     link_answer::{HandedOver, LinkAnswer},
@@ -31,18 +30,15 @@
 /// is proved to be the newest.
 const NOT_CONFIGURED_RETRY: Duration = Duration::from_millis(300);
 
+/// The body of a caller's request: one that comes, or one that is there.
+pub(crate) type CallerBody = Either<Incoming, WholeBody>;
+
 /// Serves one request of a caller.
 pub(crate) async fn serve_entry(
     node: Rc<RoutedNode>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
 ) -> Response<WholeBody> {
-    let _in_flight = Counted::new(&node.in_flight_count);
-    let mut answer = answer_entry(&node, request).await;
-    if node.stop_phase() > StopPhase::Serving {
-        let close = HeaderValue::from_static("close");
-        answer.headers_mut().insert(header::CONNECTION, close);
-    }
-    answer
+    answer_entry(&node, request).await
 }
 
 /// Whether this node is about to end and takes no new requests.
@@ -58,7 +54,7 @@
     node.stop_phase() == StopPhase::Closing && !is_called
 }
 
-async fn answer_entry(node: &Rc<RoutedNode>, request: Request<Incoming>) -> Response<WholeBody> {
+async fn answer_entry(node: &Rc<RoutedNode>, request: Request<CallerBody>) -> Response<WholeBody> {
     let began = node.now();
     let (mut parts, body) = request.into_parts();
     let marks = (node.dialect.read_request)(&parts.headers);
@@ -286,7 +282,7 @@
     began + marks.time_left.map_or(timeout, |left| left.min(timeout))
 }
 
-async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, StatusCode> {
+async fn read_body(body: CallerBody, limit_bytes: usize) -> Result<Bytes, StatusCode> {
     match Limited::new(body, limit_bytes).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
--- a/crates/kumquatquayd/src/routed/http_io.rs
+++ b/crates/kumquatquayd/src/routed/http_io.rs
@@ -29,9 +29,6 @@
 /// request arrives would lose it.
 const HEAD_WAIT: Duration = Duration::from_secs(300);
 
-/// Bytes of a head that the HTTP library takes, at least.
-const HEAD_LEAST_BYTES: usize = 8 * 1024;
-
 /// Where the connection of a request comes from.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Caller(pub(crate) SocketAddr);
@@ -71,23 +68,12 @@
 ) where
     F: Future<Output = Response<WholeBody>>,
 {
-    let head_limit_bytes = node
-        .routes()
-        .map_or(0, |routes| routes.limits().head_limit_bytes);
-    let caller = stream.peer_addr().ok();
-    let service = service_fn(|mut request: Request<Incoming>| {
-        if let Some(caller) = caller {
-            request.extensions_mut().insert(Caller(caller));
-        }
+    let service = service_fn(|request: Request<Incoming>| {
         let answer = serve(Rc::clone(&node), request);
         async { Ok::<_, std::convert::Infallible>(answer.await) }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_WAIT)
-        .max_buf_size(head_limit_bytes.max(HEAD_LEAST_BYTES))
-        .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
+    let connection =
+        server(node.head_limit_bytes()).serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     if node.stop_phase() >= StopPhase::Closing {
         // Its request is answered with a refusal. Closed unread, it would tell the
@@ -105,6 +91,17 @@
     let _ = connection.await;
 }
 
+/// The HTTP library's side of a connection on which others send requests.
+pub(crate) fn server(head_limit_bytes: usize) -> http1::Builder {
+    let mut server = http1::Builder::new();
+    server
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_WAIT)
+        .max_buf_size(head_limit_bytes)
+        .auto_date_header(false);
+    server
+}
+
 /// The fields of a message that concern more than its connection.
 pub(crate) fn fields_of(headers: &HeaderMap) -> Vec<HeaderField> {
     let options = connection_options(headers);
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -52,6 +52,13 @@
 /// How long news of a route that was worked out is told again.
 const NEWS_LIFETIME: Duration = Duration::from_millis(100);
 
+/// Bytes of a head that the HTTP library takes, at least.
+const HEAD_LEAST_BYTES: usize = 8 * 1024;
+
+/// Part of the memory that may be taken by answers that wait for those of requests before
+/// them on their connections.
+const HELD_MEMORY_RATIO: f64 = 0.1;
+
 /// Tells a waiting call that it may run.
 pub(crate) type RunTicket = oneshot::Sender<()>;
 
@@ -123,8 +130,10 @@
     pub(crate) key_waits_count: Cell<usize>,
     /// Second of the node's life in which the last line on a refused report was written.
     pub(crate) refused_report_second: Cell<Option<u64>>,
-    /// Requests at the entry that have no answer yet.
+    /// Requests at the entry whose answers are not written yet.
     pub(crate) in_flight_count: Cell<usize>,
+    /// Bytes of answers that wait at the entry for those of requests before them.
+    pub(crate) held_bytes: Cell<usize>,
     /// Nodes that are known, this one included; at least one.
     pub(crate) nodes_count: Cell<usize>,
     /// Nodes that the register seems to have, by the page that was read; 0 before that.
@@ -204,6 +213,7 @@
             key_waits_count: Cell::new(0),
             refused_report_second: Cell::new(None),
             in_flight_count: Cell::new(0),
+            held_bytes: Cell::new(0),
             nodes_count: Cell::new(1),
             register_estimate_count: Cell::new(0),
             readers: Cell::default(),
@@ -288,6 +298,19 @@
             "a newer configuration is in force");
     }
 
+    /// Bytes of a head that the HTTP library takes from callers.
+    pub(crate) fn head_limit_bytes(&self) -> usize {
+        let routes = self.routes();
+        let limit_bytes = routes.map_or(0, |routes| routes.limits().head_limit_bytes);
+        limit_bytes.max(HEAD_LEAST_BYTES)
+    }
+
+    /// Whether more answers may wait at the entry for those of requests before them.
+    pub(crate) fn has_room_for_held(&self) -> bool {
+        let limit_bytes = self.settings.limits.memory_bytes as f64 * HELD_MEMORY_RATIO;
+        (self.held_bytes.get() as f64) < limit_bytes
+    }
+
     /// Whether the node stops.
     pub(crate) fn stop_phase(&self) -> StopPhase {
         *self.stop.borrow()
--- a/crates/kumquatquayd/src/routed/start.rs
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -9,7 +9,6 @@
 use tokio::net::{TcpListener, UdpSocket};
 
 use super::{
-    entry::serve_entry,
     first_look::look_for_backend,
     http_io::{accept_all, listen, serve_connection},
     interface::{Dialect, PlatformStore},
@@ -17,6 +16,7 @@
     link_server::serve_link,
     members::{carry_out, follow_members, look_for_returned, tick, use_register},
     node::{RoutedNode, StopPhase},
+    pipelining::serve_caller,
     quotas::keep_quotas,
     reports::{serve_metrics, serve_readiness, serve_report},
     routes_watch::{ask_for_configuration, follow_routes},
@@ -136,7 +136,7 @@
     node.tasks
         .spawn_local(accept_all(Rc::clone(node), entry, |node, stream| {
             let tasks = node.tasks.clone();
-            tasks.spawn_local(serve_connection(node, stream, serve_entry));
+            tasks.spawn_local(serve_caller(node, stream));
         }));
     node.tasks
         .spawn_local(accept_all(Rc::clone(node), ready, |node, stream| {
