Bound the answers that a node holds for callers who don't read them

What was not bounded: a backend server's answer without end, answers waiting on a link for a peer that doesn't read, and answers waiting for callers who don't.

An answer counts from its arrival at the entry until it is written. Beyond a tenth of the node's memory nothing is started before its turn, beyond a quarter requests get a 503 before anything runs. A caller who takes no byte for 15 s is closed, or what it left would be held for good. An answer longer than a quarter of the memory is given up as broken. Calls of a peer whose answers wait on the link, 1 MiB of them, are refused and go elsewhere. A stop now waits for what is being written; it had only waited for answers to be there.

Checked: unit tests and quickcheck of the bound, over sockets callers who leave 35 MB answers unread, an answer beyond the memory and a slow reader in a stop.

--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -8,6 +8,7 @@
 mod entry_levels;
 mod failing_server;
 mod gate_repeats;
+mod held_answers;
 mod host_gate;
 mod level_setter;
 mod link_health;
--- a/crates/kumquatquayd/src/routed/backend_pool.rs
+++ b/crates/kumquatquayd/src/routed/backend_pool.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle};
@@ -42,6 +42,8 @@
 #[derive(Debug)]
 pub(crate) struct BackendPool {
     address: SocketAddr,
+    /// The longest answer that is taken.
+    answer_limit_bytes: usize,
     idle: Rc<RefCell<Vec<Connection>>>,
 }
 
@@ -104,9 +106,10 @@
 }
 
 impl BackendPool {
-    pub(crate) fn new(address: SocketAddr) -> Self {
+    pub(crate) fn new(address: SocketAddr, answer_limit_bytes: usize) -> Self {
         Self {
             address,
+            answer_limit_bytes,
             idle: Rc::default(),
         }
     }
@@ -192,7 +195,8 @@
         let answer = connection.sender.try_send_request(request).await;
         let answer = answer.map_err(|mut error| (SendError::Broke, error.take_message()))?;
         let (head, body) = answer.into_parts();
-        let body = body.collect().await;
+        // One without end would fill the memory.
+        let body = Limited::new(body, self.answer_limit_bytes).collect().await;
         let body = body.map_err(|_| (SendError::Broke, None))?;
         Ok(BackendAnswer {
             status: head.status.as_u16(),
--- a/crates/kumquatquayd/src/routed/connection_row.rs
+++ b/crates/kumquatquayd/src/routed/connection_row.rs
@@ -53,8 +53,8 @@
     held_bytes: Rc<Cell<usize>>,
     /// The request that is answered now; it counts until its answer is written.
     in_flight: RefCell<Option<InFlight>>,
-    /// Whether the request that is answered now has its answer, which is being written.
-    is_writing: Cell<bool>,
+    /// The answer that is being written.
+    writing: RefCell<Option<HeldBytes>>,
     /// Whether the caller has closed the connection.
     caller_left: Cell<bool>,
 }
@@ -161,12 +161,18 @@
 pub(crate) struct HeldAnswer {
     pub(crate) answer: Response<WholeBody>,
     _held: HeldBytes,
+    _waiting: WaitingBytes,
     in_flight: InFlight,
 }
 
-/// Bytes of an answer that waits, as they count for its connection and its node.
+/// Bytes of an answer that is held, as they count for its node.
 struct HeldBytes {
     node: Rc<RoutedNode>,
+    bytes: usize,
+}
+
+/// Bytes of an answer that waits for its turn, as they count for its connection.
+struct WaitingBytes {
     of_connection: Rc<Cell<usize>>,
     bytes: usize,
 }
@@ -193,25 +199,48 @@
 }
 
 impl HeldBytes {
-    fn new(node: Rc<RoutedNode>, of_connection: Rc<Cell<usize>>, bytes: usize) -> Self {
+    fn new(node: &Rc<RoutedNode>, answer: &Response<WholeBody>) -> Self {
+        let bytes = size_of(answer);
+        let mut held = node.held_answers.get();
+        held.add(bytes);
+        node.held_answers.set(held);
+        Self {
+            node: Rc::clone(node),
+            bytes,
+        }
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        let mut held = self.node.held_answers.get();
+        held.remove(self.bytes);
+        self.node.held_answers.set(held);
+    }
+}
+
+impl WaitingBytes {
+    fn new(of_connection: Rc<Cell<usize>>, answer: &Response<WholeBody>) -> Self {
+        let bytes = size_of(answer);
         of_connection.set(of_connection.get() + bytes);
-        node.held_bytes.set(node.held_bytes.get() + bytes);
         Self {
-            node,
             of_connection,
             bytes,
         }
     }
 }
 
-impl Drop for HeldBytes {
+impl Drop for WaitingBytes {
     fn drop(&mut self) {
-        let (of_connection, of_node) = (&self.of_connection, &self.node.held_bytes);
+        let of_connection = &self.of_connection;
         of_connection.set(of_connection.get() - self.bytes);
-        of_node.set(of_node.get() - self.bytes);
     }
 }
 
+fn size_of(answer: &Response<WholeBody>) -> usize {
+    answer.body().size_hint().lower() as usize
+}
+
 impl StartedRequest {
     /// Whether the HTTP library reads the same head.
     fn is_head(&self, parts: &Parts) -> bool {
@@ -272,7 +301,7 @@
             }),
             held_bytes: Rc::default(),
             in_flight: RefCell::default(),
-            is_writing: Cell::new(false),
+            writing: RefCell::default(),
             caller_left: Cell::new(false),
         })
     }
@@ -451,7 +480,7 @@
         state.unread.len() > state.started_bytes
             && state.missing.may_be_there(&state.unread)
             && self.node.stop_phase() == StopPhase::Serving
-            && self.node.has_room_for_held()
+            && self.node.held_answers.get().has_room_early()
             && state.row.has_room(self.held_bytes.get())
     }
 
@@ -479,10 +508,10 @@
         let in_flight = InFlight::new(&node);
         let answer = tokio::task::spawn_local(async move {
             let answer = serve_entry(Rc::clone(&node), request).await;
-            let bytes = answer.body().size_hint().lower() as usize;
             HeldAnswer {
+                _held: HeldBytes::new(&node, &answer),
+                _waiting: WaitingBytes::new(of_connection, &answer),
                 answer,
-                _held: HeldBytes::new(node, of_connection, bytes),
                 in_flight,
             }
         });
@@ -537,8 +566,8 @@
     }
 
     /// The request that was reached has its answer. Whether the connection ends with it.
-    pub(crate) fn answered(&self) -> bool {
-        self.is_writing.set(true);
+    pub(crate) fn answered(&self, answer: &Response<WholeBody>) -> bool {
+        *self.writing.borrow_mut() = Some(HeldBytes::new(&self.node, answer));
         let mut state = self.state.borrow_mut();
         state.phase = match state.phase {
             Phase::Answering => Phase::Between,
@@ -551,7 +580,7 @@
 
     /// The bytes of the answer have left.
     pub(crate) fn on_written(&self) {
-        if self.is_writing.replace(false) {
+        if self.writing.borrow_mut().take().is_some() {
             *self.in_flight.borrow_mut() = None;
         }
     }
@@ -561,6 +590,13 @@
         !self.state.borrow().unread.is_empty()
     }
 
+    /// The connection has ended: nothing of it goes on.
+    pub(crate) fn end(&self) {
+        self.state.borrow_mut().row.give_up();
+        *self.in_flight.borrow_mut() = None;
+        *self.writing.borrow_mut() = None;
+    }
+
     /// Whether no request was started that the HTTP library has not reached.
     pub(crate) fn is_alone(&self) -> bool {
         self.state.borrow().row.started_count() == 0
--- a/crates/kumquatquayd/src/routed/link_frames.rs
+++ b/crates/kumquatquayd/src/routed/link_frames.rs
@@ -15,6 +15,10 @@
 /// Bytes that may wait for a peer that doesn't read; no call is added beyond.
 const UNWRITTEN_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 
+/// Bytes of answers that may wait for a peer that doesn't read; no call is run beyond. At
+/// 200 Mbit/s they take 40 ms.
+const UNWRITTEN_ANSWERS_LIMIT_BYTES: usize = 1024 * 1024;
+
 /// Bytes read at once: a few frames of calls. Each link holds so much.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -45,6 +49,11 @@
         !self.is_closed.get() && self.unwritten.borrow().len() < UNWRITTEN_LIMIT_BYTES
     }
 
+    /// Whether calls of the peer may be run, whose answers have to wait behind these bytes.
+    pub(super) fn takes_answers(&self) -> bool {
+        self.unwritten.borrow().len() < UNWRITTEN_ANSWERS_LIMIT_BYTES
+    }
+
     /// Whether bytes up to here were given to the connection, in part or whole.
     pub(super) fn has_written_to(&self, end_bytes: u64) -> bool {
         self.written_bytes.get() >= end_bytes
--- a/crates/kumquatquayd/src/routed/link_server.rs
+++ b/crates/kumquatquayd/src/routed/link_server.rs
@@ -9,7 +9,8 @@
 
 use bytes::Bytes;
 use kumquatquay_wire::routed::{
-    AnswerHead, CallHead, CallNumber, FollowState, FrameHead, RouteNews, ServicePressure,
+    AnswerHead, CallHead, CallNumber, FollowState, FrameHead, NotRunReason, RouteNews,
+    ServicePressure,
 };
 use tokio::{net::TcpStream, sync::oneshot};
 
@@ -187,6 +188,13 @@
 
 fn on_call(node: &Rc<RoutedNode>, link: &Rc<ServedLink>, call: CallHead, body: Vec<u8>) {
     on_followed(node, &link.frames, call.followed);
+    if !link.frames.takes_answers() {
+        // Answers wait in memory for a peer that doesn't read.
+        node.decisions.count("link", "unread_answers");
+        let refusal = LinkAnswer::not_run(NotRunReason::Full);
+        tell_answer(node, link, call.number, &call.route, &refusal);
+        return;
+    }
     let (cancel, cancelled) = oneshot::channel();
     let (commit, committed) = oneshot::channel();
     let open = OpenCall {
--- a/crates/kumquatquayd/src/routed/metrics_text.rs
+++ b/crates/kumquatquayd/src/routed/metrics_text.rs
@@ -28,7 +28,7 @@
     let quota_nodes_count = nodes_count(node).unwrap_or_default();
     let gauges = [
         ("in_flight", node.in_flight_count.get() as u64),
-        ("held_answer_bytes", node.held_bytes.get() as u64),
+        ("held_answer_bytes", node.held_answers.get().bytes() as u64),
         ("gate_running", u64::from(report.running_count)),
         ("gate_waiting", u64::from(report.waiting_count)),
         ("gate_limit", u64::from(report.limit_count)),
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -13,8 +13,8 @@
     Clock,
     routed::{
         BackendLives, BackendPulse, CallGraph, CallTracer, CallerCensus, EntryLevels,
-        FollowerFleet, GateRepeats, GraphRow, HostGate, LevelSetter, MachinePace, Mechanism,
-        NewestProof, RetryWindow, RouteTable, RunFailures, StoreFollower, StoreReaders,
+        FollowerFleet, GateRepeats, GraphRow, HeldAnswers, HostGate, LevelSetter, MachinePace,
+        Mechanism, NewestProof, RetryWindow, RouteTable, RunFailures, StoreFollower, StoreReaders,
         TargetTable, UnknownKeys,
     },
 };
@@ -55,10 +55,6 @@
 /// Bytes of a head that the HTTP library takes, at least.
 const HEAD_LEAST_BYTES: usize = 8 * 1024;
 
-/// Part of the memory that may be taken by answers that wait for those of requests before
-/// them on their connections.
-const HELD_MEMORY_RATIO: f64 = 0.1;
-
 /// Tells a waiting call that it may run.
 pub(crate) type RunTicket = oneshot::Sender<()>;
 
@@ -132,8 +128,8 @@
     pub(crate) refused_report_second: Cell<Option<u64>>,
     /// Requests at the entry whose answers are not written yet.
     pub(crate) in_flight_count: Cell<usize>,
-    /// Bytes of answers that wait at the entry for those of requests before them.
-    pub(crate) held_bytes: Cell<usize>,
+    /// Answers at the entry that are not written yet.
+    pub(crate) held_answers: Cell<HeldAnswers>,
     /// Nodes that are known, this one included; at least one.
     pub(crate) nodes_count: Cell<usize>,
     /// Nodes that the register seems to have, by the page that was read; 0 before that.
@@ -172,6 +168,7 @@
             Some(bound) => follower.proof_within(bound),
             None => follower,
         };
+        let held_answers = HeldAnswers::new(settings.limits.memory_bytes);
         Rc::new(Self {
             follower: RefCell::new(follower),
             follower_wake: Notify::new(),
@@ -179,7 +176,7 @@
             proof: RefCell::default(),
             suspended: Cell::default(),
             proof_news: Notify::new(),
-            backend: BackendPool::new(settings.backend),
+            backend: BackendPool::new(settings.backend, held_answers.answer_limit_bytes()),
             phase: random.random(),
             targets: RefCell::new(TargetTable::new(settings.mechanisms)),
             settings,
@@ -213,7 +210,7 @@
             key_waits_count: Cell::new(0),
             refused_report_second: Cell::new(None),
             in_flight_count: Cell::new(0),
-            held_bytes: Cell::new(0),
+            held_answers: Cell::new(held_answers),
             nodes_count: Cell::new(1),
             register_estimate_count: Cell::new(0),
             readers: Cell::default(),
@@ -305,12 +302,6 @@
         limit_bytes.max(HEAD_LEAST_BYTES)
     }
 
-    /// Whether more answers may wait at the entry for those of requests before them.
-    pub(crate) fn has_room_for_held(&self) -> bool {
-        let limit_bytes = self.settings.limits.memory_bytes as f64 * HELD_MEMORY_RATIO;
-        (self.held_bytes.get() as f64) < limit_bytes
-    }
-
     /// Whether the node stops.
     pub(crate) fn stop_phase(&self) -> StopPhase {
         *self.stop.borrow()
--- a/crates/kumquatquayd/src/routed/pipelining.rs
+++ b/crates/kumquatquayd/src/routed/pipelining.rs
@@ -22,7 +22,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    time::timeout,
+    time::{Sleep, sleep, timeout},
 };
 
 use super::{
@@ -39,6 +39,12 @@
 /// Closed with bytes unread, it would be reset, and what was answered last could be lost.
 const LINGER: Duration = Duration::from_secs(1);
 
+/// Time after which a caller is asked to come back while too many answers are unread.
+const UNREAD_RETRY: Duration = Duration::from_secs(1);
+
+/// How long a caller may take no byte of an answer that waits for it.
+const WRITE_PATIENCE: Duration = Duration::from_secs(15);
+
 /// Serves one connection of a caller until it ends or the node stops.
 pub(crate) async fn serve_caller(node: Rc<RoutedNode>, stream: TcpStream) {
     let row = ConnectionRow::new(Rc::clone(&node), stream.peer_addr().ok());
@@ -52,6 +58,7 @@
     let io = RowIo {
         stream,
         row: Rc::clone(&row),
+        stalled: None,
     };
     let mut connection = server(row.head_limit_bytes()).serve_connection(io, service);
     let mut stop = node.stop.subscribe();
@@ -76,6 +83,7 @@
         }
     }
     let stream = connection.into_parts().io.stream;
+    row.end();
     if !row.caller_left() {
         linger(stream, row.has_unread()).await;
     }
@@ -91,6 +99,9 @@
         request.extensions_mut().insert(caller);
     }
     let mut answer = match turn {
+        Turn::Streamed | Turn::Whole if !row.node.held_answers.get().has_room() => {
+            refuse_for_memory(&row.node)
+        }
         Turn::Streamed => serve_entry(Rc::clone(&row.node), request.map(CallerBody::Left)).await,
         Turn::Whole => match whole(request).await {
             Ok(request) => {
@@ -107,7 +118,7 @@
             Err(answer) => answer,
         },
     };
-    if row.answered() {
+    if row.answered(&answer) {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
     }
@@ -123,6 +134,17 @@
     answer
 }
 
+/// Refuses a request while callers leave too much unread.
+fn refuse_for_memory(node: &RoutedNode) -> Response<WholeBody> {
+    node.decisions.count("refused", "unread_answers");
+    if node.decisions.has_line(node.now()) {
+        log::warn!(event = "answers_unread", held_bytes = node.held_answers.get().bytes();
+            "callers leave so much unread that no request is taken");
+    }
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    own_answer(status, Some(UNREAD_RETRY), "too much is unread\n")
+}
+
 /// The request with its body, or the answer to one whose body is broken.
 async fn whole(request: Request<Incoming>) -> Result<Request<Bytes>, Response<WholeBody>> {
     let (parts, body) = request.into_parts();
@@ -161,9 +183,29 @@
 struct RowIo {
     stream: TcpStream,
     row: Rc<ConnectionRow>,
+    /// Runs while the caller takes nothing.
+    stalled: Option<Pin<Box<Sleep>>>,
 }
 
 impl RowIo {
+    /// Ends the connection of a caller who takes nothing for too long: what is held for it
+    /// would be held for good.
+    fn watch_write(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.stalled = None;
+            return written;
+        }
+        let stalled = &mut self.stalled;
+        let stalled = stalled.get_or_insert_with(|| Box::pin(sleep(WRITE_PATIENCE)));
+        std::task::ready!(stalled.as_mut().poll(context));
+        self.row.node.decisions.count("caller", "stalled");
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
     /// Reads so many bytes at most; how many there were.
     fn poll_fill(
         &mut self,
@@ -229,7 +271,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+        let io = self.get_mut();
+        let written = Pin::new(&mut io.stream).poll_write(context, bytes);
+        io.watch_write(context, written)
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -252,6 +296,8 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
+        let io = self.get_mut();
+        let written = Pin::new(&mut io.stream).poll_write_vectored(context, slices);
+        io.watch_write(context, written)
     }
 }
