--- a/crates/kumquatquay-core/src/routed/entry_levels.rs
+++ b/crates/kumquatquay-core/src/routed/entry_levels.rs
@@ -1,7 +1,6 @@
 //! Decides at the entry which whole requests are let in.
 
 use std::{
-    cell::Cell,
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     time::Duration,
@@ -9,29 +8,18 @@
 
 use kumquatquay_wire::{
     ServiceName,
-    routed::{GateReport, Priority, RouteNews, ServicePressure},
+    routed::{GateReport, Priority, RouteNews, ServiceDemand, ServicePressure},
 };
 
-use super::pooled_news::{PooledNews, makes_sense};
-
-/// Time for which a level counts as it was told.
-const FRESH: Duration = Duration::from_millis(600);
-
-/// Time after which a level that was not told again counts no more; in between it
-/// fades. A gate that nobody reaches any more must not shut requests out.
-const LAPSE: Duration = Duration::from_millis(2_000);
+use super::{
+    offered_load::OfferedLoad,
+    pooled_news::{PooledNews, makes_sense},
+    service_levels::{LAPSE, ServiceLevels},
+};
 
 /// Calls at a service by one request from which on its level counts for a route.
 const CALLS_LEAST_COUNT: f32 = 0.2;
 
-/// Level below which a service counts as short; above it the noise of a gate's level
-/// would count as the end of a shortage.
-const SHORT_LEVEL: f64 = 0.97;
-
-/// Time in which the level for requests that are not of the lowest rank falls to a third of a
-/// step down, in seconds.
-const HELD_S: f64 = 1.0;
-
 /// Part of the load that must be less important than a request for these to be refused in its
 /// place.
 const BEHIND_LEAST_RATIO: f64 = 0.05;
@@ -42,16 +30,6 @@
 /// Time to run a call that is assumed where no gate has told.
 const FIRST_WORK_S: f64 = 0.05;
 
-/// Ranks that are told apart on one route.
-const RANKS_LIMIT_COUNT: usize = 64;
-
-/// Time in which the count of offered requests halves.
-const OFFERED_HALF_LIFE_S: f64 = 2.0;
-
-/// Requests of each route that are taken as offered from the first moment on, so
-/// that the first few don't decide the shares alone.
-const OFFERED_FIRST: f64 = 0.5;
-
 /// What a node knows of the pressure on services and of where routes lead.
 ///
 /// A level is the share of the load offered to a service that it has room for. All
@@ -66,27 +44,6 @@
     routes: HashMap<String, RouteLevels>,
 }
 
-/// Levels of a service: of its gates that this node calls, and what others heard.
-#[derive(Debug, Default)]
-struct ServiceLevels {
-    gates: HashMap<SocketAddr, Told>,
-    heard: Option<Told>,
-    /// Since when the service is short without a break, as this entry has seen it.
-    short_since: Cell<Option<Duration>>,
-    /// A level that falls slowly, and when it was that.
-    held: Cell<Option<(f64, Duration)>>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Told {
-    level: f64,
-    /// Calls a second that the gate can run.
-    capacity_per_s: f64,
-    /// Mean time that it takes to run a call, in seconds; 0 while it isn't known.
-    work_s: f64,
-    told: Duration,
-}
-
 /// Time for which the calls of one request keep slots of a service busy.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceWork {
@@ -99,24 +56,7 @@
 #[derive(Debug, Default)]
 struct RouteLevels {
     known: BTreeMap<ServiceName, PooledNews>,
-    /// Requests, by their rank.
-    offered: BTreeMap<Priority, Offered>,
-}
-
-/// A count that fades with time.
-#[derive(Clone, Copy, Debug)]
-struct Offered {
-    count: f64,
-    at: Duration,
-}
-
-impl Default for Offered {
-    fn default() -> Self {
-        Self {
-            count: OFFERED_FIRST,
-            at: Duration::ZERO,
-        }
-    }
+    offered: OfferedLoad,
 }
 
 /// A request that asks to be let in.
@@ -163,49 +103,25 @@
 
     /// Takes in what a gate of a service tells.
     pub fn on_gate(&mut self, now: Duration, service: &str, gate: SocketAddr, report: &GateReport) {
-        let told = Told {
-            level: report.level(),
-            capacity_per_s: self.capacity_per_s(service, report),
-            work_s: report.work().as_secs_f64(),
-            told: now,
-        };
-        if let Some(known) = self.services.get_mut(service) {
-            known.gates.insert(gate, told);
-            known.gates.retain(|_, gate| now < gate.told + LAPSE);
-        } else if self.services.len() < LIMIT_COUNT {
-            let known = self.services.entry(ServiceName::from(service));
-            known.or_default().gates.insert(gate, told);
+        if let Some(known) = self.service_mut(service) {
+            known.on_gate(now, gate, report);
         }
     }
 
-    /// Calls a second that a gate can run; one that has run none yet is taken to be like
-    /// the others of its service.
-    fn capacity_per_s(&self, service: &str, report: &GateReport) -> f64 {
-        let work_s = report.work().as_secs_f64();
-        if work_s > 0.0 {
-            return f64::from(report.limit_count) / work_s;
-        }
-        let gates = self.services.get(service).map(|known| &known.gates);
-        let gates = gates.into_iter().flat_map(HashMap::values);
-        let known = gates.map(|gate| gate.capacity_per_s);
-        known.fold(f64::from(report.limit_count), f64::min)
-    }
-
     /// Takes in what another node knows of a service.
     pub fn on_pressure(&mut self, now: Duration, pressure: &ServicePressure) {
-        let told = now.saturating_sub(Duration::from_millis(u64::from(pressure.age_ms)));
-        if !self.services.contains_key(&pressure.service) && self.services.len() >= LIMIT_COUNT {
-            return;
+        if let Some(known) = self.service_mut(&pressure.service) {
+            known.on_pressure(now, pressure);
         }
-        let known = self.services.entry(pressure.service.clone()).or_default();
-        if known.heard.is_none_or(|heard| told > heard.told) {
-            known.heard = Some(Told {
-                level: f64::from(pressure.level),
-                capacity_per_s: 0.0,
-                work_s: 0.0,
-                told,
-            });
+    }
+
+    /// A service, unless too many are known.
+    fn service_mut(&mut self, service: &str) -> Option<&mut ServiceLevels> {
+        if !self.services.contains_key(service) && self.services.len() < LIMIT_COUNT {
+            let service = ServiceName::from(service);
+            self.services.insert(service, ServiceLevels::default());
         }
+        self.services.get_mut(service)
     }
 
     /// Takes in what a gate knows of a route at its service; whether it makes sense. What
@@ -218,7 +134,7 @@
         gate: SocketAddr,
         news: RouteNews,
     ) -> bool {
-        if !makes_sense(&news) {
+        if !makes_sense(&news, |service| self.told_work_s(now, service)) {
             return false;
         }
         if !self.routes.contains_key(route) && self.routes.len() >= LIMIT_COUNT {
@@ -239,38 +155,44 @@
         Some(known.any(|(_, news)| news.is_from_outside))
     }
 
-    /// Calls that one run of a route at a service makes at each service, its own
-    /// run included.
-    pub fn leads_to(&self, now: Duration, route: &str, service: &str) -> &[(ServiceName, f32)] {
+    /// What one run of a route at a service asks of each service, its own run included.
+    pub fn leads_to(&self, now: Duration, route: &str, service: &str) -> &[ServiceDemand] {
         self.known_at(now, route, service)
             .map_or(&[], |news| &news.leads_to)
     }
 
     /// [`leads_to`](Self::leads_to), over the services that a route is split among.
-    pub fn leads_to_all(&self, now: Duration, route: &str) -> Vec<(ServiceName, f32)> {
+    pub fn leads_to_all(&self, now: Duration, route: &str) -> Vec<ServiceDemand> {
         let known: Vec<&RouteNews> = self.known(now, route).map(|(_, news)| news).collect();
         let share = 1.0 / known.len().max(1) as f32;
         let all = known.into_iter().flat_map(|news| &news.leads_to);
-        all.map(|(service, calls)| (service.clone(), calls * share))
-            .collect()
+        all.map(|demand| demand.scaled(share)).collect()
     }
 
     /// Slot time that one request of a route takes at each service that it reaches; empty while
     /// nothing is known of the route.
     pub fn work_at(&self, now: Duration, route: &str, service: &str) -> Vec<ServiceWork> {
         let reached = self.leads_to(now, route, service).iter();
-        let works = reached.map(|(service, calls)| ServiceWork {
-            service: service.clone(),
-            work: Duration::from_secs_f64(f64::from(*calls) * self.mean_work_s(now, service)),
+        let works = reached.map(|demand| ServiceWork {
+            service: demand.service.clone(),
+            work: Duration::from_secs_f64(self.work_s(now, demand)),
         });
         works.collect()
     }
 
-    /// Mean time that a call takes at a service.
-    fn mean_work_s(&self, now: Duration, service: &str) -> f64 {
-        let told = self.services.get(service).and_then(|known| known.told(now));
-        let told_s = told.map_or(0.0, |told| told.work_s);
-        if told_s > 0.0 { told_s } else { FIRST_WORK_S }
+    /// Slot time that a demand takes, in seconds; where the time of its calls isn't known, they
+    /// are taken to be like the others of their service.
+    fn work_s(&self, now: Duration, demand: &ServiceDemand) -> f64 {
+        if demand.work_us > 0 {
+            return f64::from(demand.work_us) / 1e6;
+        }
+        let mean_s = self.told_work_s(now, &demand.service);
+        f64::from(demand.calls) * mean_s.unwrap_or(FIRST_WORK_S)
+    }
+
+    /// Mean time that a call takes at a service, in seconds, if its gates have told it.
+    fn told_work_s(&self, now: Duration, service: &str) -> Option<f64> {
+        self.services.get(service)?.work_s(now)
     }
 
     /// Level of a service as this node knows it, with the age of the newest word.
@@ -280,12 +202,9 @@
     }
 
     /// What to tell others of the services that a route leads to.
-    pub fn pressures(
-        &self,
-        now: Duration,
-        leads_to: &[(ServiceName, f32)],
-    ) -> Vec<ServicePressure> {
-        let known = leads_to.iter().filter_map(|(service, _)| {
+    pub fn pressures(&self, now: Duration, leads_to: &[ServiceDemand]) -> Vec<ServicePressure> {
+        let known = leads_to.iter().filter_map(|demand| {
+            let service = &demand.service;
             let told = self.services.get(service)?.told(now)?;
             let age = now.saturating_sub(told.told);
             (age < LAPSE).then(|| ServicePressure {
@@ -317,15 +236,15 @@
         let Some(route) = self.routes.get_mut(request.route) else {
             return Ok(());
         };
-        route.offer(now, request.priority);
+        route.offered.offer(now, request.priority);
         let news = self.known_at(now, request.route, request.service);
         let Some(news) = news.filter(|news| news.is_from_outside) else {
             return Ok(());
         };
         let reached = news.leads_to.iter();
-        let reached = reached.filter(|(_, calls)| *calls >= CALLS_LEAST_COUNT);
-        for (service, _) in reached {
-            self.admit_at(now, service, request, ranks)?;
+        let reached = reached.filter(|demand| demand.calls >= CALLS_LEAST_COUNT);
+        for demand in reached {
+            self.admit_at(now, &demand.service, request, ranks)?;
         }
         Ok(())
     }
@@ -337,11 +256,13 @@
         request: &EntryRequest<'_>,
         ranks: &BTreeMap<String, Priority>,
     ) -> Result<(), Shortage> {
-        let Some((level, age)) = self.level(now, service) else {
+        let (Some(known), Some((level, age))) =
+            (self.services.get(service), self.level(now, service))
+        else {
             return Ok(());
         };
-        let lasts = self.short_for(now, service, level);
-        let held_level = self.held_level(now, service, level);
+        let lasts = known.short_for(now, level);
+        let held_level = known.held_level(now, level);
         if level >= 1.0 {
             return Ok(());
         }
@@ -359,36 +280,6 @@
             })
     }
 
-    /// The level that counts for requests that are not of the lowest rank: it falls slowly.
-    ///
-    /// A level swings around what there is room for. Where it dips below the share of the more
-    /// important for some tenths of a second, these would be refused beside less important
-    /// ones that were let in a moment before, and are again a moment later. So the least important
-    /// take the swings; a shortage that lasts reaches the others a second later.
-    fn held_level(&self, now: Duration, service: &str, level: f64) -> f64 {
-        let Some(known) = self.services.get(service) else {
-            return level;
-        };
-        let held = known.held.get().map_or(level, |(held, at)| {
-            let passed_s = now.saturating_sub(at).as_secs_f64();
-            level + (held - level) * (-passed_s / HELD_S).exp()
-        });
-        let held = held.max(level);
-        known.held.set(Some((held, now)));
-        held
-    }
-
-    /// How long a service that has this level now has been short.
-    fn short_for(&self, now: Duration, service: &str, level: f64) -> Duration {
-        let Some(known) = self.services.get(service) else {
-            return Duration::ZERO;
-        };
-        let is_short = level < SHORT_LEVEL;
-        let since = is_short.then(|| known.short_since.get().unwrap_or(now));
-        known.short_since.set(since);
-        since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
-    }
-
     fn standing(
         &self,
         now: Duration,
@@ -401,13 +292,13 @@
             let Some(priority) = ranks.get(route).copied() else {
                 continue;
             };
-            let calls = levels.calls_at(now, service);
-            for (priority, offered) in levels.offered_at(now, priority) {
-                let load = calls * offered;
+            let work_s = self.request_work_s(now, levels, service);
+            for offered in levels.offered.ranks(now, priority) {
+                let load = work_s * offered.requests_count;
                 all += load;
-                if priority < request.priority {
+                if offered.rank < request.priority {
                     before += load;
-                } else if priority == request.priority {
+                } else if offered.rank == request.priority {
                     beside += load;
                 }
             }
@@ -425,6 +316,15 @@
         }
     }
 
+    /// Slot time that a request of a route takes at a service, in seconds.
+    fn request_work_s(&self, now: Duration, route: &RouteLevels, service: &str) -> f64 {
+        let known = route.known.values().filter_map(|known| known.get(now));
+        let outside = known.filter(|news| news.is_from_outside);
+        let reached = outside.flat_map(|news| &news.leads_to);
+        let demands = reached.filter(|demand| demand.service == service);
+        demands.map(|demand| self.work_s(now, demand)).sum()
+    }
+
     fn known(
         &self,
         now: Duration,
@@ -455,84 +355,3 @@
         Err(((level - self.before) / self.beside).clamp(0.0, 1.0))
     }
 }
-
-impl ServiceLevels {
-    /// The mean over the gates, by what they can run; else what others heard.
-    fn told(&self, now: Duration) -> Option<Told> {
-        let fresh = self.gates.values().filter(|gate| now < gate.told + LAPSE);
-        let (mut level, mut capacity_per_s, mut newest) = (0.0, 0.0, Duration::ZERO);
-        let mut slots_count = 0.0;
-        for gate in fresh {
-            let weight = gate.capacity_per_s.max(1.0);
-            level += weight * gate.at(now);
-            capacity_per_s += weight;
-            slots_count += weight * gate.work_s;
-            newest = newest.max(gate.told);
-        }
-        if capacity_per_s == 0.0 {
-            return self.heard;
-        }
-        Some(Told {
-            level: level / capacity_per_s,
-            capacity_per_s,
-            work_s: slots_count / capacity_per_s,
-            told: newest,
-        })
-    }
-}
-
-impl RouteLevels {
-    /// Takes in a request.
-    fn offer(&mut self, now: Duration, rank: Priority) {
-        if !self.offered.contains_key(&rank) && self.offered.len() >= RANKS_LIMIT_COUNT {
-            self.offered
-                .retain(|_, offered| offered.at(now) > OFFERED_FIRST);
-        }
-        self.offered.entry(rank).or_default().add(now);
-    }
-
-    /// Requests offered, by rank; the few of the first moment have the rank of the route. Only
-    /// their proportion to those of other routes counts.
-    fn offered_at(&self, now: Duration, rank: Priority) -> Vec<(Priority, f64)> {
-        if self.offered.is_empty() {
-            return vec![(rank, OFFERED_FIRST)];
-        }
-        let offered = self.offered.iter();
-        offered
-            .map(|(rank, offered)| (*rank, offered.at(now)))
-            .collect()
-    }
-
-    /// Calls that a request makes at a service.
-    fn calls_at(&self, now: Duration, service: &str) -> f64 {
-        let known = self.known.values().filter_map(|known| known.get(now));
-        let outside = known.filter(|news| news.is_from_outside);
-        let reached = outside.flat_map(|news| &news.leads_to);
-        let calls = reached.filter(|(reached, _)| reached == service);
-        let calls: f32 = calls.map(|(_, calls)| *calls).sum();
-        f64::from(calls)
-    }
-}
-
-impl Offered {
-    fn at(&self, now: Duration) -> f64 {
-        let passed_s = now.saturating_sub(self.at).as_secs_f64();
-        OFFERED_FIRST.max(self.count * 0.5_f64.powf(passed_s / OFFERED_HALF_LIFE_S))
-    }
-
-    fn add(&mut self, now: Duration) {
-        self.count = self.at(now) + 1.0;
-        self.at = now;
-    }
-}
-
-impl Told {
-    fn at(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.told);
-        if age <= FRESH {
-            return self.level;
-        }
-        let faded = (age - FRESH).as_secs_f64() / (LAPSE - FRESH).as_secs_f64();
-        self.level + (1.0 - self.level) * faded.min(1.0)
-    }
-}
--- a/crates/kumquatquay-core/src/routed/host_gate.rs
+++ b/crates/kumquatquay-core/src/routed/host_gate.rs
@@ -4,22 +4,16 @@
 
 use kumquatquay_wire::routed::{GateReport, Priority};
 
-use super::GateState;
+use super::{GateState, RouteRun, RouteWorks};
 
-/// Weight of the newest time against those before.
-const NEW_WEIGHT: f64 = 0.05;
-
-/// Time to run a call that is assumed until the first one has ended.
-const FIRST_WORK_S: f64 = 0.05;
-
-/// Waiting calls for each running one, at most: the wait is twice the time of a call.
+/// Waiting calls of the mean size for each running one, at most: the wait is twice the time of
+/// a call.
 ///
 /// A longer queue delays all calls of whole requests under way alike, up to eight
-/// times over, and each of them is late. With 12 in place of 2 under 1.7 times the
-/// load, requests served in time fell from 0.69 to 0.46.
+/// times over, and each of them is late.
 const WAITING_RATIO: usize = 2;
 
-/// Waiting calls that a gate with few slots holds all the same.
+/// Waiting calls of the mean size that a gate with few slots holds all the same.
 const WAITING_LEAST_COUNT: usize = 32;
 
 /// Weight of the newest observation of calls in transit against those before; at a
@@ -53,6 +47,8 @@
     pub due: Duration,
     /// When it must have ended.
     pub deadline: Duration,
+    /// How long it is expected to run.
+    pub work: Duration,
 }
 
 /// How busy a backend server says it is, in an answer.
@@ -71,8 +67,8 @@
     Run,
     /// It waits in the queue, under this key.
     Wait(WaitKey),
-    /// It waits, and the least important one that waited must go.
-    Evict(WaitKey, T),
+    /// It waits, and the least important ones that waited must go.
+    Evict(WaitKey, Vec<T>),
     /// There is no room, or none before its deadline.
     Refuse(T),
 }
@@ -93,18 +89,26 @@
     in_transit: f64,
     running_count: usize,
     waiting: BTreeMap<WaitKey, Waiting<T>>,
+    /// Expected work of all that wait.
+    waiting_work: Duration,
     last_sequence: u64,
-    work_s: f64,
-    /// Calls whose time is in the mean.
-    timed_count: u32,
+    works: RouteWorks,
 }
 
 #[derive(Debug)]
 struct Waiting<T> {
     deadline: Duration,
+    work: Duration,
     ticket: T,
 }
 
+/// What waits ahead of a call.
+#[derive(Clone, Copy, Debug, Default)]
+struct Ahead {
+    calls_count: usize,
+    work: Duration,
+}
+
 impl<T> Default for HostGate<T> {
     fn default() -> Self {
         Self {
@@ -112,14 +116,23 @@
             in_transit: 0.0,
             running_count: 0,
             waiting: BTreeMap::new(),
+            waiting_work: Duration::ZERO,
             last_sequence: 0,
-            work_s: FIRST_WORK_S,
-            timed_count: 0,
+            works: RouteWorks::default(),
         }
     }
 }
 
 impl<T> HostGate<T> {
+    /// Takes the calls of all routes to be alike.
+    #[must_use]
+    pub fn without_route_works(self) -> Self {
+        Self {
+            works: self.works.without_routes(),
+            ..self
+        }
+    }
+
     /// Sets how many calls the backend server is to run at the same time.
     pub fn set_limit_count(&mut self, limit_count: usize) {
         self.limit_count = limit_count;
@@ -157,27 +170,59 @@
             due: call.due,
             sequence: self.last_sequence,
         };
-        if now + self.wait_before(key) + self.work() > deadline {
+        let work = call.work;
+        let ahead = self.ahead_of(key);
+        if now + self.time_for(ahead.work) + work > deadline || !self.has_room_behind(ahead, work) {
             return Admission::Refuse(ticket);
         }
-        self.waiting.insert(key, Waiting { deadline, ticket });
-        if self.waiting.len() <= self.waiting_limit_count() {
-            return Admission::Wait(key);
-        }
-        let (last, evicted) = self.waiting.pop_last().expect("one was put in just now");
-        if last == key {
-            Admission::Refuse(evicted.ticket)
+        let waiting = Waiting {
+            deadline,
+            work,
+            ticket,
+        };
+        self.waiting_work += work;
+        self.waiting.insert(key, waiting);
+        let evicted = self.evict();
+        if evicted.is_empty() {
+            Admission::Wait(key)
         } else {
-            Admission::Evict(key, evicted.ticket)
+            Admission::Evict(key, evicted)
         }
     }
 
+    /// Whether a call may wait behind those that are more important, whatever waits behind it.
+    fn has_room_behind(&self, ahead: Ahead, work: Duration) -> bool {
+        let is_first = ahead.calls_count == 0;
+        let fits = ahead.calls_count < self.waiting_limit_count()
+            && ahead.work + work <= self.waiting_work_limit();
+        is_first || fits
+    }
+
+    /// Takes out the least important, until what waits is no more than may wait.
+    fn evict(&mut self) -> Vec<T> {
+        let mut evicted = Vec::new();
+        while self.waiting.len() > 1 && self.is_too_much() {
+            let Some((_, last)) = self.waiting.pop_last() else {
+                break;
+            };
+            self.waiting_work = self.waiting_work.saturating_sub(last.work);
+            evicted.push(last.ticket);
+        }
+        evicted
+    }
+
+    fn is_too_much(&self) -> bool {
+        self.waiting.len() > self.waiting_limit_count()
+            || self.waiting_work > self.waiting_work_limit()
+    }
+
     /// The call that runs next, if there is room for one; it counts as running.
     pub fn next(&mut self, now: Duration) -> Option<T> {
         if self.running_count >= self.limit_count() {
             return None;
         }
         while let Some((_, waiting)) = self.waiting.pop_first() {
+            self.waiting_work = self.waiting_work.saturating_sub(waiting.work);
             if now < waiting.deadline {
                 self.running_count += 1;
                 return Some(waiting.ticket);
@@ -186,26 +231,25 @@
         None
     }
 
-    /// A running call has ended; `work` is the time that it ran, if it tells how
-    /// long calls run.
-    pub fn ended(&mut self, work: Option<Duration>) {
+    /// A running call has ended; `run` if it tells how long calls of its route run.
+    pub fn ended(&mut self, run: Option<RouteRun<'_>>) {
         self.running_count = self.running_count.saturating_sub(1);
-        if let Some(work) = work {
-            // The mean of those that there are, until there are enough.
-            self.timed_count = self.timed_count.saturating_add(1);
-            let weight = NEW_WEIGHT.max(1.0 / f64::from(self.timed_count));
-            self.work_s += weight * (work.as_secs_f64() - self.work_s);
+        if let Some(run) = run {
+            self.works.ended(run);
         }
     }
 
     /// Takes a waiting call out, if it still waits.
     pub fn withdraw(&mut self, key: WaitKey) -> Option<T> {
-        self.waiting.remove(&key).map(|waiting| waiting.ticket)
+        let waiting = self.waiting.remove(&key)?;
+        self.waiting_work = self.waiting_work.saturating_sub(waiting.work);
+        Some(waiting.ticket)
     }
 
     /// Takes out all that wait.
     pub fn withdraw_all(&mut self) -> Vec<T> {
         let waiting = std::mem::take(&mut self.waiting);
+        self.waiting_work = Duration::ZERO;
         waiting
             .into_values()
             .map(|waiting| waiting.ticket)
@@ -214,15 +258,19 @@
 
     /// Mean time that a call takes to run.
     pub fn work(&self) -> Duration {
-        Duration::from_secs_f64(self.work_s.max(0.0))
+        self.works.mean()
+    }
+
+    /// How long calls of each route run.
+    pub fn works(&self) -> &RouteWorks {
+        &self.works
     }
 
     /// What decides about the level of whole requests.
     pub fn state(&self) -> GateState {
         GateState {
-            work: self.work(),
             limit_count: self.limit_count(),
-            waiting_count: self.waiting.len(),
+            waiting_work: self.waiting_work,
         }
     }
 
@@ -230,10 +278,10 @@
     /// has ended it tells no time, which is not the same as a guess. Of failures and
     /// of the machine's pace a gate knows nothing.
     pub fn report(&self, level: f64) -> GateReport {
-        let work = if self.timed_count == 0 {
-            Duration::ZERO
-        } else {
+        let work = if self.works.is_known() {
             self.work()
+        } else {
+            Duration::ZERO
         };
         GateReport {
             level_permille: (level * 1_000.0) as u16,
@@ -246,11 +294,22 @@
         }
     }
 
-    /// How long a call at this place waits, by the mean time of the calls ahead.
-    fn wait_before(&self, key: WaitKey) -> Duration {
-        let ahead_count = self.waiting.range(..key).count();
-        let share = ahead_count as f64 / self.limit_count().max(1) as f64;
-        Duration::from_secs_f64(share * self.work_s)
+    fn ahead_of(&self, key: WaitKey) -> Ahead {
+        let ahead = self.waiting.range(..key);
+        ahead.fold(Ahead::default(), |ahead, (_, waiting)| Ahead {
+            calls_count: ahead.calls_count + 1,
+            work: ahead.work + waiting.work,
+        })
+    }
+
+    /// Time in which this work is done, if all slots do it.
+    fn time_for(&self, work: Duration) -> Duration {
+        work.div_f64(self.limit_count().max(1) as f64)
+    }
+
+    fn waiting_work_limit(&self) -> Duration {
+        let limit_count = self.waiting_limit_count() as f64;
+        self.works.mean().mul_f64(limit_count)
     }
 
     fn waiting_limit_count(&self) -> usize {
--- a/crates/kumquatquay-core/src/routed/level_setter.rs
+++ b/crates/kumquatquay-core/src/routed/level_setter.rs
@@ -39,6 +39,9 @@
 /// The level never falls below this, so that it can rise again by its own share.
 const LEVEL_LEAST: f64 = 0.02;
 
+/// Spans over which the work of one long call is counted, at most.
+const SPREAD_SPANS_COUNT: usize = 10;
+
 /// Weight of the newest span against those before.
 const NEW_WEIGHT: f64 = 0.4;
 
@@ -60,7 +63,9 @@
     level: f64,
     load: f64,
     window_began: Duration,
-    arrivals_count: u32,
+    /// Expected work of the calls that arrived, by the span in which they keep slots busy: this
+    /// one and those that follow.
+    asked: VecDeque<Duration>,
     heard_sum: f64,
     heard_count: u32,
     /// Levels of the last spans, the oldest first.
@@ -73,7 +78,7 @@
             level: 1.0,
             load: 0.0,
             window_began: Duration::ZERO,
-            arrivals_count: 0,
+            asked: VecDeque::new(),
             heard_sum: 0.0,
             heard_count: 0,
             past: VecDeque::new(),
@@ -84,26 +89,38 @@
 /// What a gate is like at the end of a span.
 #[derive(Clone, Copy, Debug)]
 pub struct GateState {
-    /// Mean time that a call takes to run.
-    pub work: Duration,
     /// Calls that may run at the same time.
     pub limit_count: usize,
-    /// Calls that wait.
-    pub waiting_count: usize,
+    /// Expected work of the calls that wait.
+    pub waiting_work: Duration,
 }
 
 impl LevelSetter {
-    /// A call arrived at the gate, whatever becomes of it; its sender knows the
-    /// service's level as `heard`.
+    /// A call arrived at the gate, whatever becomes of it; it is expected to run for `work`, and
+    /// its sender knows the service's level as `heard`.
     ///
     /// One that finds no room at several gates counts at each of them: it stands for the
     /// further calls that its run would have made, and that aren't made now.
-    pub fn arrived(&mut self, heard: f64) {
-        self.arrivals_count += 1;
+    pub fn arrived(&mut self, heard: f64, work: Duration) {
+        self.ask(work);
         self.heard_sum += heard;
         self.heard_count += 1;
     }
 
+    /// Counts the work of a call in the spans in which it runs, if it runs from now on. Counted at
+    /// once, a call of nine spans would look as if it took as many slots for one.
+    fn ask(&mut self, work: Duration) {
+        let spans = work.as_secs_f64() / WINDOW.as_secs_f64();
+        let spans_count = (spans.ceil() as usize).clamp(1, SPREAD_SPANS_COUNT);
+        if self.asked.len() < spans_count {
+            self.asked.resize(spans_count, Duration::ZERO);
+        }
+        let share = work / spans_count as u32;
+        for asked in self.asked.iter_mut().take(spans_count) {
+            *asked += share;
+        }
+    }
+
     /// The level, from 0 (nothing is let in) to 1 (all).
     pub fn level(&self) -> f64 {
         self.level
@@ -116,11 +133,10 @@
             return;
         }
         let slots = gate.limit_count.max(1) as f64;
-        let arrivals = f64::from(std::mem::take(&mut self.arrivals_count));
+        let asked = self.asked.pop_front().unwrap_or_default();
         self.window_began = now;
-        let work_s = gate.work.as_secs_f64();
-        let asked = arrivals * work_s / passed_s / slots;
-        let queue_s = gate.waiting_count as f64 * work_s / slots;
+        let asked = asked.as_secs_f64() / passed_s / slots;
+        let queue_s = gate.waiting_work.as_secs_f64() / slots;
         let load = asked + queue_s / DRAIN_S;
         self.load += NEW_WEIGHT * (load - self.load);
         self.move_level();
--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -66,11 +66,14 @@
     /// Requests that a caller sends before the first is answered run beside it.
     #[display("pipelining")]
     Pipelining,
+    /// Load is counted as the slot time that calls of each route take.
+    #[display("work-load")]
+    WorkLoad,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::EntryLevels,
         Self::KeptGraph,
         Self::TracedCalls,
@@ -90,6 +93,7 @@
         Self::QuotaLoans,
         Self::LateReturn,
         Self::Pipelining,
+        Self::WorkLoad,
     ];
 
     fn bit(self) -> u32 {
--- a/crates/kumquatquay-core/src/routed/pooled_news.rs
+++ b/crates/kumquatquay-core/src/routed/pooled_news.rs
@@ -6,7 +6,10 @@
     time::Duration,
 };
 
-use kumquatquay_wire::{ServiceName, routed::RouteNews};
+use kumquatquay_wire::{
+    ServiceName,
+    routed::{RouteNews, ServiceDemand},
+};
 
 /// Time for which the word of a gate counts.
 const LAPSE: Duration = Duration::from_secs(30);
@@ -19,11 +22,23 @@
 const CALLS_MOST_COUNT: f32 = 100_000.0;
 const SERVICES_MOST_COUNT: usize = 256;
 
+/// How many times as long as a mean call at its service one of a route may run. News of a time
+/// beyond makes no sense: no time-out is that long.
+const WORK_MOST_RATIO: f64 = 1_000.0;
+
 /// Whether news of another node can be true; it may come from one of another version.
-pub(super) fn makes_sense(news: &RouteNews) -> bool {
+///
+/// `mean_work_s` tells the mean time of a call at a service, if it is known.
+pub(super) fn makes_sense(news: &RouteNews, mean_work_s: impl Fn(&str) -> Option<f64>) -> bool {
     let are_few = news.leads_to.len() <= SERVICES_MOST_COUNT;
-    let is_count = |calls: f32| (0.0..=CALLS_MOST_COUNT).contains(&calls);
-    are_few && news.leads_to.iter().all(|(_, calls)| is_count(*calls))
+    let is_sound = |demand: &ServiceDemand| {
+        let is_count = (0.0..=CALLS_MOST_COUNT).contains(&demand.calls);
+        let most_s = mean_work_s(&demand.service).map_or(f64::INFINITY, |mean_s| {
+            WORK_MOST_RATIO * mean_s * f64::from(demand.calls.max(1.0))
+        });
+        is_count && f64::from(demand.work_us) / 1e6 <= most_s
+    };
+    are_few && news.leads_to.iter().all(is_sound)
 }
 
 /// What the gates of one service have told of a route.
@@ -79,29 +94,51 @@
         let services: BTreeSet<&ServiceName> = counted
             .iter()
             .flat_map(|news| &news.leads_to)
-            .map(|(service, _)| service)
+            .map(|demand| &demand.service)
             .collect();
-        let leads_to = services.into_iter().map(|service| {
-            let calls = counted.iter().map(|news| calls_at(news, service));
-            let calls: Vec<f32> = calls.collect();
-            let pooled = if is_settled {
-                middle(calls)
-            } else {
-                first_guess(&calls)
-            };
-            (service.clone(), pooled)
-        });
+        let leads_to = services
+            .into_iter()
+            .map(|service| pool_demand(service, &counted, is_settled));
         RouteNews {
             is_from_outside: outside_count * 2 >= counted.len().max(1),
             is_settled,
-            leads_to: leads_to.filter(|(_, calls)| *calls > 0.0).collect(),
+            leads_to: leads_to.filter(|demand| demand.calls > 0.0).collect(),
         }
     }
 }
 
-fn calls_at(news: &RouteNews, service: &ServiceName) -> f32 {
-    let calls = news.leads_to.iter().filter(|(known, _)| known == service);
-    calls.map(|(_, calls)| calls).sum()
+/// What the gates say that a run asks of a service. The time of a call is pooled by itself: it is
+/// measured at the service, and known also where the count of calls is still a guess.
+fn pool_demand(service: &ServiceName, told: &[&RouteNews], is_settled: bool) -> ServiceDemand {
+    let demands = told.iter().map(|news| demand_at(news, service));
+    let demands: Vec<Option<&ServiceDemand>> = demands.collect();
+    let calls = demands
+        .iter()
+        .map(|demand| demand.map_or(0.0, |demand| demand.calls));
+    let calls: Vec<f32> = calls.collect();
+    let calls = if is_settled {
+        middle(calls)
+    } else {
+        first_guess(&calls)
+    };
+    let timed = demands.into_iter().flatten();
+    let timed = timed.filter(|demand| demand.work_us > 0 && demand.calls > 0.0);
+    let call_us = middle(
+        timed
+            .map(|demand| demand.work_us as f32 / demand.calls)
+            .collect(),
+    );
+    ServiceDemand {
+        service: service.clone(),
+        calls,
+        work_us: (calls * call_us) as u32,
+    }
+}
+
+fn demand_at<'a>(news: &'a RouteNews, service: &str) -> Option<&'a ServiceDemand> {
+    news.leads_to
+        .iter()
+        .find(|demand| demand.service == service)
 }
 
 /// What is taken while no gate has seen enough: the mean of those that have a guess at all, if
--- a/crates/kumquatquay-core/tests/routed/entry_levels.rs
+++ b/crates/kumquatquay-core/tests/routed/entry_levels.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use kumquatquay_core::routed::{EntryLevels, EntryRequest, Shortage};
-use kumquatquay_wire::routed::{GateReport, RouteNews};
+use kumquatquay_wire::routed::{GateReport, RouteNews, ServiceDemand};
 use quickcheck::quickcheck;
 
 use crate::at_ms;
@@ -20,13 +20,22 @@
     BTreeMap::from(ranks)
 }
 
+/// Calls at a service of which no gate has told how long they run.
+fn demand(service: &str, calls: f32) -> ServiceDemand {
+    ServiceDemand {
+        service: String::from(service),
+        calls,
+        work_us: 0,
+    }
+}
+
 /// History and settlements make eight calls each at the register, uploads none.
 fn levels() -> EntryLevels {
     let mut levels = EntryLevels::default();
     for (route, service, _, is_from_outside) in ROUTES {
-        let mut leads_to = vec![(String::from(service), 1.0)];
+        let mut leads_to = vec![demand(service, 1.0)];
         if route == "history" || route == "settle" {
-            leads_to.push((String::from("register"), 8.0));
+            leads_to.push(demand("register", 8.0));
         }
         let news = RouteNews {
             is_from_outside,
@@ -187,7 +196,7 @@
     let news = RouteNews {
         is_from_outside: false,
         is_settled: false,
-        leads_to: vec![(String::from("archive"), 1.0)],
+        leads_to: vec![demand("archive", 1.0)],
     };
     levels.on_route(at_ms(100), "history", "archive", gate(1), news);
     tell(&mut levels, 100, 1, 0.02);
@@ -196,9 +205,9 @@
 
 /// What a gate of the service has learnt of uploads there.
 fn tell_uploads(levels: &mut EntryLevels, number: u16, calls: f32, is_settled: bool) {
-    let mut leads_to = vec![(String::from("survey"), 1.0)];
+    let mut leads_to = vec![demand("survey", 1.0)];
     if calls > 0.0 {
-        leads_to.push((String::from("register"), calls));
+        leads_to.push(demand("register", calls));
     }
     let news = RouteNews {
         is_from_outside: true,
@@ -210,8 +219,8 @@
 
 fn calls_of_uploads(levels: &EntryLevels) -> f32 {
     let leads_to = levels.leads_to(at_ms(1), "upload", "survey").iter();
-    let calls = leads_to.filter(|(service, _)| service == "register");
-    calls.map(|(_, calls)| calls).sum()
+    let calls = leads_to.filter(|demand| demand.service == "register");
+    calls.map(|demand| demand.calls).sum()
 }
 
 /// Uploads call nothing. At one host of ten their runs were taken to make the calls of others
@@ -294,7 +303,7 @@
         let news = RouteNews {
             is_from_outside: true,
             is_settled: true,
-            leads_to: vec![(String::from("register"), calls)],
+            leads_to: vec![demand("register", calls)],
         };
         assert!(!levels.on_route(at_ms(0), "upload", "survey", gate(9), news));
     }
@@ -304,6 +313,56 @@
     assert!(is_let_in(&mut levels, 1, "upload", 0.99));
 }
 
+/// A histories' call at the register runs eight times as long as one of the settlements: of the
+/// room for half of the work they get what the settlements leave.
+#[test]
+fn a_route_counts_by_the_slot_time_of_its_calls() {
+    let mut levels = EntryLevels::default();
+    for (route, service, work_us) in [
+        ("history", "archive", 176_000),
+        ("settle", "settlement", 22_000),
+    ] {
+        let register = ServiceDemand {
+            work_us,
+            ..demand("register", 1.0)
+        };
+        let news = RouteNews {
+            is_from_outside: true,
+            is_settled: true,
+            leads_to: vec![demand(service, 1.0), register],
+        };
+        assert!(levels.on_route(at_ms(0), route, service, gate(1), news));
+    }
+    for _ in 0..200 {
+        is_let_in(&mut levels, 0, "history", 0.0);
+        is_let_in(&mut levels, 0, "settle", 0.0);
+    }
+    tell(&mut levels, 0, 1, 0.5);
+    assert!(is_let_in(&mut levels, 1, "settle", 0.99));
+    assert!(is_let_in(&mut levels, 1, "history", 0.42));
+    assert!(!is_let_in(&mut levels, 1, "history", 0.46));
+}
+
+/// A node tells a time that is over a thousand times as long as what the gates of the service
+/// measure. It is passed over: nobody is refused for it.
+#[test]
+fn news_of_work_that_makes_no_sense_is_passed_over() {
+    let mut levels = levels();
+    tell(&mut levels, 0, 1, 1.0);
+    let told = |work_us| RouteNews {
+        is_from_outside: true,
+        is_settled: true,
+        leads_to: vec![ServiceDemand {
+            work_us,
+            ..demand("register", 8.0)
+        }],
+    };
+    let gate = gate(2);
+    assert!(!levels.on_route(at_ms(0), "history", "archive", gate, told(u32::MAX)));
+    assert!(!levels.on_route(at_ms(0), "history", "archive", gate, told(177_000_000)));
+    assert!(levels.on_route(at_ms(0), "history", "archive", gate, told(1_760_000)));
+}
+
 quickcheck! {
     /// Whatever other nodes tell of routes and levels: nothing ends the process, what is believed
     /// are counts, and uploads that two sound gates of three say to call nothing are let in.
@@ -322,7 +381,7 @@
             let news = RouteNews {
                 is_from_outside,
                 is_settled,
-                leads_to: vec![(String::from("register"), calls)],
+                leads_to: vec![demand("register", calls)],
             };
             levels.on_route(at_ms(0), route, service, gate(3), news);
         }
@@ -336,7 +395,7 @@
         levels.on_gate(at_ms(1), "register", gate(4), &report);
         offer_at(&mut levels, 1);
         let all = ROUTES.iter().flat_map(|(route, ..)| levels.leads_to_all(at_ms(1), route));
-        let are_counts = all.into_iter().all(|(_, calls)| calls.is_finite() && calls >= 0.0);
+        let are_counts = all.into_iter().all(|demand| demand.calls.is_finite() && demand.calls >= 0.0);
         are_counts && is_let_in(&mut levels, 1, "upload", 0.99)
     }
 }
--- a/crates/kumquatquay-core/tests/routed/host_gate.rs
+++ b/crates/kumquatquay-core/tests/routed/host_gate.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kumquatquay_core::routed::{Admission, BackendLoad, GateCall, HostGate};
+use kumquatquay_core::routed::{Admission, BackendLoad, GateCall, HostGate, RouteRun};
 use quickcheck::quickcheck;
 
 use crate::at_ms;
@@ -13,6 +13,14 @@
         priority,
         due: at_ms(150),
         deadline,
+        work: Duration::from_millis(20),
+    }
+}
+
+fn run(work_ms: u64) -> RouteRun<'static> {
+    RouteRun {
+        route: "call",
+        work: Duration::from_millis(work_ms),
     }
 }
 
@@ -25,7 +33,7 @@
             gate.offer(at_ms(0), call(0, at_ms(10_000)), "learn"),
             Admission::Run
         );
-        gate.ended(Some(Duration::from_millis(20)));
+        gate.ended(Some(run(20)));
     }
     gate.set_limit_count(limit);
     gate
@@ -104,6 +112,7 @@
         priority: 1,
         due: at_ms(due_ms),
         deadline: at_ms(5_000),
+        work: Duration::from_millis(20),
     };
     gate.offer(at_ms(1), due_at(301), "in a run");
     gate.offer(at_ms(2), due_at(152), "of a person");
@@ -200,7 +209,14 @@
             let gone = match gate.offer(at_ms(0), call(priority, at_ms(1_000_000)), priority) {
                 Admission::Run => return false,
                 Admission::Wait(_) => None,
-                Admission::Evict(_, gone) | Admission::Refuse(gone) => Some(gone),
+                Admission::Evict(_, gone) => {
+                    // All are of one size: one makes room for one.
+                    if gone.len() != 1 {
+                        return false;
+                    }
+                    gone.into_iter().next()
+                }
+                Admission::Refuse(gone) => Some(gone),
             };
             waiting.push(priority);
             if let Some(gone) = gone {
@@ -222,7 +238,7 @@
     let mut gate = HostGate::<&str>::default();
     gate.set_limit_count(4);
     assert_eq!(gate.report(1.0).work_us, 0);
-    gate.ended(Some(Duration::from_millis(22)));
+    gate.ended(Some(run(22)));
     assert_eq!(gate.report(1.0).work_us, 22_000);
 }
 
--- a/crates/kumquatquay-core/tests/routed/level_setter.rs
+++ b/crates/kumquatquay-core/tests/routed/level_setter.rs
@@ -48,7 +48,8 @@
         let mean = room * (offered * level + free);
         let arrivals = (mean + mean.sqrt() * self.random.random_range(-1.7..1.7)).max(0.0);
         for _ in 0..arrivals as u32 {
-            self.setter.arrived(self.setter.level());
+            self.setter
+                .arrived(self.setter.level(), Duration::from_secs_f64(WORK_S));
         }
         let run = room.min(self.waiting + arrivals);
         let waiting = self.waiting + arrivals - run;
@@ -58,9 +59,8 @@
         self.setter.tick(
             at_ms(self.span * 100),
             GateState {
-                work: Duration::from_secs_f64(WORK_S),
                 limit_count: SLOTS,
-                waiting_count: self.waiting as usize,
+                waiting_work: Duration::from_secs_f64(WORK_S).mul_f64(self.waiting),
             },
         );
         self.levels.push_back(self.setter.level());
--- a/crates/kumquatquay-wire/src/routed/mod.rs
+++ b/crates/kumquatquay-wire/src/routed/mod.rs
@@ -25,5 +25,5 @@
 };
 pub use gate_report::GateReport;
 pub use quota::{HALVES_COUNT, QuotaVerdict, SLICES_COUNT, SliceSets};
-pub use route_news::{RouteNews, ServicePressure};
+pub use route_news::{RouteNews, ServiceDemand, ServicePressure};
 pub use workspace::{KeyDigest, Quota, WorkspaceName, WorkspaceSettings};
--- a/crates/kumquatquay-wire/src/routed/route_news.rs
+++ b/crates/kumquatquay-wire/src/routed/route_news.rs
@@ -11,8 +11,53 @@
     pub is_from_outside: bool,
     /// Whether enough was seen to count more than what others have learnt.
     pub is_settled: bool,
-    /// Calls that one run makes at each service, directly or by what it calls.
-    pub leads_to: Vec<(ServiceName, f32)>,
+    /// What one run asks of each service, directly or by what it calls, its own run included.
+    pub leads_to: Vec<ServiceDemand>,
+}
+
+/// What one run of a route asks of a service.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ServiceDemand {
+    /// The service.
+    pub service: ServiceName,
+    /// Calls there.
+    pub calls: f32,
+    /// Time for which all of these keep slots busy, in microseconds; 0 while it isn't known.
+    pub work_us: u32,
+}
+
+impl ServiceDemand {
+    /// What so many runs ask.
+    #[must_use]
+    pub fn scaled(&self, runs_count: f32) -> Self {
+        Self {
+            service: self.service.clone(),
+            calls: self.calls * runs_count,
+            work_us: (self.work_us as f32 * runs_count) as u32,
+        }
+    }
+
+    /// This and another one at the same service. Where the time of one isn't known, its calls are
+    /// taken to be like those of the other.
+    #[must_use]
+    pub fn and(&self, other: &Self) -> Self {
+        let calls = self.calls + other.calls;
+        let known = [self, other]
+            .into_iter()
+            .filter(|demand| demand.work_us > 0);
+        let timed_calls: f32 = known.clone().map(|demand| demand.calls).sum();
+        let work_us: f32 = known.map(|demand| demand.work_us as f32).sum();
+        let made_up = if timed_calls > 0.0 {
+            calls / timed_calls
+        } else {
+            1.0
+        };
+        Self {
+            service: self.service.clone(),
+            calls,
+            work_us: (work_us * made_up) as u32,
+        }
+    }
 }
 
 /// How much room a service has for whole requests.
--- a/crates/kumquatquayd/src/routed/metrics_text.rs
+++ b/crates/kumquatquayd/src/routed/metrics_text.rs
@@ -21,6 +21,7 @@
         );
     }
     let report = node.gate_report();
+    let waiting_work = node.gate.borrow().state().waiting_work;
     let unheard = node.follower.borrow().unheard(node.now());
     let store_era = node.follower.borrow().era().unwrap_or_default();
     let is_store_behind = node.proof.borrow().is_store_behind();
@@ -31,6 +32,7 @@
         ("held_answer_bytes", node.held_answers.get().bytes() as u64),
         ("gate_running", u64::from(report.running_count)),
         ("gate_waiting", u64::from(report.waiting_count)),
+        ("gate_waiting_work_ms", waiting_work.as_millis() as u64),
         ("gate_limit", u64::from(report.limit_count)),
         ("gate_work_us", u64::from(report.work_us)),
         ("gate_level_permille", u64::from(report.level_permille)),
@@ -46,5 +48,12 @@
     for (name, value) in gauges {
         let _ = writeln!(text, "kumquatquay_{name} {value}");
     }
+    for known in node.gate.borrow().works().routes() {
+        let (route, work_us) = (known.route, known.work.as_micros());
+        let _ = writeln!(
+            text,
+            "kumquatquay_gate_route_work_us{{route={route:?}}} {work_us}"
+        );
+    }
     text
 }
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -19,7 +19,7 @@
     },
 };
 use kumquatquay_wire::routed::{
-    FollowState, GateReport, RouteConfiguration, RouteNews, RouteVersion,
+    FollowState, GateReport, RouteConfiguration, RouteNews, RouteVersion, ServiceDemand,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::sync::{Notify, oneshot, watch};
@@ -162,6 +162,12 @@
         // Its part of the extra repeats is left out: there are few gates to a service,
         // and how many isn't known for sure.
         let at_gate = RetryWindow::new(budget.window, budget.ratio * AT_GATE_RATIO, 0.0);
+        let gate = HostGate::default();
+        let gate = if settings.mechanisms.is_on(Mechanism::WorkLoad) {
+            gate
+        } else {
+            gate.without_route_works()
+        };
         let census = CallerCensus::at(settings.service.clone());
         let follower = StoreFollower::new(Duration::ZERO, random.random());
         let follower = match settings.bounds.revoke {
@@ -191,7 +197,7 @@
             retries: RefCell::default(),
             gate_repeats: RefCell::new(GateRepeats::new(at_gate)),
             links: RefCell::default(),
-            gate: RefCell::default(),
+            gate: RefCell::new(gate),
             lives: RefCell::default(),
             pulse: RefCell::default(),
             pace: RefCell::default(),
@@ -345,15 +351,18 @@
     fn fresh_news(&self, now: Duration, route: &str) -> RouteNews {
         let services_count = self.targets.borrow().services_count();
         let levels = self.levels.borrow();
-        let mut leads_to = BTreeMap::from([(self.settings.service.clone(), 1.0)]);
+        let own = self.own_demand(route);
+        let mut leads_to = BTreeMap::from([(own.service.clone(), own)]);
         let (rows, is_traced) = self.call_rows(now, route);
         for row in rows {
             // Before it was known that people use a route, its calls were counted.
             if levels.is_from_outside(now, &row.route) != Some(false) {
                 continue;
             }
-            for (service, calls) in levels.leads_to_all(now, &row.route) {
-                *leads_to.entry(service).or_default() += calls * row.calls_count as f32;
+            for demand in levels.leads_to_all(now, &row.route) {
+                let demand = demand.scaled(row.calls_count as f32);
+                let known = leads_to.entry(demand.service.clone()).or_default();
+                *known = demand.and(known);
             }
         }
         let is_young = now < SETTLING_TIME;
@@ -363,7 +372,18 @@
                 .census
                 .borrow()
                 .is_from_outside(now, route, services_count),
-            leads_to: leads_to.into_iter().collect(),
+            leads_to: leads_to.into_values().collect(),
+        }
+    }
+
+    /// What one run of a route asks of the backend server of this host.
+    fn own_demand(&self, route: &str) -> ServiceDemand {
+        let gate = self.gate.borrow();
+        let work = gate.works().known(route).unwrap_or_default();
+        ServiceDemand {
+            service: self.settings.service.clone(),
+            calls: 1.0,
+            work_us: u32::try_from(work.as_micros()).unwrap_or(u32::MAX),
         }
     }
 
--- a/crates/kumquatquayd/src/routed/retries.rs
+++ b/crates/kumquatquayd/src/routed/retries.rs
@@ -72,9 +72,9 @@
     fn calls_behind(&self, route: &str, service: &str) -> Vec<(ServiceName, f64)> {
         let levels = self.levels.borrow();
         let leads_to = levels.leads_to(self.now(), route, service).iter();
-        let behind = leads_to.filter(|(behind, _)| behind != service);
+        let behind = leads_to.filter(|demand| demand.service != service);
         behind
-            .map(|(behind, calls)| (behind.clone(), f64::from(*calls)))
+            .map(|demand| (demand.service.clone(), f64::from(demand.calls)))
             .collect()
     }
 
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -6,7 +6,7 @@
 use http::{Method, Request, Uri};
 use http_body_util::Full;
 use kumquatquay_core::routed::{
-    Admission, GateCall, Mechanism, RunNumber, TurnedAwayCall, WaitKey,
+    Admission, GateCall, Mechanism, RouteRun, RunNumber, TurnedAwayCall, WaitKey,
 };
 use kumquatquay_wire::routed::{CallHead, LinkOutcome, NotRunReason, UnknownReason};
 use tokio::sync::oneshot;
@@ -38,12 +38,12 @@
     /// The moment after which the call would not end in time: it is refused then,
     /// while its sender can still say that it has not run.
     fn latest_start(&self, node: &RoutedNode) -> Duration {
-        let work = node.gate.borrow().work();
+        let work = node.gate.borrow().works().of(&self.call.route);
         self.deadline.saturating_sub(work.mul_f64(LEAST_WORK_RATIO))
     }
 }
 
-/// Part of the mean time to run a call that must be left when it begins.
+/// Part of the mean time to run a call of its route that must be left when it begins.
 const LEAST_WORK_RATIO: f64 = 0.5;
 
 /// Runs a call at the backend server of this host, once there is room for it.
@@ -61,7 +61,8 @@
     let now = node.now();
     let deadline = now + Duration::from_millis(call.remaining_ms);
     let heard = f64::from(call.level_permille) / 1_000.0;
-    node.level.borrow_mut().arrived(heard);
+    let work = node.gate.borrow().works().of(&call.route);
+    node.level.borrow_mut().arrived(heard, work);
     node.census
         .borrow_mut()
         .called(now, &call.route, &call.caller_service);
@@ -100,7 +101,8 @@
         tokio::time::sleep(LEVEL_INTERVAL).await;
         let now = node.now();
         let state = node.gate.borrow().state();
-        let is_silent = node.pulse.borrow().is_silent(now, state.work);
+        let work = node.gate.borrow().work();
+        let is_silent = node.pulse.borrow().is_silent(now, work);
         if is_silent && node.is_on(Mechanism::SilentBackend) {
             // Runs under way go on: their answers may still come.
             announce_death(&node, "it gives no answers");
@@ -112,6 +114,7 @@
 /// A place among the calls that run; leaving it lets the next one run.
 struct Slot {
     node: Rc<RoutedNode>,
+    route: String,
     began: Duration,
     counts_work: bool,
 }
@@ -119,8 +122,11 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let work = self.node.now().saturating_sub(self.began);
-        let work = self.counts_work.then_some(work);
-        self.node.gate.borrow_mut().ended(work);
+        let run = self.counts_work.then_some(RouteRun {
+            route: &self.route,
+            work,
+        });
+        self.node.gate.borrow_mut().ended(run);
         admit_waiting(&self.node);
     }
 }
@@ -165,7 +171,7 @@
     let (ticket, granted) = oneshot::channel();
     let admission = offer(node, timed, ticket);
     let key = match admission {
-        Admission::Run => return Ok(Slot::new(node)),
+        Admission::Run => return Ok(Slot::new(node, timed)),
         Admission::Refuse(_) => return Err(NotRunReason::Full),
         Admission::Wait(key) => key,
         Admission::Evict(key, evicted) => {
@@ -177,7 +183,7 @@
     let wait = timed.latest_start(node).saturating_sub(node.now());
     match tokio::time::timeout(wait, &mut waiting.granted).await {
         Ok(Ok(())) => {
-            let slot = Slot::new(node);
+            let slot = Slot::new(node, timed);
             check_open(node, timed)?;
             Ok(slot)
         }
@@ -210,6 +216,7 @@
         whole_priority: timed.call.whole_priority,
         due: timed.due,
         deadline: timed.deadline,
+        work: node.gate.borrow().works().of(&timed.call.route),
     };
     node.gate.borrow_mut().offer(node.now(), call, ticket)
 }
@@ -243,9 +250,10 @@
 const DRAIN_RATIO: f64 = 0.6;
 
 impl Slot {
-    fn new(node: &Rc<RoutedNode>) -> Self {
+    fn new(node: &Rc<RoutedNode>, timed: &Timed<'_>) -> Self {
         Self {
             node: Rc::clone(node),
+            route: timed.call.route.clone(),
             began: node.now(),
             counts_work: false,
         }
