Count what is offered over twenty seconds while the load stays as it is

Cause: each entry judges by the requests that it saw itself. With 79 entries and a kind that comes 104 times a second, three seconds are four requests, off by a third; where that kind is a quarter of the work, the boundary between what is let in and refused swings by a tenth of the room, and at some entries goes through a more important rank.

Now two counts fade at once, one in 2.9 s and one in 20 s. The long one holds unless the short one differs from it by more than 2.5 of its standard errors: a burst counts as soon as it is told from chance.

Ruled out: one count of ten seconds for all, which would be late by as much in each burst.

--- a/crates/kumquatquay-core/src/routed/offered_load.rs
+++ b/crates/kumquatquay-core/src/routed/offered_load.rs
@@ -7,8 +7,15 @@
 /// Ranks that are told apart on one route.
 const RANKS_LIMIT_COUNT: usize = 64;
 
-/// Time in which the count of offered requests halves.
-const HALF_LIFE_S: f64 = 2.0;
+/// Time over which requests are counted, in seconds: they fade to a third in it.
+const SHORT_S: f64 = 2.9;
+
+/// The same for the count that holds while the load stays as it is. An entry of many sees one
+/// request of a kind a second; three seconds of those are off by a third.
+const LONG_S: f64 = 20.0;
+
+/// Standard errors by which the short count may differ from the long one until it goes before it.
+const CHANGED_ERRORS: f64 = 2.5;
 
 /// Requests of each route that are taken as offered from the first moment on, so
 /// that the first few don't decide the shares alone.
@@ -29,10 +36,13 @@
     pub(super) requests_count: f64,
 }
 
-/// A count that fades with time.
+/// Two counts that fade with time.
 #[derive(Clone, Copy, Debug)]
 struct Offered {
-    count: f64,
+    short: f64,
+    long: f64,
+    /// When the first came.
+    since: Duration,
     at: Duration,
 }
 
@@ -43,7 +53,10 @@
             self.ranks
                 .retain(|_, offered| offered.at(now) > FIRST_COUNT);
         }
-        self.ranks.entry(rank).or_default().add(now);
+        self.ranks
+            .entry(rank)
+            .or_insert_with(|| Offered::since(now))
+            .add(now);
     }
 
     /// Requests offered, by rank; the few of the first moment have the rank of the route.
@@ -64,23 +77,40 @@
     }
 }
 
-impl Default for Offered {
-    fn default() -> Self {
+impl Offered {
+    fn since(now: Duration) -> Self {
         Self {
-            count: FIRST_COUNT,
-            at: Duration::ZERO,
+            short: FIRST_COUNT,
+            long: 0.0,
+            since: now,
+            at: now,
         }
     }
-}
 
-impl Offered {
+    /// Requests of the last seconds, by the long count unless the load has changed.
     fn at(&self, now: Duration) -> f64 {
-        let passed_s = now.saturating_sub(self.at).as_secs_f64();
-        FIRST_COUNT.max(self.count * 0.5_f64.powf(passed_s / HALF_LIFE_S))
+        let short = FIRST_COUNT.max(self.short * fade(now, self.at, SHORT_S));
+        let age_s = now.saturating_sub(self.since).as_secs_f64();
+        if age_s < SHORT_S {
+            return short;
+        }
+        let counted_s = LONG_S * (1.0 - (-age_s / LONG_S).exp());
+        let usual = SHORT_S * self.long * fade(now, self.at, LONG_S) / counted_s;
+        // The error of a count that fades is that of half as many.
+        let error = (usual / 2.0).sqrt();
+        let has_changed = (short - usual).abs() > CHANGED_ERRORS * error + FIRST_COUNT;
+        if has_changed { short } else { usual }
     }
 
     fn add(&mut self, now: Duration) {
-        self.count = self.at(now) + 1.0;
+        self.short = FIRST_COUNT.max(self.short * fade(now, self.at, SHORT_S)) + 1.0;
+        self.long = self.long * fade(now, self.at, LONG_S) + 1.0;
         self.at = now;
     }
 }
+
+/// What is left of a count of this moment.
+fn fade(now: Duration, at: Duration, fades_s: f64) -> f64 {
+    let passed_s = now.saturating_sub(at).as_secs_f64();
+    (-passed_s / fades_s).exp()
+}
