At a gate, run what can't be in time any more after what can

Cause: calls of one rank run in the order in which they are due. After a stall those that are late already are due first, and each of them makes the next ones late as well.

Now a call whose answer can't be in time any more (due, less its own run as its route's calls take it) comes after all others of its rank, also if it became so while it waited; it is the first of its rank to be evicted. `--without late-last` brings the plain order back.

--- a/crates/kumquatquay-core/src/routed/host_gate.rs
+++ b/crates/kumquatquay-core/src/routed/host_gate.rs
@@ -24,16 +24,39 @@
 /// server may tell less than it has; beyond this its own queue would fill.
 const TRANSIT_RATIO: f64 = 0.25;
 
-/// Place of a waiting call: the most important first, then the one whose answer is
-/// due first.
+/// Place of a waiting call: the most important first, then those that can still be in time, then
+/// the one whose answer is due first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WaitKey {
     priority: Priority,
     whole_priority: Priority,
+    is_late: bool,
     due: Duration,
     sequence: u64,
 }
 
+impl WaitKey {
+    /// Its place once its answer can't be in time any more.
+    fn when_late(self) -> Self {
+        Self {
+            is_late: true,
+            ..self
+        }
+    }
+}
+
+/// Order in which calls of one rank run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum QueueOrder {
+    /// The one whose answer is due first.
+    EarliestDue,
+    /// The same, but those whose answer can't be in time any more come after all others of their
+    /// rank. After a stall they are due first: run first, they would make each call after them late
+    /// as well.
+    #[default]
+    LateLast,
+}
+
 /// A call that asks to run.
 #[derive(Clone, Copy, Debug)]
 pub struct GateCall {
@@ -82,6 +105,7 @@
 /// milliseconds for work of twenty.
 #[derive(Debug)]
 pub struct HostGate<T> {
+    order: QueueOrder,
     limit_count: usize,
     /// Calls that count as running here and are not at the backend server: on their
     /// way to it, or answered and not yet read. On a host whose processor is busy
@@ -112,6 +136,7 @@
 impl<T> Default for HostGate<T> {
     fn default() -> Self {
         Self {
+            order: QueueOrder::default(),
             limit_count: 0,
             in_transit: 0.0,
             running_count: 0,
@@ -124,6 +149,12 @@
 }
 
 impl<T> HostGate<T> {
+    /// Runs calls of one rank in this order.
+    #[must_use]
+    pub fn order(self, order: QueueOrder) -> Self {
+        Self { order, ..self }
+    }
+
     /// Takes the calls of all routes to be alike.
     #[must_use]
     pub fn without_route_works(self) -> Self {
@@ -167,6 +198,7 @@
         let key = WaitKey {
             priority: call.priority,
             whole_priority: call.whole_priority,
+            is_late: self.is_late(now, call.work, call.due),
             due: call.due,
             sequence: self.last_sequence,
         };
@@ -198,6 +230,11 @@
         is_first || fits
     }
 
+    /// Whether the answer to a call can't be in time any more.
+    fn is_late(&self, now: Duration, work: Duration, due: Duration) -> bool {
+        self.order == QueueOrder::LateLast && now + work > due
+    }
+
     /// Takes out the least important, until what waits is no more than may wait.
     fn evict(&mut self) -> Vec<T> {
         let mut evicted = Vec::new();
@@ -221,7 +258,11 @@
         if self.running_count >= self.limit_count() {
             return None;
         }
-        while let Some((_, waiting)) = self.waiting.pop_first() {
+        while let Some((key, waiting)) = self.waiting.pop_first() {
+            if !key.is_late && self.is_late(now, waiting.work, key.due) {
+                self.waiting.insert(key.when_late(), waiting);
+                continue;
+            }
             self.waiting_work = self.waiting_work.saturating_sub(waiting.work);
             if now < waiting.deadline {
                 self.running_count += 1;
@@ -241,7 +282,8 @@
 
     /// Takes a waiting call out, if it still waits.
     pub fn withdraw(&mut self, key: WaitKey) -> Option<T> {
-        let waiting = self.waiting.remove(&key)?;
+        let waiting = self.waiting.remove(&key);
+        let waiting = waiting.or_else(|| self.waiting.remove(&key.when_late()))?;
         self.waiting_work = self.waiting_work.saturating_sub(waiting.work);
         Some(waiting.ticket)
     }
--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -69,11 +69,14 @@
     /// Load is counted as the slot time that calls of each route take.
     #[display("work-load")]
     WorkLoad,
+    /// At a gate, calls that can't be in time any more come after those of their rank that can.
+    #[display("late-last")]
+    LateLast,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::EntryLevels,
         Self::KeptGraph,
         Self::TracedCalls,
@@ -94,6 +97,7 @@
         Self::LateReturn,
         Self::Pipelining,
         Self::WorkLoad,
+        Self::LateLast,
     ];
 
     fn bit(self) -> u32 {
--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -48,7 +48,7 @@
 pub use entry_levels::{EntryLevels, EntryRequest, ServiceWork, Shortage};
 pub use gate_repeats::{GateRepeats, TurnedAwayCall};
 pub use held_answers::HeldAnswers;
-pub use host_gate::{Admission, BackendLoad, GateCall, HostGate, WaitKey};
+pub use host_gate::{Admission, BackendLoad, GateCall, HostGate, QueueOrder, WaitKey};
 pub use level_setter::{GateState, LevelSetter};
 pub use link_health::{LinkHealth, LinkStep};
 pub use log_read::{LogAnswer, LogPage, LogPosition, LogRead, LogStep};
--- a/crates/kumquatquay-core/tests/routed/call_mesh.rs
+++ b/crates/kumquatquay-core/tests/routed/call_mesh.rs
@@ -8,7 +8,7 @@
 };
 
 use kumquatquay_core::routed::{
-    Admission, EntryLevels, EntryRequest, GateCall, HostGate, LevelSetter, RouteRun,
+    Admission, EntryLevels, EntryRequest, GateCall, HostGate, LevelSetter, QueueOrder, RouteRun,
 };
 use kumquatquay_wire::routed::{Priority, RouteNews, ServiceDemand};
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -19,6 +19,9 @@
 /// Time between two words on a route from one gate to one entry.
 const NEWS_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time from one top of the wave to the next, in seconds.
+const WAVE_PERIOD_S: f64 = 15.0;
+
 /// How often gates set their levels.
 const LEVEL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -32,6 +35,8 @@
     pub(crate) work: Duration,
     /// Time within which its answer is worth most.
     pub(crate) target_latency: Duration,
+    /// The same for each of its calls, as far as the gate knows.
+    pub(crate) call_target_latency: Duration,
     /// Time after which it is worth nothing.
     pub(crate) timeout: Duration,
 }
@@ -44,6 +49,9 @@
     pub(crate) slots_count: usize,
     /// Whether the work of calls is told apart by route.
     pub(crate) has_route_works: bool,
+    pub(crate) order: QueueOrder,
+    /// Part of the mean load by which it goes up and down in a wave.
+    pub(crate) swing_ratio: f64,
     pub(crate) seed: u64,
 }
 
@@ -65,6 +73,11 @@
     pub(crate) fn served_count(&self) -> u32 {
         self.late_count + self.timely_count
     }
+
+    /// Share of the requests that were answered in time.
+    pub(crate) fn timely_ratio(&self) -> f64 {
+        f64::from(self.timely_count) / f64::from(self.offered_count.max(1))
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -116,7 +129,7 @@
 impl CallMesh {
     pub(crate) fn new(settings: MeshSettings, kinds: &[Kind]) -> Self {
         let gate = || {
-            let gate = HostGate::default();
+            let gate = HostGate::default().order(settings.order);
             let mut gate = if settings.has_route_works {
                 gate
             } else {
@@ -197,7 +210,9 @@
     fn request(&mut self, now: Duration, kind: usize) {
         let settings = self.kinds[kind];
         let uniform: f64 = self.random.random_range(1e-9..1.0);
-        let pause_s = -uniform.ln() / settings.requests_per_s;
+        let turns = now.as_secs_f64() / WAVE_PERIOD_S;
+        let swing = 1.0 + self.settings.swing_ratio * (turns * std::f64::consts::TAU).sin();
+        let pause_s = -uniform.ln() / (settings.requests_per_s * swing);
         self.at(
             now + Duration::from_secs_f64(pause_s),
             Event::Request { kind },
@@ -241,7 +256,7 @@
         let asked = GateCall {
             priority: 0,
             whole_priority: kind.rank,
-            due: call.came + kind.target_latency,
+            due: now + kind.call_target_latency,
             deadline: call.came + kind.timeout,
             work,
         };
--- a/crates/kumquatquay-core/tests/routed/host_gate.rs
+++ b/crates/kumquatquay-core/tests/routed/host_gate.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kumquatquay_core::routed::{Admission, BackendLoad, GateCall, HostGate, RouteRun};
+use kumquatquay_core::routed::{Admission, BackendLoad, GateCall, HostGate, QueueOrder, RouteRun};
 use quickcheck::quickcheck;
 
 use crate::at_ms;
@@ -120,6 +120,63 @@
     assert_eq!(gate.next(at_ms(3)), Some("of a person"));
 }
 
+/// A stall of a third of a second has made five calls late; two that can still be in time came after
+/// them. Run in the order in which they are due, all seven are late.
+#[test]
+fn what_is_late_anyway_does_not_make_others_late() {
+    let due_at = |due_ms| GateCall {
+        due: at_ms(due_ms),
+        ..call(1, at_ms(5_000))
+    };
+    let timely_count = |order| {
+        let mut gate = gate(1).order(order);
+        fill(&mut gate, 1);
+        for due_ms in [300, 305, 310, 315, 320, 365, 385] {
+            gate.offer(
+                at_ms(1),
+                due_at(due_ms),
+                if due_ms > 320 { "fresh" } else { "late" },
+            );
+        }
+        // The stall is over; each call runs for 20 ms.
+        let ends = (330..).step_by(20).map(|began_ms| {
+            gate.ended(None);
+            (gate.next(at_ms(began_ms)), began_ms + 20)
+        });
+        let ended: Vec<_> = ends.take(7).collect();
+        assert!(ended.iter().all(|(ticket, _)| ticket.is_some()), "all run");
+        let fresh = ended.iter().filter(|(ticket, _)| *ticket == Some("fresh"));
+        let due_ms = [365, 385];
+        let timely = fresh
+            .zip(due_ms)
+            .filter(|((_, end_ms), due_ms)| end_ms <= due_ms);
+        timely.count()
+    };
+    assert_eq!(timely_count(QueueOrder::EarliestDue), 0);
+    assert_eq!(timely_count(QueueOrder::LateLast), 2);
+}
+
+/// A call that waits and has become late in the meantime is still found by its key.
+#[test]
+fn a_call_that_became_late_can_be_withdrawn() {
+    let mut gate = gate(1);
+    fill(&mut gate, 1);
+    let Admission::Wait(key) = gate.offer(at_ms(1), call(1, at_ms(5_000)), "late") else {
+        panic!("it waits");
+    };
+    gate.offer(
+        at_ms(1),
+        GateCall {
+            due: at_ms(400),
+            ..call(1, at_ms(5_000))
+        },
+        "fresh",
+    );
+    gate.ended(None);
+    assert_eq!(gate.next(at_ms(200)), Some("fresh"));
+    assert_eq!(gate.withdraw(key), Some("late"));
+}
+
 #[test]
 fn a_call_whose_time_is_over_does_not_run() {
     let mut gate = gate(1);
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -3,6 +3,7 @@
 mod backend_lives;
 mod backend_pulse;
 mod call_graph;
+mod call_haste;
 mod call_mesh;
 mod call_tracer;
 mod caller_census;
--- a/crates/kumquatquay-core/tests/routed/work_load.rs
+++ b/crates/kumquatquay-core/tests/routed/work_load.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use kumquatquay_core::routed::QueueOrder;
+
 use crate::call_mesh::{CallMesh, Kind, MeshSettings};
 
 const SLOTS_COUNT: usize = 437;
@@ -27,6 +29,7 @@
         calls_count,
         work: Duration::from_millis(work_ms),
         target_latency: Duration::from_millis(target_ms),
+        call_target_latency: Duration::from_millis(target_ms),
         timeout: Duration::from_millis(timeout_ms),
     };
     let kinds = [
@@ -58,6 +61,8 @@
         gates_count: 19,
         slots_count: SLOTS_COUNT,
         has_route_works,
+        order: QueueOrder::default(),
+        swing_ratio: 0.0,
         seed,
     };
     let mut mesh = CallMesh::new(settings, &kinds(load_ratio));
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -14,8 +14,8 @@
     routed::{
         BackendLives, BackendPulse, CallGraph, CallTracer, CallerCensus, EntryLevels,
         FollowerFleet, GateRepeats, GraphRow, HeldAnswers, HostGate, LevelSetter, MachinePace,
-        Mechanism, NewestProof, RetryWindow, RouteTable, RunFailures, StoreFollower, StoreReaders,
-        TargetTable, UnknownKeys,
+        Mechanism, Mechanisms, NewestProof, QueueOrder, RetryWindow, RouteTable, RunFailures,
+        StoreFollower, StoreReaders, TargetTable, UnknownKeys,
     },
 };
 use kumquatquay_wire::routed::{
@@ -155,6 +155,21 @@
     Ending,
 }
 
+/// The gate of this host, as the mechanisms that are on make it.
+fn gate_by(mechanisms: Mechanisms) -> HostGate<RunTicket> {
+    let order = if mechanisms.is_on(Mechanism::LateLast) {
+        QueueOrder::LateLast
+    } else {
+        QueueOrder::EarliestDue
+    };
+    let gate = HostGate::default().order(order);
+    if mechanisms.is_on(Mechanism::WorkLoad) {
+        gate
+    } else {
+        gate.without_route_works()
+    }
+}
+
 impl RoutedNode {
     pub(crate) fn new(settings: RoutedSettings, dialect: Dialect, engine: Arc<Engine>) -> Rc<Self> {
         let mut random = StdRng::from_os_rng();
@@ -162,12 +177,7 @@
         // Its part of the extra repeats is left out: there are few gates to a service,
         // and how many isn't known for sure.
         let at_gate = RetryWindow::new(budget.window, budget.ratio * AT_GATE_RATIO, 0.0);
-        let gate = HostGate::default();
-        let gate = if settings.mechanisms.is_on(Mechanism::WorkLoad) {
-            gate
-        } else {
-            gate.without_route_works()
-        };
+        let gate = gate_by(settings.mechanisms);
         let census = CallerCensus::at(settings.service.clone());
         let follower = StoreFollower::new(Duration::ZERO, random.random());
         let follower = match settings.bounds.revoke {
