--- a/crates/kumquatquay-wire/tests/frames.rs
+++ b/crates/kumquatquay-wire/tests/frames.rs
@@ -1,6 +1,6 @@
 //! Frames of many calls on one link.
 
-use kumquatquay_wire::routed::{FrameHead, FrameReader, encode_frame};
+use kumquatquay_wire::routed::{FrameHead, FrameReader, RouteNews, ServiceDemand, encode_frame};
 use quickcheck::quickcheck;
 
 fn cancel(number: u64) -> FrameHead {
@@ -23,6 +23,23 @@
     assert!(reader.buffer().capacity() <= 32 * 1024);
 }
 
+/// News of a route goes over a link twice a second for each route that is called there.
+#[test]
+fn news_of_a_route_is_short() {
+    let demand = |number: u32| ServiceDemand {
+        service: format!("timet-{number}"),
+        calls: 8.0,
+        work_us: 440_000,
+    };
+    let news = RouteNews {
+        is_from_outside: true,
+        is_settled: true,
+        leads_to: (0..4).map(demand).collect(),
+    };
+    let bytes = postcard::to_allocvec(&news).unwrap();
+    assert!(bytes.len() <= 64 + 4, "{}", bytes.len());
+}
+
 quickcheck! {
     /// However the bytes of a link are cut, the same frames come out in order.
     fn frames_come_out_whole(bodies: Vec<Vec<u8>>, cuts: Vec<u8>) -> bool {
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -375,6 +375,11 @@
             node.learnt.tell(now, route, &call.service, news);
         } else {
             node.decisions.count("news", "senseless");
+            if node.decisions.has_line(now) {
+                log::warn!(event = "news_senseless", route = route.as_str(),
+                    service = call.service.as_str(), gate:% = gate;
+                    "what a node tells of a route can't be; it is passed over");
+            }
         }
     }
     for pressure in &answer.pressures {
