Send header fields as one block; read and write links in shared buffers

Header fields went over links as a text for each name and each value: at the entry they were copied out of the HTTP library's map, copied into the head of the call, encoded, decoded into as many texts, and copied into a map, and all that once more for the answer. A third of what a node allocates stood there. Now a frame has a part of its own for them, one block that is made once and sent as it is; values are parts of the block. The texts of a call's head are borrowed from the call on one side and from the frame on the other. What a frame brings is copied once, so that a short call doesn't keep a whole read buffer.

Links read into one buffer and write from a few, all of the node's: before, each held its own, and the buffer for writing was allocated anew for each batch.

--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -1,40 +1,32 @@
 //! Frames on a link between two nodes.
 
-use std::net::SocketAddr;
+use std::{borrow::Cow, net::SocketAddr};
 
+use bytes::Bytes;
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use super::{
-    FollowState, GateReport, Priority, QuotaVerdict, RouteNews, ServicePressure, SliceSets,
+    Fields, FollowState, GateReport, Priority, QuotaVerdict, RouteNews, ServicePressure, SliceSets,
     WorkspaceName,
 };
-use crate::{BackendLife, ServiceName, WireError};
+use crate::{BackendLife, WireError};
 
 /// Names a call on one link, in the direction from the node that sent it.
 pub type CallNumber = u64;
 
-/// A header field: its name and its value.
-pub type HeaderField = (String, Vec<u8>);
-
-/// Bytes of the two lengths that begin a frame.
-const LENGTHS_BYTES: usize = 8;
+/// Bytes of the three lengths that begin a frame.
+const LENGTHS_BYTES: usize = 12;
 
 /// The longest frame, in bytes; a body may take nearly all of it.
 const FRAME_LIMIT_BYTES: usize = 80 * 1024 * 1024;
 
-/// Bytes of a link's buffer that are kept while nothing waits in it.
-///
-/// A node keeps two links to each peer in each direction. Each buffer grows to the
-/// longest body that it ever carried; kept, 240 of them hold up to 100 MB, and a host
-/// gives its node 160.
-const KEPT_BYTES: usize = 32 * 1024;
-
-/// What a frame says; a body may follow it.
+/// What a frame says; header fields and a body may follow it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum FrameHead {
-    /// A call; its request body follows.
-    Call(CallHead),
+pub enum FrameHead<'a> {
+    /// A call; its header fields and its request body follow.
+    #[serde(borrow)]
+    Call(CallHead<'a>),
     /// The caller has left or the time is over: the answer is not wanted.
     Cancel {
         /// The call.
@@ -51,7 +43,7 @@
         /// The call.
         number: CallNumber,
     },
-    /// The answer to a call; its response body follows.
+    /// The answer to a call; its header fields and its response body follow.
     Answer(AnswerHead),
     /// Asks for a [`FrameHead::Pong`], which shows that the link still works.
     Ping {
@@ -112,23 +104,26 @@
     Configuration,
 }
 
-/// A call, without its body.
+/// A call, without its header fields and its body.
+///
+/// Its texts lie where the sender and the receiver hold them anyway: each call has one, and as
+/// texts of their own they would be allocated and freed four times a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CallHead {
+pub struct CallHead<'a> {
     /// Names the call in its answer.
     pub number: CallNumber,
     /// Name of its route.
-    pub route: String,
+    pub route: &'a str,
     /// Service that is to run it.
-    pub service: ServiceName,
+    pub service: &'a str,
     /// Life of the backend server that is meant.
-    pub life: Option<BackendLife>,
+    pub life: Option<Cow<'a, BackendLife>>,
     /// Service on the host where the call began.
-    pub caller_service: ServiceName,
+    pub caller_service: &'a str,
     /// Workspace that holds the caller's key.
-    pub workspace: Option<WorkspaceName>,
+    pub workspace: Option<&'a str>,
     /// The id that the caller gave it.
-    pub attempt: String,
+    pub attempt: &'a str,
     /// Rank of its route.
     pub priority: Priority,
     /// Rank of the route on which the whole request came in; that of this route if it isn't
@@ -150,14 +145,12 @@
     /// How far the sender follows the configuration.
     pub followed: FollowState,
     /// Request method.
-    pub method: String,
+    pub method: &'a str,
     /// Path and query.
-    pub target: String,
-    /// Header fields, without those of one connection.
-    pub headers: Vec<HeaderField>,
+    pub target: &'a str,
 }
 
-/// An answer, without its body.
+/// An answer, without its header fields and its body.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AnswerHead {
     /// The call that it answers.
@@ -175,14 +168,12 @@
 }
 
 /// What became of a call.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LinkOutcome {
     /// The backend server answered in full.
     Answered {
         /// Status of its answer.
         status: u16,
-        /// Header fields of its answer, without those of one connection.
-        headers: Vec<HeaderField>,
     },
     /// The backend server has not begun to run it and never will.
     NotRun(NotRunReason),
@@ -233,65 +224,192 @@
     NoAnswer,
 }
 
+/// What a call or an answer carries beside its head.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Payload {
+    /// Header fields, without those of one connection.
+    pub fields: Fields,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Payload {
+    /// A body without header fields.
+    pub fn of_body(body: impl Into<Bytes>) -> Self {
+        Self {
+            fields: Fields::default(),
+            body: body.into(),
+        }
+    }
+}
+
 /// Encodes a frame behind what `out` already holds.
-pub fn encode_frame(head: &FrameHead, body: &[u8], out: &mut Vec<u8>) {
+pub fn encode_frame(head: &FrameHead<'_>, payload: &Payload, out: &mut Vec<u8>) {
     let start = out.len();
     out.extend_from_slice(&[0; LENGTHS_BYTES]);
     let filled = std::mem::take(out);
     *out = postcard::to_extend(head, filled).expect("a wire type always encodes");
     let head_bytes = out.len() - start - LENGTHS_BYTES;
-    out.extend_from_slice(body);
-    let frame_bytes = LENGTHS_BYTES + head_bytes + body.len();
-    out[start..start + 4].copy_from_slice(&(frame_bytes as u32).to_le_bytes());
-    out[start + 4..start + 8].copy_from_slice(&(head_bytes as u32).to_le_bytes());
+    let fields = payload.fields.as_bytes();
+    out.reserve(fields.len() + payload.body.len());
+    out.extend_from_slice(fields);
+    out.extend_from_slice(&payload.body);
+    let frame_bytes = out.len() - start;
+    for (place, length) in [frame_bytes, head_bytes, fields.len()]
+        .into_iter()
+        .enumerate()
+    {
+        let place = start + 4 * place;
+        out[place..place + 4].copy_from_slice(&(length as u32).to_le_bytes());
+    }
 }
 
-/// Takes frames out of the bytes of a link.
-#[derive(Debug, Default)]
-pub struct FrameReader {
-    bytes: Vec<u8>,
-    read: usize,
+/// A frame where it lies in the bytes of a link.
+#[derive(Clone, Copy, Debug)]
+pub struct Frame<'a> {
+    /// Head, header fields and body.
+    bytes: &'a [u8],
+    head_bytes: usize,
+    fields_bytes: usize,
 }
 
-impl FrameReader {
-    /// Room for more bytes of the link; what is read goes to its end.
-    pub fn buffer(&mut self) -> &mut Vec<u8> {
-        if self.read > 0 {
-            self.bytes.drain(..self.read);
-            self.read = 0;
+impl<'a> Frame<'a> {
+    /// The frame with which these bytes begin, if all of it is there, and its length.
+    fn first_of(bytes: &'a [u8]) -> Result<Option<(Self, usize)>, WireError> {
+        let lengths = [0, 4, 8].map(|place| length_at(bytes, place));
+        let [Some(frame_bytes), Some(head_bytes), Some(fields_bytes)] = lengths else {
+            return Ok(None);
+        };
+        if frame_bytes > FRAME_LIMIT_BYTES {
+            return Err(WireError::TooLong);
         }
-        if self.bytes.is_empty() && self.bytes.capacity() > KEPT_BYTES {
-            self.bytes = Vec::new();
+        let fields_end = LENGTHS_BYTES
+            .checked_add(head_bytes)
+            .and_then(|head_end| head_end.checked_add(fields_bytes));
+        if fields_end.is_none_or(|fields_end| fields_end > frame_bytes) {
+            return Err(WireError::Malformed);
         }
-        &mut self.bytes
+        let frame = bytes.get(LENGTHS_BYTES..frame_bytes).map(|bytes| Self {
+            bytes,
+            head_bytes,
+            fields_bytes,
+        });
+        Ok(frame.map(|frame| (frame, frame_bytes)))
     }
 
-    /// The next whole frame, if it is there: its head and its body.
+    /// What it says.
     ///
     /// # Errors
     ///
-    /// [`WireError`] if the bytes are no frame; the link can't be used any more.
-    pub fn next_frame(&mut self) -> Result<Option<(FrameHead, Vec<u8>)>, WireError> {
-        let rest = &self.bytes[self.read..];
-        let (Some(frame_bytes), Some(head_bytes)) = (length_at(rest, 0), length_at(rest, 4)) else {
-            return Ok(None);
-        };
-        if frame_bytes > FRAME_LIMIT_BYTES {
-            return Err(WireError::TooLong);
-        }
-        let head_end = LENGTHS_BYTES + head_bytes;
-        if head_end > frame_bytes {
-            return Err(WireError::Malformed);
+    /// [`WireError`] if that can't be read; the link can't be used any more.
+    pub fn head(&self) -> Result<FrameHead<'a>, WireError> {
+        postcard::from_bytes(&self.bytes[..self.head_bytes]).map_err(|_| WireError::Malformed)
+    }
+
+    /// Its body.
+    pub fn body(&self) -> &'a [u8] {
+        &self.bytes[self.head_bytes + self.fields_bytes..]
+    }
+
+    /// What it carries beside its head, in memory of its own.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] if the header fields can't be read; the link can't be used any more.
+    pub fn payload(&self) -> Result<Payload, WireError> {
+        let rest = &self.bytes[self.head_bytes..];
+        payload_of(Bytes::copy_from_slice(rest), self.fields_bytes)
+    }
+
+    /// The whole of it, in memory of its own.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] if the header fields can't be read; the link can't be used any more.
+    pub fn held(&self) -> Result<HeldFrame, WireError> {
+        let mut bytes = Bytes::copy_from_slice(self.bytes);
+        let head = bytes.split_to(self.head_bytes);
+        let payload = payload_of(bytes, self.fields_bytes)?;
+        Ok(HeldFrame { head, payload })
+    }
+}
+
+fn payload_of(mut bytes: Bytes, fields_bytes: usize) -> Result<Payload, WireError> {
+    let fields = Fields::from_bytes(bytes.split_to(fields_bytes))?;
+    let body = bytes;
+    Ok(Payload { fields, body })
+}
+
+/// A frame in memory of its own; one allocation holds all of it.
+#[derive(Clone, Debug)]
+pub struct HeldFrame {
+    head: Bytes,
+    /// What it carries beside its head.
+    pub payload: Payload,
+}
+
+impl HeldFrame {
+    /// What it says.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] if that can't be read.
+    pub fn head(&self) -> Result<FrameHead<'_>, WireError> {
+        postcard::from_bytes(&self.head).map_err(|_| WireError::Malformed)
+    }
+}
+
+/// Takes frames out of the bytes of a link.
+///
+/// It holds no memory while no frame is there in part: a node has hundreds of links.
+#[derive(Debug, Default)]
+pub struct FrameReader {
+    /// The beginning of a frame.
+    rest: Vec<u8>,
+}
+
+impl FrameReader {
+    /// Takes in the next bytes of the link and hands on each frame that is whole by now.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] if the bytes are no frame, or the first one that `take` returned; the link
+    /// can't be used any more.
+    pub fn read(
+        &mut self,
+        bytes: &[u8],
+        mut take: impl FnMut(Frame<'_>) -> Result<(), WireError>,
+    ) -> Result<(), WireError> {
+        if self.rest.is_empty() {
+            let taken_bytes = take_whole(bytes, &mut take)?;
+            self.rest = bytes[taken_bytes..].to_vec();
+            return Ok(());
         }
-        if rest.len() < frame_bytes {
-            return Ok(None);
+        self.rest.extend_from_slice(bytes);
+        let taken_bytes = take_whole(&self.rest, &mut take)?;
+        if taken_bytes > 0 {
+            self.rest = self.rest[taken_bytes..].to_vec();
         }
-        let head = postcard::from_bytes(&rest[LENGTHS_BYTES..head_end]);
-        let head = head.map_err(|_| WireError::Malformed)?;
-        let body = rest[head_end..frame_bytes].to_vec();
-        self.read += frame_bytes;
-        Ok(Some((head, body)))
+        Ok(())
+    }
+
+    /// Bytes of memory that it holds.
+    pub fn held_bytes(&self) -> usize {
+        self.rest.capacity()
+    }
+}
+
+/// Hands on the frames that are whole; the length of all of them.
+fn take_whole(
+    bytes: &[u8],
+    mut take: impl FnMut(Frame<'_>) -> Result<(), WireError>,
+) -> Result<usize, WireError> {
+    let mut taken_bytes = 0;
+    while let Some((frame, frame_bytes)) = Frame::first_of(&bytes[taken_bytes..])? {
+        take(frame)?;
+        taken_bytes += frame_bytes;
     }
+    Ok(taken_bytes)
 }
 
 fn length_at(bytes: &[u8], place: usize) -> Option<usize> {
--- a/crates/kumquatquay-wire/src/routed/mod.rs
+++ b/crates/kumquatquay-wire/src/routed/mod.rs
@@ -1,14 +1,16 @@
 //! What nodes tell each other about calls on configured routes.
 //!
 //! Two nodes keep few links between them, TCP connections that carry frames of
-//! many calls at once. A frame is its length, the length of its head, both as four
-//! bytes, little endian, then the head by `postcard`, then the body as it is:
+//! many calls at once. A frame is its length, the length of its head, that of its header
+//! fields, all as four bytes, little endian, then the head by `postcard`, then the fields
+//! and the body as they are:
 //!
 //! ```text
-//! length: u32 | head length: u32 | head | body
+//! length: u32 | head length: u32 | fields length: u32 | head | fields | body
 //! ```
 
 mod configuration;
+mod fields;
 mod frame;
 mod gate_report;
 mod quota;
@@ -19,9 +21,10 @@
     CallerLimits, Destination, FollowState, HostRoutes, Priority, Repeat, RouteConfiguration,
     RouteSettings, RouteVersion, ServiceSettings, StoreEra,
 };
+pub use fields::{Field, Fields};
 pub use frame::{
-    AnswerHead, CallHead, CallNumber, FrameHead, FrameReader, HeaderField, LinkOutcome,
-    NotRunReason, UnknownReason, encode_frame,
+    AnswerHead, CallHead, CallNumber, Frame, FrameHead, FrameReader, HeldFrame, LinkOutcome,
+    NotRunReason, Payload, UnknownReason, encode_frame,
 };
 pub use gate_report::GateReport;
 pub use quota::{HALVES_COUNT, QuotaVerdict, SLICES_COUNT, SliceSets};
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -1,13 +1,12 @@
 //! Carries a call from its entry to a backend server.
 
-use std::{cell::Cell, net::SocketAddr, pin::pin, rc::Rc, sync::Arc, time::Duration};
+use std::{borrow::Cow, cell::Cell, net::SocketAddr, pin::pin, rc::Rc, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use kumquatquay_core::routed::{Choice, Mechanism, TableRoute, TargetEnded};
 use kumquatquay_wire::{
     ServiceName,
     routed::{
-        CallHead, HeaderField, LinkOutcome, NotRunReason, Priority, Repeat, RouteVersion,
+        CallHead, LinkOutcome, NotRunReason, Payload, Priority, Repeat, RouteVersion,
         UnknownReason, WorkspaceSettings,
     },
 };
@@ -53,8 +52,7 @@
     pub(crate) deadline: Duration,
     pub(crate) method: String,
     pub(crate) target: String,
-    pub(crate) headers: Vec<HeaderField>,
-    pub(crate) body: Bytes,
+    pub(crate) payload: Payload,
     /// How far it has come; also told of a call whose time ran out on the way.
     pub(crate) progress: Cell<Progress>,
     /// Whether a backend server may have it.
@@ -277,7 +275,7 @@
     if choice.peer == node.links_address() {
         return std::future::pending().await;
     }
-    silence_of(node, choice.peer, call.body.len()).await;
+    silence_of(node, choice.peer, call.payload.body.len()).await;
 }
 
 fn choose(node: &RoutedNode, call: &OutgoingCall, asked: &[SocketAddr]) -> Option<Choice> {
@@ -349,16 +347,16 @@
     let mut head = head_of(node, call, choice);
     head.accepts_failing = accepts_failing;
     if choice.peer != node.links_address() {
-        return send_call(node, choice.peer, head, &call.body, &call.handed_over).await;
+        return send_call(node, choice.peer, head, &call.payload, &call.handed_over).await;
     }
     let confirmed = async {
         call.handed_over.set();
         true
     };
     let never = std::future::pending();
-    let mut answer = run_here(node, &head, call.body.clone(), confirmed, never).await;
+    let mut answer = run_here(node, &head, &call.payload, confirmed, never).await;
     answer.report = Some(node.gate_report());
-    answer.news = Some(node.route_news(&head.route));
+    answer.news = Some(node.route_news(head.route));
     answer
 }
 
@@ -406,7 +404,7 @@
     }
 }
 
-fn head_of(node: &RoutedNode, call: &OutgoingCall, choice: &Choice) -> CallHead {
+fn head_of<'a>(node: &'a RoutedNode, call: &'a OutgoingCall, choice: &'a Choice) -> CallHead<'a> {
     let settings = &call.route.settings;
     let time_left = call.deadline.saturating_sub(node.now() + ANSWER_TIME);
     let levels = node.levels.borrow();
@@ -414,15 +412,15 @@
     let level = level.map_or(1.0, |(level, _)| level);
     CallHead {
         number: 0,
-        route: settings.name.clone(),
-        service: call.service.clone(),
-        life: choice.life.clone(),
-        caller_service: node.settings.service.clone(),
+        route: &settings.name,
+        service: &call.service,
+        life: choice.life.as_ref().map(Cow::Borrowed),
+        caller_service: &node.settings.service,
         workspace: call
             .workspace
             .as_ref()
-            .map(|workspace| workspace.name.clone()),
-        attempt: call.attempt.clone(),
+            .map(|workspace| workspace.name.as_str()),
+        attempt: &call.attempt,
         priority: call.priority(),
         whole_priority: call.whole_priority.get(),
         target_latency_ms: settings.target_latency.as_millis() as u64,
@@ -432,8 +430,7 @@
         needs_commit: settings.repeat == Repeat::AtMostOnce && node.is_on(Mechanism::Commit),
         remaining_ms: time_left.as_millis() as u64,
         followed: node.follow_state(),
-        method: call.method.clone(),
-        target: call.target.clone(),
-        headers: call.headers.clone(),
+        method: &call.method,
+        target: &call.target,
     }
 }
--- a/crates/kumquatquayd/src/routed/configuration_exchange.rs
+++ b/crates/kumquatquayd/src/routed/configuration_exchange.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kumquatquay_core::routed::ToldProof;
-use kumquatquay_wire::routed::{FollowState, FrameHead};
+use kumquatquay_wire::routed::{FollowState, FrameHead, Payload};
 
 use super::{link_frames::FrameWriter, node::RoutedNode};
 
@@ -23,7 +23,7 @@
     drop(follower);
     node.on_era_news(news, era, "node");
     if followed.version > node.route_version() && node.may_ask_configuration() {
-        frames.push(&FrameHead::ConfigurationAsk, &[]);
+        frames.push(&FrameHead::ConfigurationAsk);
     }
 }
 
@@ -52,7 +52,7 @@
 }
 
 /// A question how far another node follows.
-pub(crate) fn ping(node: &RoutedNode) -> FrameHead {
+pub(crate) fn ping(node: &RoutedNode) -> FrameHead<'static> {
     FrameHead::Ping {
         followed: node.follow_state(),
         asked_ms: node.unsuspended().as_millis() as u64,
@@ -74,5 +74,5 @@
         return;
     };
     let bytes = postcard::to_stdvec(configuration).expect("a wire type always encodes");
-    frames.push(&FrameHead::Configuration, &bytes);
+    frames.push_with(&FrameHead::Configuration, &Payload::of_body(bytes));
 }
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use kumquatquay_core::routed::{EntryRequest, Mechanism, ReturnTime, TableRoute, whole_rank};
 use kumquatquay_wire::routed::{
-    LinkOutcome, NotRunReason, RouteSettings, UnknownReason, WorkspaceSettings,
+    LinkOutcome, NotRunReason, Payload, RouteSettings, UnknownReason, WorkspaceSettings,
 };
 use rand::Rng;
 
@@ -112,8 +112,10 @@
         attempt: marks.attempt.unwrap_or_default(),
         method: String::from(parts.method.as_str()),
         target: target_of(&parts),
-        headers: fields_of(&parts.headers),
-        body,
+        payload: Payload {
+            fields: fields_of(&parts.headers),
+            body,
+        },
         route,
         progress: Cell::new(Progress::default()),
         handed_over: HandedOver::default(),
@@ -297,16 +299,16 @@
     began: Duration,
 ) -> Response<WholeBody> {
     match &answer.outcome {
-        LinkOutcome::Answered { status, headers } => {
+        LinkOutcome::Answered { status } => {
             let latency = node.now().saturating_sub(began);
             node.decisions.served(latency);
             if node.decisions.samples_served(node.now()) {
                 log_ended(node, call, &answer, "served", began);
             }
-            let mut response = Response::new(Full::new(answer.body));
+            let mut response = Response::new(Full::new(answer.payload.body));
             *response.status_mut() =
                 StatusCode::from_u16(*status).unwrap_or(StatusCode::BAD_GATEWAY);
-            *response.headers_mut() = headers_of(headers);
+            *response.headers_mut() = headers_of(&answer.payload.fields);
             response
         }
         LinkOutcome::NotRun(reason) => {
--- a/crates/kumquatquayd/src/routed/http_io.rs
+++ b/crates/kumquatquayd/src/routed/http_io.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use kumquatquay_wire::routed::HeaderField;
+use kumquatquay_wire::routed::Fields;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::node::{RoutedNode, StopPhase};
@@ -103,21 +103,22 @@
 }
 
 /// The fields of a message that concern more than its connection.
-pub(crate) fn fields_of(headers: &HeaderMap) -> Vec<HeaderField> {
+pub(crate) fn fields_of(headers: &HeaderMap) -> Fields {
     let options = connection_options(headers);
-    let kept = headers
-        .iter()
-        .filter(|(name, _)| !is_for_connection(name, &options) && !REWRITTEN_FIELDS.contains(name));
-    let kept = kept.map(|(name, value)| (String::from(name.as_str()), value.as_bytes().to_vec()));
-    kept.collect()
+    let is_kept =
+        |name: &HeaderName| !is_for_connection(name, &options) && !REWRITTEN_FIELDS.contains(name);
+    Fields::new(|| {
+        let kept = headers.iter().filter(|(name, _)| is_kept(name));
+        kept.map(|(name, value)| (name.as_str(), value.as_bytes()))
+    })
 }
 
 /// Fields as the HTTP library holds them; ones that it can't hold are left out.
-pub(crate) fn headers_of(fields: &[HeaderField]) -> HeaderMap {
-    let mut headers = HeaderMap::with_capacity(fields.len() + 4);
-    for (name, value) in fields {
-        let name = HeaderName::from_bytes(name.as_bytes());
-        let value = HeaderValue::from_bytes(value);
+pub(crate) fn headers_of(fields: &Fields) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(fields.count() + 4);
+    for field in fields.iter() {
+        let name = HeaderName::from_bytes(field.name);
+        let value = HeaderValue::from_maybe_shared(field.value);
         if let (Ok(name), Ok(value)) = (name, value) {
             headers.append(name, value);
         }
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -9,13 +9,15 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use kumquatquay_core::{
     quota::Loan,
     routed::{LinkHealth, LinkStep, Mechanism},
 };
-use kumquatquay_wire::routed::{
-    AnswerHead, CallHead, CallNumber, FrameHead, NotRunReason, UnknownReason,
+use kumquatquay_wire::{
+    WireError,
+    routed::{
+        AnswerHead, CallHead, CallNumber, Frame, FrameHead, NotRunReason, Payload, UnknownReason,
+    },
 };
 use tokio::{
     net::TcpStream,
@@ -109,11 +111,11 @@
 pub(crate) async fn send_call(
     node: &Rc<RoutedNode>,
     peer: SocketAddr,
-    mut call: CallHead,
-    body: &Bytes,
+    mut call: CallHead<'_>,
+    payload: &Payload,
     handed_over: &HandedOver,
 ) -> LinkAnswer {
-    let link = link_to(node, peer, body.len());
+    let link = link_to(node, peer, payload.body.len());
     if !link.frames.has_room() {
         return LinkAnswer::not_run(NotRunReason::Unsent);
     }
@@ -126,7 +128,7 @@
     let (sender, mut receiver) = oneshot::channel();
     let now = node.now();
     let asked = node.unsuspended_at_most(now);
-    let end_bytes = link.frames.push(&FrameHead::Call(call), body);
+    let end_bytes = link.frames.push_with(&FrameHead::Call(call), payload);
     let pending = Pending {
         answer: sender,
         asked,
@@ -177,7 +179,7 @@
         let number = self.number;
         let is_open = self.link.pending.borrow_mut().remove(&number).is_some();
         if is_open {
-            self.link.frames.push(&FrameHead::Cancel { number }, &[]);
+            self.link.frames.push(&FrameHead::Cancel { number });
         }
     }
 }
@@ -247,7 +249,7 @@
     let stream = connect.await.map_err(|_| io::ErrorKind::TimedOut)??;
     stream.set_nodelay(true)?;
     let (read, write) = stream.into_split();
-    let take = |head, body| on_frame(node, link, head, body);
+    let take = |frame: Frame<'_>| on_frame(node, link, &frame);
     tokio::select! {
         read = read_frames(read, take) => read,
         written = link.frames.run(write) => written,
@@ -255,16 +257,16 @@
     }
 }
 
-fn on_frame(node: &Rc<RoutedNode>, link: &Rc<Link>, head: FrameHead, body: Vec<u8>) {
-    match head {
-        FrameHead::Answer(answer) => on_answer(node, link, answer, body),
+fn on_frame(node: &Rc<RoutedNode>, link: &Rc<Link>, frame: &Frame<'_>) -> Result<(), WireError> {
+    match frame.head()? {
+        FrameHead::Answer(answer) => on_answer(node, link, answer, frame.payload()?),
         FrameHead::Granted { number } => on_granted(link, number),
         FrameHead::Pong { followed, asked_ms } => {
             let asked = Duration::from_millis(asked_ms);
             on_follow_answer(node, &link.frames, followed, asked);
         }
         FrameHead::Ping { followed, .. } => on_followed(node, &link.frames, followed),
-        FrameHead::Configuration => on_configuration(node, &body),
+        FrameHead::Configuration => on_configuration(node, frame.body()),
         FrameHead::ConfigurationAsk => tell_configuration(node, &link.frames),
         FrameHead::Loan {
             lender,
@@ -290,6 +292,7 @@
         }
     }
     on_sign_of_life(node, link);
+    Ok(())
 }
 
 fn on_sign_of_life(node: &RoutedNode, link: &Link) {
@@ -311,7 +314,7 @@
     if let Some(pending) = link.pending.borrow_mut().get_mut(&number) {
         pending.needs_commit = false;
         pending.handed_over.set();
-        pending.end_bytes = link.frames.push(&FrameHead::Commit { number }, &[]);
+        pending.end_bytes = link.frames.push(&FrameHead::Commit { number });
     }
 }
 
@@ -337,12 +340,12 @@
 async fn answers(node: &Rc<RoutedNode>, peer: SocketAddr) -> bool {
     let link = link_to(node, peer, 0);
     let news = link.news.notified();
-    link.frames.push(&ping(node), &[]);
+    link.frames.push(&ping(node));
     let _ = tokio::time::timeout(CONNECT_TIMEOUT, news).await;
     link.has_heard.get() && !*link.is_silent.borrow()
 }
 
-fn on_answer(node: &RoutedNode, link: &Link, answer: AnswerHead, body: Vec<u8>) {
+fn on_answer(node: &RoutedNode, link: &Link, answer: AnswerHead, payload: Payload) {
     let pending = link.pending.borrow_mut().remove(&answer.number);
     match &pending {
         Some(pending) => {
@@ -354,7 +357,7 @@
     if let Some(pending) = pending {
         let _ = pending.answer.send(LinkAnswer {
             outcome: answer.outcome,
-            body: Bytes::from(body),
+            payload,
             report: Some(answer.report),
             news: answer.news,
             pressures: answer.pressures,
@@ -365,21 +368,21 @@
 /// Asks another node for a sign of life, which tells how far it follows the configuration.
 pub(crate) fn ask_sign_of_life(node: &Rc<RoutedNode>, peer: SocketAddr) {
     let link = link_to(node, peer, 0);
-    link.frames.push(&ping(node), &[]);
+    link.frames.push(&ping(node));
 }
 
 /// Sends a frame that isn't a call to another node.
-pub(crate) fn send_frame(node: &Rc<RoutedNode>, peer: SocketAddr, head: &FrameHead) {
+pub(crate) fn send_frame(node: &Rc<RoutedNode>, peer: SocketAddr, head: &FrameHead<'_>) {
     let link = link_to(node, peer, 0);
     if link.frames.has_room() {
-        link.frames.push(head, &[]);
+        link.frames.push(head);
     }
 }
 
 /// Asks another node for its configuration.
 pub(crate) fn ask_configuration(node: &Rc<RoutedNode>, peer: SocketAddr) {
     let link = link_to(node, peer, 0);
-    link.frames.push(&FrameHead::ConfigurationAsk, &[]);
+    link.frames.push(&FrameHead::ConfigurationAsk);
 }
 
 /// Asks quiet peers for a sign of life and gives silent links up.
@@ -399,7 +402,7 @@
     match health.look(node.now(), WATCH_INTERVAL, is_waited_for) {
         LinkStep::Keep => {}
         LinkStep::Ask => {
-            link.frames.push(&ping(node), &[]);
+            link.frames.push(&ping(node));
         }
         LinkStep::Avoid if !node.is_on(Mechanism::SilentLinks) => {}
         LinkStep::Avoid => {
--- a/crates/kumquatquayd/src/routed/link_answer.rs
+++ b/crates/kumquatquayd/src/routed/link_answer.rs
@@ -2,9 +2,8 @@
 
 use std::{cell::Cell, rc::Rc};
 
-use bytes::Bytes;
 use kumquatquay_wire::routed::{
-    GateReport, LinkOutcome, NotRunReason, RouteNews, ServicePressure, UnknownReason,
+    GateReport, LinkOutcome, NotRunReason, Payload, RouteNews, ServicePressure, UnknownReason,
 };
 
 /// Whether a call may have been handed to a backend server. While it may not, its caller
@@ -31,7 +30,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct LinkAnswer {
     pub(crate) outcome: LinkOutcome,
-    pub(crate) body: Bytes,
+    pub(crate) payload: Payload,
     pub(crate) report: Option<GateReport>,
     pub(crate) news: Option<RouteNews>,
     pub(crate) pressures: Vec<ServicePressure>,
@@ -48,13 +47,13 @@
 
     /// Whether the call was answered with a success.
     pub(crate) fn is_success(&self) -> bool {
-        matches!(self.outcome, LinkOutcome::Answered { status, .. } if status < 400)
+        matches!(self.outcome, LinkOutcome::Answered { status } if status < 400)
     }
 
     /// Whether a backend server ran the call and brought nothing of use.
     pub(crate) fn is_failed_run(&self) -> bool {
         match self.outcome {
-            LinkOutcome::Answered { status, .. } => status >= 500,
+            LinkOutcome::Answered { status } => status >= 500,
             LinkOutcome::Unknown(_) => true,
             LinkOutcome::NotRun(_) => false,
         }
@@ -76,7 +75,7 @@
     fn without_body(outcome: LinkOutcome) -> Self {
         Self {
             outcome,
-            body: Bytes::new(),
+            payload: Payload::default(),
             report: None,
             news: None,
             pressures: Vec::new(),
--- a/crates/kumquatquayd/src/routed/link_frames.rs
+++ b/crates/kumquatquayd/src/routed/link_frames.rs
@@ -2,16 +2,24 @@
 
 use std::{
     cell::{Cell, RefCell},
+    future::poll_fn,
     io,
+    pin::Pin,
+    task::{Context, Poll, ready},
 };
 
-use kumquatquay_wire::routed::{FrameHead, FrameReader, encode_frame};
+use kumquatquay_wire::{
+    WireError,
+    routed::{Frame, FrameHead, FrameReader, Payload, encode_frame},
+};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncRead, AsyncWriteExt, ReadBuf},
     net::tcp::{OwnedReadHalf, OwnedWriteHalf},
     sync::Notify,
 };
 
+use super::spare_buffers::{give_back_buffer, take_buffer, with_read_buffer};
+
 /// Bytes that may wait for a peer that doesn't read; no call is added beyond.
 const UNWRITTEN_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 
@@ -19,9 +27,6 @@
 /// 200 Mbit/s they take 40 ms.
 const UNWRITTEN_ANSWERS_LIMIT_BYTES: usize = 1024 * 1024;
 
-/// Bytes read at once: a few frames of calls. Each link holds so much.
-const READ_BYTES: usize = 16 * 1024;
-
 /// Frames on their way into a connection.
 #[derive(Debug, Default)]
 pub(crate) struct FrameWriter {
@@ -33,11 +38,19 @@
 }
 
 impl FrameWriter {
+    /// Queues a frame that is a head alone; the count of the connection's bytes up to its end.
+    pub(crate) fn push(&self, head: &FrameHead<'_>) -> u64 {
+        self.push_with(head, &Payload::default())
+    }
+
     /// Queues a frame; the count of the connection's bytes up to its end.
-    pub(crate) fn push(&self, head: &FrameHead, body: &[u8]) -> u64 {
+    pub(crate) fn push_with(&self, head: &FrameHead<'_>, payload: &Payload) -> u64 {
         let mut unwritten = self.unwritten.borrow_mut();
+        if unwritten.capacity() == 0 {
+            *unwritten = take_buffer();
+        }
         let before = unwritten.len();
-        encode_frame(head, body, &mut unwritten);
+        encode_frame(head, payload, &mut unwritten);
         let added = (unwritten.len() - before) as u64;
         self.queued_bytes.set(self.queued_bytes.get() + added);
         self.wake.notify_one();
@@ -82,6 +95,7 @@
                     .set(self.written_bytes.get() + written as u64);
                 rest = &rest[written..];
             }
+            give_back_buffer(chunk);
         }
     }
 }
@@ -89,17 +103,27 @@
 /// Reads frames and hands each on, until the connection ends or breaks.
 pub(crate) async fn read_frames(
     mut connection: OwnedReadHalf,
-    mut take: impl FnMut(FrameHead, Vec<u8>),
+    mut take: impl FnMut(Frame<'_>) -> Result<(), WireError>,
 ) -> io::Result<()> {
     let mut reader = FrameReader::default();
-    loop {
-        let buffer = reader.buffer();
-        buffer.reserve(READ_BYTES);
-        if connection.read_buf(buffer).await? == 0 {
-            return Ok(());
-        }
-        while let Some((head, body)) = reader.next_frame().map_err(io::Error::other)? {
-            take(head, body);
-        }
-    }
+    let mut read =
+        |context: &mut Context<'_>| read_some(context, &mut connection, &mut reader, &mut take);
+    while poll_fn(&mut read).await? > 0 {}
+    Ok(())
+}
+
+/// Reads what is there and hands on the frames that are whole by that; the bytes that were read.
+fn read_some(
+    context: &mut Context<'_>,
+    connection: &mut OwnedReadHalf,
+    reader: &mut FrameReader,
+    take: impl FnMut(Frame<'_>) -> Result<(), WireError>,
+) -> Poll<io::Result<usize>> {
+    with_read_buffer(|buffer| {
+        let mut buffer = ReadBuf::new(buffer);
+        ready!(Pin::new(connection).poll_read(context, &mut buffer))?;
+        let bytes = buffer.filled();
+        reader.read(bytes, take).map_err(io::Error::other)?;
+        Poll::Ready(Ok(bytes.len()))
+    })
 }
--- a/crates/kumquatquayd/src/routed/link_server.rs
+++ b/crates/kumquatquayd/src/routed/link_server.rs
@@ -7,10 +7,12 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use kumquatquay_wire::routed::{
-    AnswerHead, CallHead, CallNumber, FollowState, FrameHead, NotRunReason, RouteNews,
-    ServicePressure,
+use kumquatquay_wire::{
+    WireError,
+    routed::{
+        AnswerHead, CallNumber, FollowState, Frame, FrameHead, HeldFrame, NotRunReason, RouteNews,
+        ServicePressure,
+    },
 };
 use tokio::{net::TcpStream, sync::oneshot};
 
@@ -131,7 +133,7 @@
 pub(crate) async fn serve_link(node: Rc<RoutedNode>, stream: TcpStream) {
     let link = Rc::new(ServedLink::default());
     let (read, write) = stream.into_split();
-    let take = |head, body| on_frame(&node, &link, head, body);
+    let take = |frame: Frame<'_>| on_frame(&node, &link, &frame);
     let ended = tokio::select! {
         read = read_frames(read, take) => read,
         written = link.frames.run(write) => written,
@@ -142,9 +144,23 @@
     link.open.borrow_mut().clear();
 }
 
-fn on_frame(node: &Rc<RoutedNode>, link: &Rc<ServedLink>, head: FrameHead, body: Vec<u8>) {
-    match head {
-        FrameHead::Call(call) => on_call(node, link, call, body),
+fn on_frame(
+    node: &Rc<RoutedNode>,
+    link: &Rc<ServedLink>,
+    frame: &Frame<'_>,
+) -> Result<(), WireError> {
+    match frame.head()? {
+        FrameHead::Call(call) => {
+            on_followed(node, &link.frames, call.followed);
+            if link.frames.takes_answers() {
+                on_call(node, link, call.number, frame.held()?);
+            } else {
+                // Answers wait in memory for a peer that doesn't read.
+                node.decisions.count("link", "unread_answers");
+                let refusal = LinkAnswer::not_run(NotRunReason::Full);
+                tell_answer(node, link, call.number, call.route, &refusal);
+            }
+        }
         FrameHead::Cancel { number } => {
             link.open.borrow_mut().remove(&number);
         }
@@ -159,23 +175,22 @@
         FrameHead::Ping { followed, asked_ms } => {
             on_followed(node, &link.frames, followed);
             let followed = node.follow_answer();
-            link.frames
-                .push(&FrameHead::Pong { followed, asked_ms }, &[]);
+            link.frames.push(&FrameHead::Pong { followed, asked_ms });
         }
         FrameHead::ConfigurationAsk => tell_configuration(node, &link.frames),
-        FrameHead::Configuration => on_configuration(node, &body),
+        FrameHead::Configuration => on_configuration(node, frame.body()),
         FrameHead::LoanAsk {
             keeper,
             wanted,
             asked_ms,
         } => {
             let loan = lend(node, keeper, wanted, asked_ms);
-            link.frames.push(&loan, &[]);
+            link.frames.push(&loan);
         }
         FrameHead::QuotaAsk { number, workspace } => {
             let verdict = take_here(node, &workspace);
             link.frames
-                .push(&FrameHead::QuotaAnswer { number, verdict }, &[]);
+                .push(&FrameHead::QuotaAnswer { number, verdict });
         }
         FrameHead::QuotaReturn { workspace } => give_back_here(node, &workspace),
         FrameHead::Pong { .. }
@@ -184,34 +199,29 @@
         | FrameHead::Loan { .. }
         | FrameHead::QuotaAnswer { .. } => {}
     }
+    Ok(())
 }
 
-fn on_call(node: &Rc<RoutedNode>, link: &Rc<ServedLink>, call: CallHead, body: Vec<u8>) {
-    on_followed(node, &link.frames, call.followed);
-    if !link.frames.takes_answers() {
-        // Answers wait in memory for a peer that doesn't read.
-        node.decisions.count("link", "unread_answers");
-        let refusal = LinkAnswer::not_run(NotRunReason::Full);
-        tell_answer(node, link, call.number, &call.route, &refusal);
-        return;
-    }
+fn on_call(node: &Rc<RoutedNode>, link: &Rc<ServedLink>, number: CallNumber, frame: HeldFrame) {
     let (cancel, cancelled) = oneshot::channel();
     let (commit, committed) = oneshot::channel();
     let open = OpenCall {
         _cancel: cancel,
         commit: Some(commit),
     };
-    link.open.borrow_mut().insert(call.number, open);
+    link.open.borrow_mut().insert(number, open);
     let node = Rc::clone(node);
     let link = Rc::clone(link);
     let tasks = node.tasks.clone();
     tasks.spawn_local(async move {
-        let number = call.number;
-        let route = call.route.clone();
+        // It was read as a call just now.
+        let Ok(FrameHead::Call(call)) = frame.head() else {
+            return;
+        };
         let needs_commit = call.needs_commit;
         let confirmed = async {
             !needs_commit || {
-                link.frames.push(&FrameHead::Granted { number }, &[]);
+                link.frames.push(&FrameHead::Granted { number });
                 let committed = tokio::time::timeout(COMMIT_PATIENCE, committed);
                 matches!(committed.await, Ok(Ok(())))
             }
@@ -220,10 +230,10 @@
             // The sender is only ever dropped, which says that the call is cancelled.
             let _ = cancelled.await;
         };
-        let answer = run_here(&node, &call, Bytes::from(body), confirmed, cancelled).await;
+        let answer = run_here(&node, &call, &frame.payload, confirmed, cancelled).await;
         let is_wanted = link.open.borrow_mut().remove(&number).is_some();
         if is_wanted {
-            tell_answer(&node, &link, number, &route, &answer);
+            tell_answer(&node, &link, number, call.route, &answer);
         }
     });
 }
@@ -237,11 +247,11 @@
 ) {
     let head = FrameHead::Answer(AnswerHead {
         number,
-        outcome: answer.outcome.clone(),
+        outcome: answer.outcome,
         report: node.gate_report(),
         followed: link.followed(node),
         news: link.news(node, route),
         pressures: link.pressures(node, route),
     });
-    link.frames.push(&head, &answer.body);
+    link.frames.push_with(&head, &answer.payload);
 }
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -39,6 +39,7 @@
 mod routes_watch;
 mod run_here;
 mod settings;
+mod spare_buffers;
 mod start;
 mod store_return;
 
--- a/crates/kumquatquayd/src/routed/quotas.rs
+++ b/crates/kumquatquayd/src/routed/quotas.rs
@@ -277,7 +277,7 @@
     keeper: SocketAddr,
     wanted: SliceSets,
     asked_ms: u64,
-) -> FrameHead {
+) -> FrameHead<'static> {
     let granted = lend_parts(node, keeper, wanted);
     FrameHead::Loan {
         lender: node.settings.listen.control,
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -2,13 +2,12 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use http::{Method, Request, Uri};
 use http_body_util::Full;
 use kumquatquay_core::routed::{
     Admission, GateCall, Mechanism, RouteRun, RunNumber, TurnedAwayCall, WaitKey,
 };
-use kumquatquay_wire::routed::{CallHead, LinkOutcome, NotRunReason, UnknownReason};
+use kumquatquay_wire::routed::{CallHead, LinkOutcome, NotRunReason, Payload, UnknownReason};
 use tokio::sync::oneshot;
 
 use super::{
@@ -29,7 +28,8 @@
 
 /// A call and the moment at which its time is over.
 struct Timed<'a> {
-    call: &'a CallHead,
+    call: &'a CallHead<'a>,
+    payload: &'a Payload,
     due: Duration,
     deadline: Duration,
 }
@@ -53,8 +53,8 @@
 /// it may run again; one that may not is let run to its end.
 pub(crate) async fn run_here(
     node: &Rc<RoutedNode>,
-    call: &CallHead,
-    body: Bytes,
+    call: &CallHead<'_>,
+    payload: &Payload,
     confirmed: impl Future<Output = bool>,
     cancelled: impl Future<Output = ()>,
 ) -> LinkAnswer {
@@ -65,10 +65,11 @@
     node.level.borrow_mut().arrived(heard, work);
     node.census
         .borrow_mut()
-        .called(now, &call.route, &call.caller_service);
+        .called(now, call.route, call.caller_service);
     let due = now + Duration::from_millis(call.target_latency_ms);
     let timed = Timed {
         call,
+        payload,
         due,
         deadline,
     };
@@ -83,11 +84,11 @@
     };
     if call.is_idempotent {
         tokio::select! {
-            answer = hand_over(node, &timed, body, slot) => answer,
+            answer = hand_over(node, &timed, slot) => answer,
             () = cancelled => LinkAnswer::unknown(UnknownReason::NoAnswer),
         }
     } else {
-        hand_over(node, &timed, body, slot).await
+        hand_over(node, &timed, slot).await
     }
 }
 
@@ -232,7 +233,7 @@
         .current()
         .is_some_and(|current| current.service == timed.call.service);
     let drain = node.settings.bounds.drain.mul_f64(DRAIN_RATIO);
-    let life = timed.call.life.as_ref();
+    let life = timed.call.life.as_deref();
     let is_once = !timed.call.is_idempotent && !timed.call.accepts_failing;
     if is_once && node.is_on(Mechanism::OutOfLine) && node.failures.borrow().is_failing() {
         return Err(NotRunReason::Failing);
@@ -253,7 +254,7 @@
     fn new(node: &Rc<RoutedNode>, timed: &Timed<'_>) -> Self {
         Self {
             node: Rc::clone(node),
-            route: timed.call.route.clone(),
+            route: String::from(timed.call.route),
             began: node.now(),
             counts_work: false,
         }
@@ -263,7 +264,7 @@
 /// A run at the backend server, as the call graph sees it.
 struct Run<'a> {
     node: &'a RoutedNode,
-    call: &'a CallHead,
+    call: &'a CallHead<'a>,
     number: RunNumber,
     /// Whether anything came from the backend server.
     has_sign: bool,
@@ -272,14 +273,14 @@
 }
 
 impl<'a> Run<'a> {
-    fn new(node: &'a RoutedNode, call: &'a CallHead, time_left: Duration) -> Self {
+    fn new(node: &'a RoutedNode, call: &'a CallHead<'a>, time_left: Duration) -> Self {
         let now = node.now();
         let deadline = now + time_left;
         let number = node
             .tracer
             .borrow_mut()
-            .run_began(&call.route, call.whole_priority, deadline);
-        node.graph.borrow_mut().run_began(now, &call.route);
+            .run_began(call.route, call.whole_priority, deadline);
+        node.graph.borrow_mut().run_began(now, call.route);
         node.pulse.borrow_mut().began(now);
         Self {
             node,
@@ -294,10 +295,7 @@
 impl Drop for Run<'_> {
     fn drop(&mut self) {
         let now = self.node.now();
-        self.node
-            .graph
-            .borrow_mut()
-            .run_ended(now, &self.call.route);
+        self.node.graph.borrow_mut().run_ended(now, self.call.route);
         let mut tracer = self.node.tracer.borrow_mut();
         tracer.run_ended(now, self.number, self.is_well);
         self.node.pulse.borrow_mut().ended(now, self.has_sign);
@@ -314,16 +312,11 @@
 
 /// Hands a call to the backend server, once more if it was turned away and that is
 /// worth a part of the retry budget.
-async fn hand_over(
-    node: &Rc<RoutedNode>,
-    timed: &Timed<'_>,
-    body: Bytes,
-    mut slot: Slot,
-) -> LinkAnswer {
+async fn hand_over(node: &Rc<RoutedNode>, timed: &Timed<'_>, mut slot: Slot) -> LinkAnswer {
     node.gate_repeats.borrow_mut().on_call(node.now());
     for hand_overs_count in 1.. {
         slot.began = node.now();
-        let handed_over = hand_over_once(node, timed, body.clone()).await;
+        let handed_over = hand_over_once(node, timed).await;
         let is_turned_away = matches!(handed_over, HandedOver::TurnedAway);
         count_run(node, slot.began, &handed_over);
         node.gate_repeats.borrow_mut().on_result(is_turned_away);
@@ -374,15 +367,15 @@
     let services_count = node.targets.borrow().services_count();
     let census = node.census.borrow();
     let call = TurnedAwayCall {
-        is_from_outside: census.is_from_outside(now, &timed.call.route, services_count),
+        is_from_outside: census.is_from_outside(now, timed.call.route, services_count),
         hand_overs_count,
     };
     node.gate_repeats.borrow_mut().take(now, call)
 }
 
-async fn hand_over_once(node: &Rc<RoutedNode>, timed: &Timed<'_>, body: Bytes) -> HandedOver {
+async fn hand_over_once(node: &Rc<RoutedNode>, timed: &Timed<'_>) -> HandedOver {
     let time_left = timed.deadline.saturating_sub(node.now());
-    let Some(request) = request_of(node, timed, body, time_left) else {
+    let Some(request) = request_of(node, timed, time_left) else {
         return HandedOver::Ended(LinkAnswer::not_run(NotRunReason::Unsent));
     };
     let mut run = Run::new(node, timed.call, time_left);
@@ -400,19 +393,18 @@
 fn request_of(
     node: &RoutedNode,
     timed: &Timed<'_>,
-    body: Bytes,
     time_left: Duration,
 ) -> Option<Request<WholeBody>> {
     let call = timed.call;
-    let mut request = Request::new(Full::new(body));
+    let mut request = Request::new(Full::new(timed.payload.body.clone()));
     *request.method_mut() = Method::from_bytes(call.method.as_bytes()).ok()?;
     *request.uri_mut() = call.target.parse::<Uri>().ok()?;
-    *request.headers_mut() = headers_of(&call.headers);
+    *request.headers_mut() = headers_of(&timed.payload.fields);
     let hand_over = HandOver {
         time_left,
         instance: call.life.as_ref().map(|life| &life.instance),
-        caller_service: &call.caller_service,
-        workspace: call.workspace.as_deref(),
+        caller_service: call.caller_service,
+        workspace: call.workspace,
     };
     (node.dialect.write_hand_over)(request.headers_mut(), &hand_over);
     Some(request)
@@ -464,14 +456,12 @@
         answer.discard();
         return HandedOver::Ended(LinkAnswer::unknown(UnknownReason::Garbled));
     }
-    let outcome = LinkOutcome::Answered {
-        status: answer.status,
-        headers: fields_of(&answer.headers),
-    };
+    let status = answer.status;
+    let fields = fields_of(&answer.headers);
     let body = answer.keep(marks.kept_open);
     HandedOver::Ended(LinkAnswer {
-        outcome,
-        body,
+        outcome: LinkOutcome::Answered { status },
+        payload: Payload { fields, body },
         report: None,
         news: None,
         pressures: Vec::new(),
