--- a/crates/kumquatquayd/src/tasks.rs
+++ b/crates/kumquatquayd/src/tasks.rs
@@ -1,6 +1,10 @@
 //! The tasks of one node, which end together.
 
-use std::future::Future;
+use std::{
+    future::{Future, poll_fn},
+    pin::pin,
+    task::Poll,
+};
 
 use tokio_util::sync::CancellationToken;
 
@@ -17,24 +21,12 @@
 impl Tasks {
     /// Runs a task until it is done or the node ends.
     pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        let ended = self.ended.clone();
-        tokio::spawn(async move {
-            tokio::select! {
-                () = task => {}
-                () = ended.cancelled() => {}
-            }
-        });
+        tokio::spawn(until_ended(task, self.ended.clone()));
     }
 
     /// [`Tasks::spawn`], for a task that stays on this thread.
     pub(crate) fn spawn_local(&self, task: impl Future<Output = ()> + 'static) {
-        let ended = self.ended.clone();
-        tokio::task::spawn_local(async move {
-            tokio::select! {
-                () = task => {}
-                () = ended.cancelled() => {}
-            }
-        });
+        tokio::task::spawn_local(until_ended(task, self.ended.clone()));
     }
 
     /// Ends all tasks.
@@ -42,3 +34,24 @@
         self.ended.cancel();
     }
 }
+
+/// Runs a task until it is done or the end comes.
+///
+/// The wait for the end is begun once: each time that the task is woken, only a flag is looked
+/// at. Most tasks are calls and connections, and they are woken for each message.
+async fn until_ended(task: impl Future<Output = ()>, ended: CancellationToken) {
+    let mut task = pin!(task);
+    let mut end = pin!(ended.cancelled());
+    let mut is_waiting = false;
+    poll_fn(|context| {
+        if task.as_mut().poll(context).is_ready() {
+            return Poll::Ready(());
+        }
+        if is_waiting && !ended.is_cancelled() {
+            return Poll::Pending;
+        }
+        is_waiting = true;
+        end.as_mut().poll(context)
+    })
+    .await;
+}
