Run calls of other nodes in tasks that stay

A task for each call is a block of some kilobytes with an alignment of 128 bytes. The C library has no cache for such blocks: a third of the samples in its allocator stood there, and some of its clean-up of free lists was caused there.

--- a/crates/kumquatquayd/src/routed/link_server.rs
+++ b/crates/kumquatquayd/src/routed/link_server.rs
@@ -23,6 +23,7 @@
     node::RoutedNode,
     quotas::{give_back_here, lend, take_here},
     run_here::run_here,
+    runners::run_call,
 };
 
 /// A link that another node has made to this one.
@@ -210,11 +211,37 @@
         commit: Some(commit),
     };
     link.open.borrow_mut().insert(number, open);
-    let node = Rc::clone(node);
-    let link = Rc::clone(link);
-    let tasks = node.tasks.clone();
-    tasks.spawn_local(async move {
-        // It was read as a call just now.
+    let call = ServedCall {
+        link: Rc::clone(link),
+        number,
+        frame,
+        cancelled,
+        committed,
+    };
+    run_call(node, call);
+}
+
+/// A call of another node that is to be run.
+#[derive(Debug)]
+pub(super) struct ServedCall {
+    link: Rc<ServedLink>,
+    number: CallNumber,
+    frame: HeldFrame,
+    cancelled: oneshot::Receiver<()>,
+    committed: oneshot::Receiver<()>,
+}
+
+impl ServedCall {
+    /// Runs it and tells its sender what came of it.
+    pub(super) async fn run(self, node: &Rc<RoutedNode>) {
+        let Self {
+            link,
+            number,
+            frame,
+            cancelled,
+            committed,
+        } = self;
+        // It was read as a call when it came.
         let Ok(FrameHead::Call(call)) = frame.head() else {
             return;
         };
@@ -230,12 +257,12 @@
             // The sender is only ever dropped, which says that the call is cancelled.
             let _ = cancelled.await;
         };
-        let answer = run_here(&node, &call, &frame.payload, confirmed, cancelled).await;
+        let answer = run_here(node, &call, &frame.payload, confirmed, cancelled).await;
         let is_wanted = link.open.borrow_mut().remove(&number).is_some();
         if is_wanted {
-            tell_answer(&node, &link, number, call.route, &answer);
+            tell_answer(node, &link, number, call.route, &answer);
         }
-    });
+    }
 }
 
 fn tell_answer(
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -38,6 +38,7 @@
 mod retries;
 mod routes_watch;
 mod run_here;
+mod runners;
 mod settings;
 mod spare_buffers;
 mod start;
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -32,6 +32,7 @@
     link::Links,
     quotas::Quotas,
     retries::{AT_GATE_RATIO, Retries},
+    runners::Runners,
     settings::RoutedSettings,
     store_return::StoreReturn,
 };
@@ -93,6 +94,8 @@
     /// Calls that the gate of this host hands over once more.
     pub(crate) gate_repeats: RefCell<GateRepeats>,
     pub(crate) links: RefCell<Links>,
+    /// What runs the calls of other nodes.
+    pub(super) runners: Runners,
     pub(crate) gate: RefCell<HostGate<RunTicket>>,
     pub(crate) lives: RefCell<BackendLives>,
     /// Whether the backend server of this host gives answers.
@@ -207,6 +210,7 @@
             retries: RefCell::default(),
             gate_repeats: RefCell::new(GateRepeats::new(at_gate)),
             links: RefCell::default(),
+            runners: Runners::default(),
             gate: RefCell::new(gate),
             lives: RefCell::default(),
             pulse: RefCell::default(),
