Ask for as many header fields as a message has

The map of fields for an answer had room for four more than it was to hold, which took it beyond a kilobyte, from where on the allocator cleans up its lists at each call.

--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -308,7 +308,7 @@
             let mut response = Response::new(Full::new(answer.payload.body));
             *response.status_mut() =
                 StatusCode::from_u16(*status).unwrap_or(StatusCode::BAD_GATEWAY);
-            *response.headers_mut() = headers_of(&answer.payload.fields);
+            *response.headers_mut() = headers_of(&answer.payload.fields, 0);
             response
         }
         LinkOutcome::NotRun(reason) => {
--- a/crates/kumquatquayd/src/routed/http_io.rs
+++ b/crates/kumquatquayd/src/routed/http_io.rs
@@ -113,9 +113,10 @@
     })
 }
 
-/// Fields as the HTTP library holds them; ones that it can't hold are left out.
-pub(crate) fn headers_of(fields: &Fields) -> HeaderMap {
-    let mut headers = HeaderMap::with_capacity(fields.count() + 4);
+/// Fields as the HTTP library holds them, with room for some more; ones that it can't hold are
+/// left out.
+pub(crate) fn headers_of(fields: &Fields, more_count: usize) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(fields.count() + more_count);
     for field in fields.iter() {
         let name = HeaderName::from_bytes(field.name);
         let value = HeaderValue::from_maybe_shared(field.value);
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -26,6 +26,9 @@
 /// field of its own; without it such a status is no promise that may be passed on.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
+/// Fields that a backend server is told beside those of the caller, mostly.
+const HAND_OVER_FIELDS_COUNT: usize = 3;
+
 /// A call and the moment at which its time is over.
 struct Timed<'a> {
     call: &'a CallHead<'a>,
@@ -399,7 +402,7 @@
     let mut request = Request::new(Full::new(timed.payload.body.clone()));
     *request.method_mut() = Method::from_bytes(call.method.as_bytes()).ok()?;
     *request.uri_mut() = call.target.parse::<Uri>().ok()?;
-    *request.headers_mut() = headers_of(&timed.payload.fields);
+    *request.headers_mut() = headers_of(&timed.payload.fields, HAND_OVER_FIELDS_COUNT);
     let hand_over = HandOver {
         time_left,
         instance: call.life.as_ref().map(|life| &life.instance),
