Read one clock for a moment, not two

Each reading of the time since the node's start also read the time of day, a few dozen times a call.

--- a/crates/kumquatquayd/src/clock.rs
+++ b/crates/kumquatquayd/src/clock.rs
@@ -17,12 +17,17 @@
             start: Instant::now(),
         }
     }
+
+    /// Time since the clock was made; the time of day isn't read for it.
+    pub(crate) fn monotonic(&self) -> Duration {
+        self.start.elapsed()
+    }
 }
 
 impl Clock for SystemClock {
     fn now(&self) -> Moment {
         Moment {
-            monotonic: self.start.elapsed(),
+            monotonic: self.monotonic(),
             wall: SystemTime::now(),
         }
     }
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -9,14 +9,11 @@
     time::Duration,
 };
 
-use kumquatquay_core::{
-    Clock,
-    routed::{
-        BackendLives, BackendPulse, CallGraph, CallTracer, CallerCensus, EntryLevels,
-        FollowerFleet, GateRepeats, GraphRow, HeldAnswers, HostGate, LevelSetter, MachinePace,
-        Mechanism, Mechanisms, NewestProof, QueueOrder, RetryWindow, RouteTable, RunFailures,
-        StoreFollower, StoreReaders, TargetTable, UnknownKeys,
-    },
+use kumquatquay_core::routed::{
+    BackendLives, BackendPulse, CallGraph, CallTracer, CallerCensus, EntryLevels, FollowerFleet,
+    GateRepeats, GraphRow, HeldAnswers, HostGate, LevelSetter, MachinePace, Mechanism, Mechanisms,
+    NewestProof, QueueOrder, RetryWindow, RouteTable, RunFailures, StoreFollower, StoreReaders,
+    TargetTable, UnknownKeys,
 };
 use kumquatquay_wire::routed::{
     FollowState, GateReport, RouteConfiguration, RouteNews, RouteVersion, ServiceDemand,
@@ -241,7 +238,7 @@
 
     /// Time since the node's start.
     pub(crate) fn now(&self) -> Duration {
-        self.clock.now().monotonic
+        self.clock.monotonic()
     }
 
     /// Whether the configuration may be asked for from another node now.
