Give the HTTP library its buffers back before a call is carried

The fields of a request, and a short body, lie in the buffer into which its connection is read. Held while the call was under way, they made the library take another buffer of 8 KB as soon as it looked whether the caller is still there: one more for each call under way.

--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -30,6 +30,9 @@
 /// is proved to be the newest.
 const NOT_CONFIGURED_RETRY: Duration = Duration::from_millis(300);
 
+/// The longest body that is copied out of the buffer in which it came.
+const COPIED_BODY_BYTES: usize = 4 * 1024;
+
 /// The body of a caller's request: one that comes, or one that is there.
 pub(crate) type CallerBody = Either<Incoming, WholeBody>;
 
@@ -120,6 +123,8 @@
         progress: Cell::new(Progress::default()),
         handed_over: HandedOver::default(),
     };
+    // The HTTP library reads on in the buffer in which they lie.
+    drop(parts);
     if let Some(refusal) = refuse_for_shortage(node, &call, began, expires) {
         if let Some(token) = token {
             give_back(node, token);
@@ -286,12 +291,21 @@
 
 async fn read_body(body: CallerBody, limit_bytes: usize) -> Result<Bytes, StatusCode> {
     match Limited::new(body, limit_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
+        Ok(body) => Ok(apart(body.to_bytes())),
         Err(error) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
         Err(_) => Err(StatusCode::BAD_REQUEST),
     }
 }
 
+/// A short body is copied, so that the buffer in which it came is free again; a connection would
+/// take another one for as long as the call lasts.
+fn apart(body: Bytes) -> Bytes {
+    if body.len() > COPIED_BODY_BYTES {
+        return body;
+    }
+    Bytes::copy_from_slice(&body)
+}
+
 fn answer_carried(
     node: &RoutedNode,
     call: &OutgoingCall,
