Find the service of a backend server without a search of all services

While a gate has told nothing of its work, the mean of its peers counts; each comparison looked for the service through the lists of all, which are all nodes.

--- a/crates/kumquatquay-core/src/routed/target_table.rs
+++ b/crates/kumquatquay-core/src/routed/target_table.rs
@@ -363,7 +363,7 @@
         if !self.mechanisms.is_on(Mechanism::PeerWork) {
             return FIRST_WORK_S;
         }
-        let peers = self.services.values().find(|of| of.contains(&control));
+        let peers = self.services.get(&target.service);
         let told = peers.into_iter().flatten();
         let told = told.filter_map(|peer| self.targets[peer].told_work_s());
         let (sum_s, count) = told.fold((0.0, 0_u32), |(sum, count), work| (sum + work, count + 1));
