--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -41,7 +41,7 @@
     /// The moment after which the call would not end in time: it is refused then,
     /// while its sender can still say that it has not run.
     fn latest_start(&self, node: &RoutedNode) -> Duration {
-        let work = node.gate.borrow().works().of(&self.call.route);
+        let work = node.gate.borrow().works().of(self.call.route);
         self.deadline.saturating_sub(work.mul_f64(LEAST_WORK_RATIO))
     }
 }
@@ -64,7 +64,7 @@
     let now = node.now();
     let deadline = now + Duration::from_millis(call.remaining_ms);
     let heard = f64::from(call.level_permille) / 1_000.0;
-    let work = node.gate.borrow().works().of(&call.route);
+    let work = node.gate.borrow().works().of(call.route);
     node.level.borrow_mut().arrived(heard, work);
     node.census
         .borrow_mut()
@@ -220,7 +220,7 @@
         whole_priority: timed.call.whole_priority,
         due: timed.due,
         deadline: timed.deadline,
-        work: node.gate.borrow().works().of(&timed.call.route),
+        work: node.gate.borrow().works().of(timed.call.route),
     };
     node.gate.borrow_mut().offer(node.now(), call, ticket)
 }
