Notice in the product's own log that it came back from a copy

Cause: the readers of the configuration stream checked the last record after a failed read only, so a log that came back from a copy and had given the offsets out again between two reads was followed as if nothing had happened; a node that had not read a claim stream claimed a key anew whose claim was lost, and ran its operation a second time.

The log's answers tell its era (optional; the stand-in does). An answer of an era that is over counts as none.

Looked at one by one: changes confirmed and lost are kept by nodes and told to operators (as before); appends of a confirmation are read back, so one that is lost ends undecided; claims aren't written again, since a copy could be taken for the first; releases and seeds are written again by themselves.

--- a/crates/kumquatquay-cli/tests/commands/fake_node.rs
+++ b/crates/kumquatquay-cli/tests/commands/fake_node.rs
@@ -174,6 +174,7 @@
                     records: records.collect(),
                     oldest_offset: 0,
                     next_offset: self.records.len() as u64,
+                    era: None,
                 };
                 self.feed(input.into());
             }
--- a/crates/kumquatquay-core/benches/classify.rs
+++ b/crates/kumquatquay-core/benches/classify.rs
@@ -74,6 +74,7 @@
         records,
         oldest_offset: 0,
         next_offset,
+        era: None,
     };
     node.handle(moment(ms), input.into());
 }
--- a/crates/kumquatquay-core/src/configuration/controller.rs
+++ b/crates/kumquatquay-core/src/configuration/controller.rs
@@ -48,12 +48,14 @@
             records,
             oldest_offset,
             next_offset,
+            era,
             ..
         } => {
             let answer = ReadAnswer {
                 records,
                 oldest_offset,
                 next_offset,
+                era,
             };
             reading::on_answer(board, now, read, answer, out);
         }
--- a/crates/kumquatquay-core/src/configuration/log_reader.rs
+++ b/crates/kumquatquay-core/src/configuration/log_reader.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use kumquatquay_wire::{LogOffset, RecordDigest};
 
-use crate::ReadId;
+use crate::{ReadId, routed::StoreEras};
 
 /// Where the reading of the stream stands.
 #[derive(Debug, Default)]
@@ -28,6 +28,8 @@
     /// record taken in. A log that was set back while it did not answer may
     /// hold other records at the offsets that this node has read.
     pub(super) must_verify: bool,
+    /// Eras of the log.
+    pub(super) eras: StoreEras,
     /// Whether all that the log holds is taken in.
     pub(super) is_caught_up: bool,
     /// Whether the log said that the stream never held a record.
--- a/crates/kumquatquay-core/src/configuration/reading.rs
+++ b/crates/kumquatquay-core/src/configuration/reading.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kumquatquay_wire::{ConfigurationRecord, LogOffset};
+use kumquatquay_wire::{ConfigurationRecord, LogOffset, routed::StoreEra};
 use rand::Rng;
 
 use super::{
@@ -10,7 +10,9 @@
     log_reader::{LogDoubt, OutstandingRead, ReadPurpose},
     peer_fetch, snapshot_schedule,
 };
-use crate::{Blackboard, Counter, LogRecord, Moment, Note, Output, ReadId, Severity};
+use crate::{
+    Blackboard, Counter, LogRecord, Moment, Note, Output, ReadId, Severity, routed::EraNews,
+};
 
 /// How long the log may hold back an empty answer to a follower.
 const FOLLOW_WAIT: Duration = Duration::from_secs(5);
@@ -58,6 +60,7 @@
     pub(super) records: Vec<LogRecord>,
     pub(super) oldest_offset: LogOffset,
     pub(super) next_offset: LogOffset,
+    pub(super) era: Option<StoreEra>,
 }
 
 pub(super) fn on_tick(board: &mut Blackboard, now: Moment, out: &mut Vec<Output>) {
@@ -183,12 +186,21 @@
         on_failed(board, now, read, out);
         return;
     }
+    if board.configuration.reader.eras.is_over(answer.era) {
+        // It was answered before the log came back from a copy.
+        on_failed(board, now, read, out);
+        return;
+    }
     board.configuration.reader.outstanding = None;
     set_patience(
         board,
         now.monotonic.saturating_sub(outstanding.held_until) * 2,
     );
     on_log_answers(board, out);
+    if has_returned(board, answer.era, out) && outstanding.purpose != ReadPurpose::Verify {
+        hurry(board);
+        return;
+    }
     if goes_backwards(board, now, &answer, out) {
         return;
     }
@@ -201,6 +213,30 @@
     }
 }
 
+/// Whether the log came back from a copy. It may hold other records at the offsets that this node
+/// has read, so the last one is checked before anything is taken in.
+fn has_returned(board: &mut Blackboard, era: Option<StoreEra>, out: &mut Vec<Output>) -> bool {
+    let reader = &mut board.configuration.reader;
+    let EraNews::Returned { before } = reader.eras.seen(era) else {
+        return false;
+    };
+    reader.must_verify = true;
+    reader.is_caught_up = false;
+    reader.last_scanned = None;
+    reader.scan_from = reader.scan_from.map(|_| 0);
+    snapshot_schedule::on_log_returned(&mut board.configuration.snapshots);
+    board.counters.add(Counter::ConfigurationLogReturns);
+    out.push(Output::Note(Note::warn(
+        "log_returned_from_copy",
+        format!(
+            "the log came back from an older copy, in era {}, after era {before}; what is in \
+             force stays so, and the last record that was read is looked for",
+            era.unwrap_or_default()
+        ),
+    )));
+    true
+}
+
 fn on_log_answers(board: &mut Blackboard, out: &mut Vec<Output>) {
     let reader = &mut board.configuration.reader;
     reader.failures_count = 0;
--- a/crates/kumquatquay-core/src/configuration/snapshot_schedule.rs
+++ b/crates/kumquatquay-core/src/configuration/snapshot_schedule.rs
@@ -76,6 +76,11 @@
     });
 }
 
+/// The log came back from a copy, which may lack the last snapshot.
+pub(super) fn on_log_returned(schedule: &mut SnapshotSchedule) {
+    schedule.last = None;
+}
+
 pub(super) fn on_tick(board: &mut Blackboard, now: Moment, out: &mut Vec<Output>) {
     if now.monotonic < board.configuration.snapshots.check_at {
         return;
--- a/crates/kumquatquay-core/src/counters.rs
+++ b/crates/kumquatquay-core/src/counters.rs
@@ -102,6 +102,9 @@
     /// Times that the log was found to be another or set back.
     #[display("configuration_log_doubts")]
     ConfigurationLogDoubts,
+    /// Times that the log came back from an older copy.
+    #[display("configuration_log_returns")]
+    ConfigurationLogReturns,
     /// Times that the log had forgotten what this node had not read.
     #[display("configuration_gaps")]
     ConfigurationGaps,
--- a/crates/kumquatquay-core/src/input/log_input.rs
+++ b/crates/kumquatquay-core/src/input/log_input.rs
@@ -1,6 +1,6 @@
 //! Inputs about the platform's log.
 
-use kumquatquay_wire::{LogOffset, StreamName};
+use kumquatquay_wire::{LogOffset, StreamName, routed::StoreEra};
 
 use crate::{AppendId, ReadId};
 
@@ -36,6 +36,9 @@
         oldest_offset: LogOffset,
         /// The offset that the next append will get.
         next_offset: LogOffset,
+        /// The era of the log; one higher each time that it comes back from an older copy.
+        /// `None` if it tells none.
+        era: Option<StoreEra>,
     },
     /// The log did not answer the read.
     ReadFailed {
--- a/crates/kumquatquay-core/src/membership/seed_log.rs
+++ b/crates/kumquatquay-core/src/membership/seed_log.rs
@@ -9,7 +9,10 @@
 use kumquatquay_wire::{LogOffset, MeshKey};
 
 use super::carrier;
-use crate::{AppendId, Blackboard, LogInput, LogRecord, Moment, Output, ReadId};
+use crate::{
+    AppendId, Blackboard, LogInput, LogRecord, Moment, Output, ReadId,
+    routed::{EraNews, StoreEras},
+};
 
 /// Stream that holds control addresses of members.
 const STREAM: &str = "seeds";
@@ -48,6 +51,7 @@
     next_read: Option<Duration>,
     append: Option<AppendId>,
     next_append: Option<Duration>,
+    eras: StoreEras,
 }
 
 impl SeedLog {
@@ -84,9 +88,14 @@
         LogInput::Read {
             records,
             next_offset,
+            era,
             ..
         } => {
             seeds.read = None;
+            if let EraNews::Returned { .. } = seeds.eras.seen(era) {
+                // Offsets are given out again; seeds that are lost are appended in turn.
+                seeds.from = None;
+            }
             on_records(seeds, &key, &records, next_offset);
             if seeds.from < Some(next_offset) {
                 seeds.next_read = Some(now.monotonic);
--- a/crates/kumquatquay-core/src/node.rs
+++ b/crates/kumquatquay-core/src/node.rs
@@ -60,6 +60,9 @@
         let board = &mut self.board;
         let mut outputs = Vec::new();
         let out = &mut outputs;
+        if let Input::Log(input) = &input {
+            operations::on_log_era(board, now, input, out);
+        }
         match input {
             Input::Tick => on_tick(board, now, out),
             Input::Stopping { grace } => membership::on_stopping(board, now, grace, out),
--- a/crates/kumquatquay-core/src/operations/claim_reading.rs
+++ b/crates/kumquatquay-core/src/operations/claim_reading.rs
@@ -162,6 +162,30 @@
     }
 }
 
+/// The log came back from a copy. Claims of any key may be lost, of streams too that this node
+/// never read, so all keys are refused until their windows have passed; issued ids still work.
+pub(crate) fn on_log_returned(board: &mut Blackboard, now: Moment, out: &mut Vec<Output>) {
+    let table = &mut board.operations;
+    table.claims_lost_until = now.monotonic + CLAIM_WINDOW + 2 * CLOCK_SKEW_LIMIT;
+    // What is under way was asked of the log as it was.
+    table.exchanges.clear();
+    let ids: Vec<PartitionId> = table.partitions.keys().copied().collect();
+    for id in ids {
+        let partition = partition_mut(board, id);
+        partition.exchange = Exchange::Idle;
+        partition.view = None;
+        partition.wants_refresh = false;
+        give_up_all(board, id, &refusals::log_incomplete());
+    }
+    let detail = "the log came back from an older copy; callers' keys are refused for 14 minutes, \
+                  since claims may be lost; issued ids still work";
+    out.push(Output::Note(Note::new(
+        Severity::Error,
+        "claims_lost",
+        detail,
+    )));
+}
+
 /// Records that were not read are gone, or the stream became shorter. An
 /// earlier claim of any key may be among them, so keys are refused until their
 /// windows have passed; a second run of an operation would be the price.
--- a/crates/kumquatquay-core/src/operations/controller.rs
+++ b/crates/kumquatquay-core/src/operations/controller.rs
@@ -6,7 +6,7 @@
 
 use super::{
     claim::{Claim, ClaimEvent, ClaimId, PartitionId, partition_of},
-    claim_decision,
+    claim_decision, claim_reading,
     claim_view::{ClaimView, Holder},
     claims,
     digest::{KeyDigest, caller_digest, key_digest, request_digest},
@@ -19,7 +19,7 @@
 };
 use crate::{
     AttemptEnded, AttemptResult, Blackboard, CallEnding, CallId, Counter, IssueOperation, LogInput,
-    Moment, OperationIssued, Output, RefusalReason, call,
+    Moment, OperationIssued, Output, RefusalReason, call, routed::EraNews,
 };
 
 /// How often the memory and the views are swept.
@@ -207,6 +207,9 @@
     if now.monotonic < table.log_refused_until {
         return Some(refusals::log_down());
     }
+    if now.monotonic < table.claims_lost_until {
+        return Some(refusals::log_incomplete());
+    }
     let partition = table.partitions.get(&id)?;
     if now.monotonic < partition.refused_until {
         return Some(refusals::log_incomplete());
@@ -341,6 +344,22 @@
     exchanges.contains_key(&claims::exchange_id(input))
 }
 
+/// Takes in the era that an answer of the log tells, whichever stream it is of.
+pub(crate) fn on_log_era(
+    board: &mut Blackboard,
+    now: Moment,
+    input: &LogInput,
+    out: &mut Vec<Output>,
+) {
+    let LogInput::Read { era, .. } = input else {
+        return;
+    };
+    if let EraNews::Returned { .. } = board.operations.log_eras.seen(*era) {
+        claim_reading::on_log_returned(board, now, out);
+        resume(board, now, out);
+    }
+}
+
 pub(crate) fn on_log(board: &mut Blackboard, now: Moment, input: LogInput, out: &mut Vec<Output>) {
     claims::on_log(board, now, input, out);
     resume(board, now, out);
--- a/crates/kumquatquay-core/src/operations/mod.rs
+++ b/crates/kumquatquay-core/src/operations/mod.rs
@@ -27,8 +27,8 @@
 pub use operation_policy::OperationPolicy;
 
 pub(crate) use controller::{
-    after_call, before_attempt, issue, on_attempt_ended, on_attempt_started, on_log, on_tick,
-    outcome_if_not_sent, owns,
+    after_call, before_attempt, issue, on_attempt_ended, on_attempt_started, on_log, on_log_era,
+    on_tick, outcome_if_not_sent, owns,
 };
 pub(crate) use operation_call::{OperationCall, OperationStep, OperationVerdict};
 pub(crate) use operation_table::OperationTable;
--- a/crates/kumquatquay-core/src/operations/operation_table.rs
+++ b/crates/kumquatquay-core/src/operations/operation_table.rs
@@ -11,7 +11,7 @@
     claim::PartitionId, claim_partition::ClaimPartition, digest::KeyDigest,
     operation_memory::OperationMemory,
 };
-use crate::{CallEnding, CallId};
+use crate::{CallEnding, CallId, routed::StoreEras};
 
 /// Non-idempotent operations, at most once.
 #[derive(Clone, Debug, Default)]
@@ -45,6 +45,11 @@
     pub(crate) log_retry_at: Duration,
     /// Keys are refused until this, on the monotonic clock: the log is down.
     pub(crate) log_refused_until: Duration,
+    /// Eras of the log, as answers to any of its readers told them.
+    pub(crate) log_eras: StoreEras,
+    /// Keys are refused until this, on the monotonic clock: the log came back from a copy that
+    /// may lack their claims.
+    pub(crate) claims_lost_until: Duration,
     /// When the memory and the views were last swept, on the monotonic clock.
     pub(crate) swept_at: Duration,
 }
--- a/crates/kumquatquay-core/src/routed/store_eras.rs
+++ b/crates/kumquatquay-core/src/routed/store_eras.rs
@@ -47,6 +47,11 @@
         self.known
     }
 
+    /// Whether an answer that tells this is of an era that is over.
+    pub fn is_over(&self, era: Option<StoreEra>) -> bool {
+        era.is_some() && era < self.known
+    }
+
     /// An answer of the store told it.
     pub fn seen(&mut self, era: Option<StoreEra>) -> EraNews {
         let Some(era) = era else {
--- a/crates/kumquatquay-core/tests/configuration/exploration.rs
+++ b/crates/kumquatquay-core/tests/configuration/exploration.rs
@@ -177,6 +177,7 @@
             records: records.collect(),
             oldest_offset: 0,
             next_offset: self.records.len() as u64,
+            era: None,
         };
         self.feed(index, input.into());
     }
--- a/crates/kumquatquay-core/tests/configuration/fake_log.rs
+++ b/crates/kumquatquay-core/tests/configuration/fake_log.rs
@@ -23,6 +23,8 @@
 pub(crate) struct FakeLog {
     pub(crate) records: Vec<LogRecord>,
     pub(crate) oldest_offset: u64,
+    /// Told with each read; a log that tells none is set back without anybody noticing at once.
+    pub(crate) era: Option<u64>,
     pub(crate) is_down: bool,
     /// It never answers the reads that it has, or gets, while this is set.
     pub(crate) is_silent: bool,
@@ -64,5 +66,6 @@
     /// Loses the records from an offset on, as a restore from a backup does.
     pub(crate) fn set_back_to(&mut self, offset: u64) {
         self.records.retain(|record| record.offset < offset);
+        self.era = self.era.map(|era| era + 1);
     }
 }
--- a/crates/kumquatquay-core/tests/configuration/mesh.rs
+++ b/crates/kumquatquay-core/tests/configuration/mesh.rs
@@ -244,6 +244,7 @@
             records,
             oldest_offset: self.log.oldest_offset,
             next_offset: self.log.next_offset(),
+            era: self.log.era,
         };
         self.post(name, self.log.delay, Event::Input(input.into()));
     }
--- a/crates/kumquatquay-core/tests/configuration/scenarios.rs
+++ b/crates/kumquatquay-core/tests/configuration/scenarios.rs
@@ -213,6 +213,7 @@
                 "lose-record" => log.next_fault = AppendFault::LostRecord,
                 "delay-ms" => log.delay = Duration::from_millis(value.parse().unwrap()),
                 "forget-before" => log.forget_before(value.parse().unwrap()),
+                "era" => log.era = Some(value.parse().unwrap()),
                 "set-back-to" => log.set_back_to(value.parse().unwrap()),
                 other => panic!("no fault {other:?}"),
             }
--- a/crates/kumquatquay-core/tests/operations/properties.rs
+++ b/crates/kumquatquay-core/tests/operations/properties.rs
@@ -226,6 +226,7 @@
             records: vec![record],
             oldest_offset: 7,
             next_offset: 8,
+            era: None,
         },
     ];
     for input in late {
--- a/crates/kumquatquay-core/tests/operations/scenarios.rs
+++ b/crates/kumquatquay-core/tests/operations/scenarios.rs
@@ -91,6 +91,10 @@
                 mesh.settle();
             }
             "append-junk" => mesh.append_junk(),
+            "come-back" => {
+                mesh.log
+                    .come_back_without(arguments.number("lost").unwrap() as usize);
+            }
             "expire-log" => mesh.log.expire(),
             "cut-log" => {
                 mesh.log_cuts.insert(node());
--- a/crates/kumquatquay-core/tests/operations/support/log.rs
+++ b/crates/kumquatquay-core/tests/operations/support/log.rs
@@ -24,6 +24,8 @@
 pub(crate) struct Log {
     pub(crate) streams: BTreeMap<String, Vec<LogRecord>>,
     pub(crate) oldest: BTreeMap<String, u64>,
+    /// Told with each read.
+    pub(crate) era: u64,
     pub(crate) appends_count: u64,
     pub(crate) reads_count: u64,
     pub(crate) read_bytes: u64,
@@ -57,6 +59,14 @@
         }
     }
 
+    /// Comes back from a copy that lacks the last records of all streams.
+    pub(crate) fn come_back_without(&mut self, lost_count: usize) {
+        for records in self.streams.values_mut() {
+            records.truncate(records.len().saturating_sub(lost_count));
+        }
+        self.era += 1;
+    }
+
     pub(crate) fn read(&mut self, read: u64, stream: &str, from: u64) -> LogInput {
         let is_claims = stream.starts_with("claims-");
         self.reads_count += u64::from(is_claims);
@@ -73,6 +83,7 @@
             records,
             oldest_offset,
             next_offset,
+            era: Some(self.era),
         }
     }
 }
--- a/crates/kumquatquay-core/tests/overload/mesh.rs
+++ b/crates/kumquatquay-core/tests/overload/mesh.rs
@@ -448,6 +448,7 @@
             records: records.cloned().collect(),
             oldest_offset: 0,
             next_offset: self.intents.len() as u64,
+            era: None,
         };
         let input = Box::new(Input::Log(input));
         self.schedule(LOG_ANSWER, Event::Log { host, input });
--- a/crates/kumquatquay-core/tests/support/mesh.rs
+++ b/crates/kumquatquay-core/tests/support/mesh.rs
@@ -323,6 +323,7 @@
             next_offset: records.len() as u64,
             records: records.into_iter().skip(from as usize).collect(),
             oldest_offset: 0,
+            era: None,
         }
     }
 
--- a/crates/kumquatquay-standins/src/lib.rs
+++ b/crates/kumquatquay-standins/src/lib.rs
@@ -21,5 +21,5 @@
     ServiceTime,
 };
 pub use effect_ledger::{EffectLedger, PromiseReport, Run, RunId};
-pub use log::{LogFault, PlatformLog, RunningLog, StoredRecord};
+pub use log::{LogCopy, LogFault, PlatformLog, RunningLog, StoredRecord};
 pub use marked_answer::MarkedAnswer;
--- a/crates/kumquatquay-standins/src/log/http_interface.rs
+++ b/crates/kumquatquay-standins/src/log/http_interface.rs
@@ -38,6 +38,7 @@
 struct ReadAnswer {
     oldest_offset: u64,
     next_offset: u64,
+    era: u64,
     records: Vec<RecordAnswer>,
 }
 
@@ -142,6 +143,7 @@
         Self {
             oldest_offset: page.oldest_offset,
             next_offset: page.next_offset,
+            era: page.era,
             records: page.records.iter().map(RecordAnswer::of).collect(),
         }
     }
--- a/crates/kumquatquay-standins/src/log/mod.rs
+++ b/crates/kumquatquay-standins/src/log/mod.rs
@@ -6,5 +6,5 @@
 mod stream_table;
 
 pub use log_fault::LogFault;
-pub use platform_log::{PlatformLog, RunningLog};
+pub use platform_log::{LogCopy, PlatformLog, RunningLog};
 pub use stream_table::StoredRecord;
--- a/crates/kumquatquay-standins/src/log/platform_log.rs
+++ b/crates/kumquatquay-standins/src/log/platform_log.rs
@@ -125,6 +125,21 @@
         self.state.lock().fault = fault;
     }
 
+    /// Copies all streams.
+    pub fn copy(&self) -> LogCopy {
+        LogCopy(self.state.lock().streams.clone())
+    }
+
+    /// Comes back from a copy in the next era: what was appended since is gone, and its offsets
+    /// are given out again. Reads that it holds are answered from the copy.
+    pub fn come_back_from(&self, copy: LogCopy) {
+        let mut variable = self.state.lock();
+        variable.streams = copy.0;
+        variable.era += 1;
+        drop(variable);
+        self.state.changes.send_modify(|change| *change += 1);
+    }
+
     /// Records appended since the start, over all streams.
     pub fn appends_count(&self) -> u64 {
         self.state.lock().appends_count
@@ -147,6 +162,10 @@
     }
 }
 
+/// All streams of a log at a moment.
+#[derive(Clone, Debug)]
+pub struct LogCopy(StreamTable);
+
 /// What the log's connections share.
 pub(crate) struct LogState {
     settings: PlatformLog,
@@ -156,6 +175,8 @@
 
 struct Variable {
     streams: StreamTable,
+    /// One higher each time that the log comes back from a copy.
+    era: u64,
     fault: LogFault,
     appends_count: u64,
     /// When the appends taken so far are paid off at the log's rate.
@@ -166,6 +187,7 @@
     fn new(settings: PlatformLog) -> Self {
         let variable = Variable {
             streams: StreamTable::default(),
+            era: 1,
             fault: LogFault::None,
             appends_count: 0,
             paid_until: SystemTime::UNIX_EPOCH,
@@ -204,7 +226,9 @@
         let now = (self.settings.clock)();
         let mut variable = self.lock();
         variable.streams.expire(now, self.settings.retention);
-        variable.streams.read(stream, from, limit_count)
+        let era = variable.era;
+        let page = variable.streams.read(stream, from, limit_count);
+        Page { era, ..page }
     }
 
     fn lock(&self) -> MutexGuard<'_, Variable> {
--- a/crates/kumquatquay-standins/src/log/stream_table.rs
+++ b/crates/kumquatquay-standins/src/log/stream_table.rs
@@ -21,19 +21,20 @@
 /// What a read finds.
 #[derive(Clone, Debug)]
 pub(crate) struct Page {
+    pub(crate) era: u64,
     pub(crate) oldest_offset: u64,
     pub(crate) next_offset: u64,
     pub(crate) records: Vec<StoredRecord>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Stream {
     records: VecDeque<StoredRecord>,
     next_offset: u64,
 }
 
 /// All streams of the log.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct StreamTable {
     streams: BTreeMap<String, Stream>,
 }
@@ -54,6 +55,7 @@
     pub(crate) fn read(&self, stream: &str, from: u64, limit_count: usize) -> Page {
         let Some(stream) = self.streams.get(stream) else {
             return Page {
+                era: 0,
                 oldest_offset: 0,
                 next_offset: 0,
                 records: Vec::new(),
@@ -61,6 +63,7 @@
         };
         let later = stream.records.iter().filter(|record| record.offset >= from);
         Page {
+            era: 0,
             oldest_offset: stream.oldest_offset(),
             next_offset: stream.next_offset,
             records: later.take(limit_count).cloned().collect(),
--- a/crates/kumquatquay-standins/tests/platform_log.rs
+++ b/crates/kumquatquay-standins/tests/platform_log.rs
@@ -106,3 +106,17 @@
     answer_lost_after_append: LogFault::AnswerLostAfterAppend => None, 1;
     answer_lost_before_append: LogFault::AnswerLostBeforeAppend => None, 0;
 }
+
+#[tokio::test]
+async fn a_log_that_comes_back_from_a_copy_gives_offsets_out_again() {
+    let log = PlatformLog::new().start().await.unwrap();
+    append(&log, "a").await.unwrap();
+    let copy = log.copy();
+    append(&log, "lost").await.unwrap();
+    assert_eq!(read(&log, "from=0").await["era"], 1);
+    log.come_back_from(copy);
+    assert_eq!(append(&log, "b").await.unwrap().body, r#"{"offset":1}"#);
+    let page = read(&log, "from=1").await;
+    assert_eq!(page["era"], 2);
+    assert_eq!(page["records"][0]["bytes"], "Yg");
+}
--- a/crates/kumquatquayd/src/platform/log_client.rs
+++ b/crates/kumquatquayd/src/platform/log_client.rs
@@ -228,6 +228,7 @@
             records,
             oldest_offset: page.oldest_offset,
             next_offset: page.next_offset,
+            era: page.era,
         },
         Err(error) => {
             log::warn!(event = "log_record_unreadable"; "{error:#}");
--- a/crates/kumquatquayd/src/platform/log_records.rs
+++ b/crates/kumquatquayd/src/platform/log_records.rs
@@ -3,6 +3,7 @@
 use base64::{Engine, engine::general_purpose::URL_SAFE_NO_PAD};
 use eyre::WrapErr;
 use kumquatquay_core::LogRecord;
+use kumquatquay_wire::routed::StoreEra;
 use serde::Deserialize;
 
 /// Answer to an append.
@@ -16,6 +17,9 @@
 pub(crate) struct ReadAnswer {
     pub(crate) oldest_offset: u64,
     pub(crate) next_offset: u64,
+    /// Era of the log; not all tell it.
+    #[serde(default)]
+    pub(crate) era: Option<StoreEra>,
     records: Vec<RecordText>,
 }
 
