--- a/crates/kumquatquayd/src/routed/store_return.rs
+++ b/crates/kumquatquayd/src/routed/store_return.rs
@@ -61,7 +61,11 @@
     /// Takes in what an era that was told says of the store.
     pub(crate) fn on_era_news(&self, news: EraNews, era: Option<StoreEra>, from: &'static str) {
         match news {
-            EraNews::None | EraNews::First => {}
+            EraNews::None => {}
+            EraNews::First => {
+                log::info!(event = "store_era", era = era, from = from;
+                    "the store tells its era, which rises if it comes back from a copy");
+            }
             EraNews::Senseless => {
                 self.pass_over_era("senseless", "a node tells of an era that is too far ahead");
             }
