Call the store behind only if it was seen to be

Most nodes never read the store, so the gauge said behind on all of them after a return, and a later version that came by a peer first gave a false line to operators. The proof keeps the stricter rule.

--- a/crates/kumquatquay-core/tests/routed/newest_proof.rs
+++ b/crates/kumquatquay-core/tests/routed/newest_proof.rs
@@ -178,6 +178,7 @@
     proof.stored(OLD, 8);
     proof.read(at(900), OLD);
     assert_eq!(age_ms(&proof, 1_100), Some(200));
+    proof.stored(NEW, 7);
     assert!(proof.is_store_behind());
 }
 
@@ -205,6 +206,19 @@
     by_one_that_has_not_heard_of_it: (8, OLD, 900) => 4_100;
 }
 
+/// Most nodes never read the store; they know nothing of what it lacks. A configuration that is
+/// newer than the return is no loss either.
+#[test]
+fn a_store_is_behind_only_if_it_was_seen_to_be() {
+    let mut proof = returned();
+    assert!(!proof.is_store_behind());
+    proof.stored(NEW, 0);
+    assert!(proof.is_store_behind());
+    proof.stored(NEW, 8);
+    proof.applied(9);
+    assert!(!proof.is_store_behind());
+}
+
 #[test]
 fn an_older_return_changes_nothing() {
     let mut proof = returned();
