Take the first era of a store that told none for a return

Offsets start anew, as before, and now proofs, counts and entries too. Only an answer that somebody waits for tells the log's era: another one, which changes nothing, was taken for one without an era (a test of the operations).

--- a/crates/kumquatquay-core/src/configuration/controller.rs
+++ b/crates/kumquatquay-core/src/configuration/controller.rs
@@ -25,6 +25,13 @@
     board.configuration.demand.on_tick(now);
 }
 
+/// Whether the log answers the read that is under way.
+pub(crate) fn awaits(board: &Blackboard, input: &LogInput) -> bool {
+    let outstanding = board.configuration.reader.outstanding;
+    matches!(input, LogInput::Read { read, .. }
+        if outstanding.is_some_and(|outstanding| outstanding.id == *read))
+}
+
 /// An exchange with the log ended; those of other streams are not ours.
 pub(crate) fn on_log(board: &mut Blackboard, now: Moment, input: LogInput, out: &mut Vec<Output>) {
     match input {
--- a/crates/kumquatquay-core/src/configuration/mod.rs
+++ b/crates/kumquatquay-core/src/configuration/mod.rs
@@ -34,7 +34,7 @@
 pub(crate) use classification::{Classification, classify};
 pub use configuration_dump::ConfigurationDump;
 pub(crate) use configuration_table::ConfigurationTable;
-pub(crate) use controller::{on_log, on_operator, on_tick};
+pub(crate) use controller::{awaits, on_log, on_operator, on_tick};
 pub(crate) use demand::observe_call;
 pub(crate) use heard::{on_version_heard, version_to_tell};
 pub(crate) use peer_fetch::{on_bulk_answer, on_bulk_failed, on_bulk_question};
--- a/crates/kumquatquay-core/src/configuration/reading.rs
+++ b/crates/kumquatquay-core/src/configuration/reading.rs
@@ -229,9 +229,10 @@
     out.push(Output::Note(Note::warn(
         "log_returned_from_copy",
         format!(
-            "the log came back from an older copy, in era {}, after era {before}; what is in \
+            "the log came back from an older copy, in era {}, after era {}; what is in \
              force stays so, and the last record that was read is looked for",
-            era.unwrap_or_default()
+            era.unwrap_or_default(),
+            before.unwrap_or_default()
         ),
     )));
     true
--- a/crates/kumquatquay-core/src/node.rs
+++ b/crates/kumquatquay-core/src/node.rs
@@ -7,7 +7,7 @@
 use kumquatquay_wire::{Class, ConfigurationVersion};
 
 use crate::{
-    Blackboard, Counter, Counters, Input, Moment, NodeSettings, Output, StateDump, call,
+    Blackboard, Counter, Counters, Input, LogInput, Moment, NodeSettings, Output, StateDump, call,
     configuration, gate, membership, operations, overload, quarantine,
 };
 
@@ -60,7 +60,9 @@
         let board = &mut self.board;
         let mut outputs = Vec::new();
         let out = &mut outputs;
-        if let Input::Log(input) = &input {
+        if let Input::Log(input) = &input
+            && is_awaited(board, input)
+        {
             operations::on_log_era(board, now, input, out);
         }
         match input {
@@ -158,3 +160,10 @@
     membership::on_tick(board, now, out);
     configuration::on_tick(board, now, out);
 }
+
+/// Whether anybody waits for this answer of the log.
+fn is_awaited(board: &Blackboard, input: &LogInput) -> bool {
+    operations::owns(board, input)
+        || membership::owns(board, input)
+        || configuration::awaits(board, input)
+}
--- a/crates/kumquatquay-core/src/routed/store_eras.rs
+++ b/crates/kumquatquay-core/src/routed/store_eras.rs
@@ -19,10 +19,13 @@
 /// store belongs to an era, and a higher one, in any answer or told by another node, starts it
 /// anew. What is in force stays in force.
 ///
-/// A store that tells no era costs nothing: all its answers count.
+/// A store that tells no era costs nothing: all its answers count. One that begins to tell it may
+/// do so since it came back.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreEras {
     known: Option<StoreEra>,
+    /// Whether the store answered without an era, before it told any.
+    has_told_none: bool,
 }
 
 /// What an era says of the store.
@@ -34,8 +37,8 @@
     First,
     /// The store has come back from a copy since.
     Returned {
-        /// The highest one that was known before.
-        before: StoreEra,
+        /// The highest one that was known before; `None` if the store told none.
+        before: Option<StoreEra>,
     },
     /// It is too far ahead to be true.
     Senseless,
@@ -52,21 +55,25 @@
         era.is_some() && era < self.known
     }
 
-    /// An answer of the store told it.
+    /// An answer of the store told it, or none.
     pub fn seen(&mut self, era: Option<StoreEra>) -> EraNews {
         let Some(era) = era else {
+            self.has_told_none |= self.known.is_none();
             return EraNews::None;
         };
-        match self.known {
-            Some(known) if era <= known => EraNews::None,
-            known => {
-                self.known = Some(era);
-                known.map_or(EraNews::First, |before| EraNews::Returned { before })
-            }
+        let before = self.known;
+        if before.is_some_and(|before| era <= before) {
+            return EraNews::None;
+        }
+        self.known = Some(era);
+        if before.is_some() || self.has_told_none {
+            EraNews::Returned { before }
+        } else {
+            EraNews::First
         }
     }
 
-    /// Another node told it.
+    /// Another node, which knows of answers of the store, told it, or knows none.
     pub fn told(&mut self, era: Option<StoreEra>) -> EraNews {
         let most = self
             .known
--- a/crates/kumquatquay-core/src/routed/store_follower.rs
+++ b/crates/kumquatquay-core/src/routed/store_follower.rs
@@ -377,7 +377,11 @@
     ///
     /// Those of an era that is over are no word of the store as it is now.
     pub fn told(&mut self, now: Duration, era: Option<StoreEra>, answers_count: u64) -> EraNews {
-        let news = self.eras.told(era);
+        let news = if era.is_some() || answers_count > 0 {
+            self.eras.told(era)
+        } else {
+            EraNews::None
+        };
         self.begin_era(now, news);
         if era == self.eras.known() && answers_count > self.answers_count {
             self.answers_count = answers_count;
--- a/crates/kumquatquay-core/tests/routed/store_eras.rs
+++ b/crates/kumquatquay-core/tests/routed/store_eras.rs
@@ -15,13 +15,23 @@
 fn only_a_higher_era_is_a_return() {
     let mut eras = StoreEras::default();
     assert_eq!(eras.seen(Some(0)), EraNews::First);
-    assert_eq!(eras.told(Some(1)), EraNews::Returned { before: 0 });
+    assert_eq!(eras.told(Some(1)), EraNews::Returned { before: Some(0) });
     for era in [Some(1), Some(0), None] {
         assert_eq!(eras.seen(era), EraNews::None);
     }
     assert_eq!(eras.known(), Some(1));
 }
 
+/// The store tells no era until it comes back for the first time.
+#[test]
+fn an_era_behind_answers_without_one_is_a_return() {
+    let mut eras = StoreEras::default();
+    assert_eq!(eras.seen(None), EraNews::None);
+    assert_eq!(eras.seen(Some(1)), EraNews::Returned { before: None });
+    assert_eq!(eras.seen(None), EraNews::None);
+    assert_eq!(eras.seen(Some(2)), EraNews::Returned { before: Some(1) });
+}
+
 /// A broken node tells of an era that will never be. Taken for true, it would hide each return
 /// that follows.
 #[test]
@@ -29,7 +39,7 @@
     let mut eras = StoreEras::default();
     eras.seen(Some(3));
     assert_eq!(eras.told(Some(u64::MAX)), EraNews::Senseless);
-    assert_eq!(eras.told(Some(9)), EraNews::Returned { before: 3 });
+    assert_eq!(eras.told(Some(9)), EraNews::Returned { before: Some(3) });
     eras.seen(Some(u64::MAX));
     assert_eq!(eras.told(Some(u64::MAX)), EraNews::None);
 }
--- a/crates/kumquatquay-core/tests/routed/store_returns.rs
+++ b/crates/kumquatquay-core/tests/routed/store_returns.rs
@@ -63,6 +63,8 @@
     cut_count: usize,
     /// Whether nodes do without eras, as if the store told none.
     ignores_eras: bool,
+    /// Whether the store tells an era from its first return on only.
+    tells_late: bool,
 }
 
 const ONE: Return = Return {
@@ -79,6 +81,7 @@
     change_ms: 700,
     cut_count: 6,
     ignores_eras: false,
+    tells_late: false,
 };
 
 /// A configuration as it was confirmed first.
@@ -267,7 +270,8 @@
     }
 
     fn era_of(&self, era: Option<StoreEra>) -> Option<StoreEra> {
-        era.filter(|_| !self.scene.ignores_eras)
+        let is_told = !self.scene.tells_late || era > Some(0);
+        era.filter(|_| is_told && !self.scene.ignores_eras)
     }
 
     fn begin_reads(&mut self, place: usize, now_ms: u64) {
@@ -539,6 +543,7 @@
         ..SCENE
     };
     with_changes_in_quick_succession: Scene { change_ms: 60, ..SCENE };
+    that_brings_the_first_era: Scene { tells_late: true, ..SCENE };
     with_nobody_cut_off: Scene { cut_count: 0, ..SCENE };
 }
 
--- a/crates/kumquatquayd/src/routed/interface.rs
+++ b/crates/kumquatquayd/src/routed/interface.rs
@@ -123,6 +123,8 @@
 pub struct ToldEras {
     /// The highest one; `None` if none was told.
     pub highest: Option<StoreEra>,
+    /// Whether there was an answer without one.
+    pub has_told_none: bool,
     /// Answers whose era can't be read.
     pub malformed_count: u64,
 }
--- a/crates/kumquatquayd/src/routed/store_return.rs
+++ b/crates/kumquatquayd/src/routed/store_return.rs
@@ -47,8 +47,10 @@
     /// Takes in what the answers of the store told of its era.
     pub(crate) fn see_store_eras(&self, told: ToldEras) {
         let now = self.now();
-        let news = self.follower.borrow_mut().era_seen(now, told.highest);
-        self.on_era_news(news, told.highest, "store");
+        if told.highest.is_some() || told.has_told_none {
+            let news = self.follower.borrow_mut().era_seen(now, told.highest);
+            self.on_era_news(news, told.highest, "store");
+        }
         let malformed_count = told.malformed_count;
         if self.store_return.malformed_count.replace(malformed_count) != malformed_count {
             self.pass_over_era(
