--- a/crates/kumquatquayd/src/routed/connection_row.rs
+++ b/crates/kumquatquayd/src/routed/connection_row.rs
@@ -13,18 +13,17 @@
 };
 
 use bytes::{Buf, Bytes, BytesMut};
-use http::{HeaderMap, Request, Response, Uri, request::Parts};
-use hyper::body::Body;
+use http::{HeaderMap, Request, Response, Uri};
 use kumquatquay_core::routed::{Mechanism, RequestRow, RowLimits, RowRequest};
 use kumquatquay_wire::routed::Repeat;
-use tokio::task::{JoinError, JoinHandle};
 
 use super::{
     caller_identity::find_route,
-    entry::{CallerBody, serve_entry},
+    entry::CallerBody,
     http_io::{Caller, WholeBody},
     node::{RoutedNode, StopPhase},
     request_frame::{Framing, RequestFrame, frame_request, has_head_end, read_whole_request},
+    started_request::{HeldBytes, InFlight, StartedRequest},
 };
 
 /// What a connection may have under way behind the request that is answered next.
@@ -147,139 +146,6 @@
     Streamed,
 }
 
-/// A request that was started before its turn.
-pub(crate) struct StartedRequest {
-    node: Rc<RoutedNode>,
-    whole_bytes: usize,
-    /// How it was read.
-    parts: Parts,
-    body: Bytes,
-    answer: Option<JoinHandle<HeldAnswer>>,
-}
-
-/// An answer that waits for its turn.
-pub(crate) struct HeldAnswer {
-    pub(crate) answer: Response<WholeBody>,
-    _held: HeldBytes,
-    _waiting: WaitingBytes,
-    in_flight: InFlight,
-}
-
-/// Bytes of an answer that is held, as they count for its node.
-struct HeldBytes {
-    node: Rc<RoutedNode>,
-    bytes: usize,
-}
-
-/// Bytes of an answer that waits for its turn, as they count for its connection.
-struct WaitingBytes {
-    of_connection: Rc<Cell<usize>>,
-    bytes: usize,
-}
-
-/// A request that counts as under way.
-pub(crate) struct InFlight {
-    node: Rc<RoutedNode>,
-}
-
-impl InFlight {
-    fn new(node: &Rc<RoutedNode>) -> Self {
-        node.in_flight_count.set(node.in_flight_count.get() + 1);
-        Self {
-            node: Rc::clone(node),
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        let count = &self.node.in_flight_count;
-        count.set(count.get() - 1);
-    }
-}
-
-impl HeldBytes {
-    fn new(node: &Rc<RoutedNode>, answer: &Response<WholeBody>) -> Self {
-        let bytes = size_of(answer);
-        let mut held = node.held_answers.get();
-        held.add(bytes);
-        node.held_answers.set(held);
-        Self {
-            node: Rc::clone(node),
-            bytes,
-        }
-    }
-}
-
-impl Drop for HeldBytes {
-    fn drop(&mut self) {
-        let mut held = self.node.held_answers.get();
-        held.remove(self.bytes);
-        self.node.held_answers.set(held);
-    }
-}
-
-impl WaitingBytes {
-    fn new(of_connection: Rc<Cell<usize>>, answer: &Response<WholeBody>) -> Self {
-        let bytes = size_of(answer);
-        of_connection.set(of_connection.get() + bytes);
-        Self {
-            of_connection,
-            bytes,
-        }
-    }
-}
-
-impl Drop for WaitingBytes {
-    fn drop(&mut self) {
-        let of_connection = &self.of_connection;
-        of_connection.set(of_connection.get() - self.bytes);
-    }
-}
-
-fn size_of(answer: &Response<WholeBody>) -> usize {
-    answer.body().size_hint().lower() as usize
-}
-
-impl StartedRequest {
-    /// Whether the HTTP library reads the same head.
-    fn is_head(&self, parts: &Parts) -> bool {
-        self.parts.method == parts.method
-            && self.parts.uri == parts.uri
-            && self.parts.version == parts.version
-            && self.parts.headers == parts.headers
-    }
-
-    /// Its answer, if the HTTP library reads the same request.
-    async fn answer_to(
-        mut self,
-        request: Request<Bytes>,
-    ) -> Result<HeldAnswer, Request<CallerBody>> {
-        let (parts, body) = request.into_parts();
-        if !self.is_head(&parts) || body != self.body {
-            let request = Request::from_parts(parts, CallerBody::Right(body.into()));
-            return Err(request);
-        }
-        let task = self.answer.as_mut().expect("it is taken once");
-        let answer = task.await;
-        self.answer = None;
-        match answer.map_err(JoinError::try_into_panic) {
-            Ok(held) => Ok(held),
-            Err(Ok(panic)) => std::panic::resume_unwind(panic),
-            Err(Err(error)) => unreachable!("its task ends with this one: {error}"),
-        }
-    }
-}
-
-impl Drop for StartedRequest {
-    fn drop(&mut self) {
-        if let Some(answer) = self.answer.take() {
-            answer.abort();
-            self.node.decisions.count("pipelined", "given_up");
-        }
-    }
-}
-
 impl ConnectionRow {
     pub(crate) fn new(node: Rc<RoutedNode>, caller: Option<SocketAddr>) -> Rc<Self> {
         let phase = if node.is_on(Mechanism::Pipelining) {
@@ -469,7 +335,13 @@
             if !state.row.may_start(decisive) {
                 return;
             }
-            let started = self.start(request, whole_bytes);
+            let started = StartedRequest::start(
+                &self.node,
+                self.caller(),
+                request,
+                whole_bytes,
+                Rc::clone(&self.held_bytes),
+            );
             state.row.start(decisive, started);
             state.started_bytes += whole_bytes;
             state.missing = Missing::Unknown;
@@ -494,36 +366,6 @@
         }
     }
 
-    fn start(&self, request: Request<Bytes>, whole_bytes: usize) -> StartedRequest {
-        self.node.decisions.count("pipelined", "started");
-        let (mut parts, whole) = request.into_parts();
-        let body = CallerBody::Right(whole.clone().into());
-        let kept = parts.clone();
-        if let Some(caller) = self.caller {
-            parts.extensions.insert(Caller(caller));
-        }
-        let request = Request::from_parts(parts, body);
-        let node = Rc::clone(&self.node);
-        let of_connection = Rc::clone(&self.held_bytes);
-        let in_flight = InFlight::new(&node);
-        let answer = tokio::task::spawn_local(async move {
-            let answer = serve_entry(Rc::clone(&node), request).await;
-            HeldAnswer {
-                _held: HeldBytes::new(&node, &answer),
-                _waiting: WaitingBytes::new(of_connection, &answer),
-                answer,
-                in_flight,
-            }
-        });
-        StartedRequest {
-            node: Rc::clone(&self.node),
-            whole_bytes,
-            parts: kept,
-            body: whole,
-            answer: Some(answer),
-        }
-    }
-
     /// The HTTP library has read the head of the next request.
     pub(crate) fn reach<B>(&self, request: &Request<B>) -> Turn {
         let mut state = self.state.borrow_mut();
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -42,6 +42,7 @@
 mod settings;
 mod spare_buffers;
 mod start;
+mod started_request;
 mod store_return;
 
 pub use interface::{
