Hold requests at the entry that can wait for room

Requests whose aim leaves room were refused by chance and came back once, at a moment that nobody chose. A core module decides by expected wait whether one is let in, held or refused; held ones are offered anew over the time that they can wait, so the level counts them as offered load and nothing is let in in a herd.

--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -72,6 +72,9 @@
     /// At a gate, calls that can't be in time any more come after those of their rank that can.
     #[display("late-last")]
     LateLast,
+    /// Requests that can wait are held at the entry until there is room for them.
+    #[display("entry-hold")]
+    EntryHold,
 }
 
 impl Mechanism {
@@ -98,6 +101,7 @@
         Self::Pipelining,
         Self::WorkLoad,
         Self::LateLast,
+        Self::EntryHold,
     ];
 
     fn bit(self) -> u32 {
--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -12,6 +12,7 @@
 mod call_tracer;
 mod caller_census;
 mod entry_levels;
+mod entry_queue;
 mod gate_repeats;
 mod held_answers;
 mod host_gate;
@@ -37,6 +38,7 @@
 mod store_follower;
 mod store_readers;
 mod target_table;
+mod time_needed;
 mod unknown_keys;
 mod workspaces;
 
@@ -46,6 +48,9 @@
 pub use call_tracer::{CallTracer, RunNumber};
 pub use caller_census::CallerCensus;
 pub use entry_levels::{EntryLevels, EntryRequest, ServiceWork, Shortage};
+pub use entry_queue::{
+    EntryLine, EntryQueue, HoldKey, HoldOffer, HoldOutcome, HoldRequest, Released,
+};
 pub use gate_repeats::{GateRepeats, TurnedAwayCall};
 pub use held_answers::HeldAnswers;
 pub use host_gate::{Admission, BackendLoad, GateCall, HostGate, QueueOrder, WaitKey};
--- a/crates/kumquatquay-core/src/routed/return_time.rs
+++ b/crates/kumquatquay-core/src/routed/return_time.rs
@@ -13,6 +13,10 @@
 /// known of its end.
 const LASTS_ON_RATIOS: Range<f64> = 0.5..1.5;
 
+/// Time over which callers are spread that are asked back when room is expected, in the time until
+/// then.
+const ROOM_RATIOS: Range<f64> = 1.0..2.0;
+
 /// Part of the time that a caller has left for which it waits at the most.
 const WAITS_RATIO: f64 = 1.0 / 3.0;
 
@@ -25,9 +29,21 @@
     pub time_left: Option<Duration>,
     /// How long there has been no room for it.
     pub short_for: Duration,
+    /// Time after which there should be room for it, if that is known.
+    pub room_in: Option<Duration>,
 }
 
 impl ReturnTime {
+    /// For a caller that wasn't refused for a shortage of which more is known.
+    pub fn soon(target_latency: Duration) -> Self {
+        Self {
+            target_latency,
+            time_left: None,
+            short_for: Duration::ZERO,
+            room_in: None,
+        }
+    }
+
     /// Draws the time after which it should come back.
     ///
     /// It answers the pattern in which a surge lasts for many seconds and callers come back once:
@@ -37,8 +53,10 @@
         let soon = self
             .target_latency
             .mul_f64(random.random_range(SOON_RATIOS));
-        let expected = self.short_for.mul_f64(random.random_range(LASTS_ON_RATIOS));
+        let over = self.short_for.mul_f64(random.random_range(LASTS_ON_RATIOS));
+        let room_in = self.room_in.unwrap_or_default();
+        let room = room_in.mul_f64(random.random_range(ROOM_RATIOS));
         let latest = self.time_left.unwrap_or_default().mul_f64(WAITS_RATIO);
-        soon.max(expected.min(latest))
+        soon.max(over.max(room).min(latest))
     }
 }
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -8,6 +8,7 @@
 mod call_tracer;
 mod caller_census;
 mod entry_levels;
+mod entry_queue;
 mod failing_server;
 mod gate_repeats;
 mod held_answers;
--- a/crates/kumquatquay-core/tests/routed/return_time.rs
+++ b/crates/kumquatquay-core/tests/routed/return_time.rs
@@ -11,6 +11,7 @@
     target_latency: Duration::from_secs(2),
     time_left: Some(Duration::from_secs(6)),
     short_for: Duration::ZERO,
+    room_in: None,
 };
 
 fn drawn(refused: ReturnTime) -> Vec<Duration> {
@@ -70,3 +71,13 @@
     }
     assert!(refused_again[1] < refused_again[0], "{refused_again:?}");
 }
+
+/// Told the same moment, they would all come back to the first room that there is.
+#[test]
+fn who_is_asked_back_when_there_is_room_is_spread_from_then_on() {
+    let room_in = Some(at_ms(900));
+    let drawn = drawn(ReturnTime { room_in, ..REFUSED });
+    assert!(drawn.iter().all(|wait| *wait >= at_ms(900)));
+    let late = drawn.iter().filter(|wait| **wait >= at_ms(1_400)).count();
+    assert!((300..700).contains(&late), "{late}");
+}
--- a/crates/kumquatquayd/src/routed/caller_identity.rs
+++ b/crates/kumquatquayd/src/routed/caller_identity.rs
@@ -127,7 +127,12 @@
     }
 }
 
-fn look_up(node: &RoutedNode, parts: &Parts, key: KeyClaim) -> Result<Identified, IdentityRefusal> {
+/// Finds out the same by the configuration in force, whether that is the newest or not.
+pub(crate) fn look_up(
+    node: &RoutedNode,
+    parts: &Parts,
+    key: KeyClaim,
+) -> Result<Identified, IdentityRefusal> {
     let table = node.routes().ok_or(IdentityRefusal::NoConfiguration)?;
     let route = find_route(&table, &parts.headers, &parts.uri).ok_or(IdentityRefusal::NoRoute)?;
     let route = Arc::clone(route);
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -1,28 +1,27 @@
 //! The entry listener: calls of callers and of the backend server on this host.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, request::Parts};
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use kumquatquay_core::routed::{EntryRequest, Mechanism, ReturnTime, TableRoute, whole_rank};
+use kumquatquay_core::routed::{Mechanism, ReturnTime, TableRoute, whole_rank};
 use kumquatquay_wire::routed::{
     LinkOutcome, NotRunReason, RouteSettings, UnknownReason, WorkspaceSettings,
 };
-use rand::Rng;
 
 use super::{
-    caller_identity::{Identified, IdentityRefusal, identify},
+    admission::{Admission, Entering, admit, refuse_for_now},
+    caller_identity::{Identified, IdentityRefusal, identify, look_up},
     carry::{OutgoingCall, Progress, carry},
     http_io::{Caller, WholeBody, fields_of, headers_of, own_answer},
     interface::RequestMarks,
     link_answer::{HandedOver, LinkAnswer},
     node::{RoutedNode, StopPhase},
-    quotas::{QuotaRefusal, give_back, take_token},
+    quotas::{QuotaRefusal, UnspentToken, give_back, take_token},
     request_log::{
-        log_ended, log_line, log_over_quota, log_unidentified, log_unless_many, not_run_name,
-        unknown_name,
+        log_ended, log_over_quota, log_unidentified, log_unless_many, not_run_name, unknown_name,
     },
 };
 
@@ -62,11 +61,8 @@
         Ok(identified) => identified,
         Err(refusal) => return refuse_unidentified(node, &marks, refusal),
     };
-    let Identified {
-        table,
-        route,
-        workspace,
-    } = identified;
+    let table = Arc::clone(&identified.table);
+    let route = Arc::clone(&identified.route);
     if is_too_late(node, &route) {
         node.decisions.count("refused", "stopping");
         let retry = Some(retry_after(node, &route.settings));
@@ -83,12 +79,7 @@
             return own_answer(status, None, "the body is too long or broken\n");
         }
     };
-    let Some(service) = route.split.next().cloned() else {
-        node.decisions.count("refused", "no_destination");
-        let retry = Some(NOT_CONFIGURED_RETRY);
-        return own_answer(StatusCode::SERVICE_UNAVAILABLE, retry, "no destination\n");
-    };
-    let token = match &workspace {
+    let token = match &identified.workspace {
         None => None,
         Some(workspace) => {
             let patience = node.starting_patience(&route.settings);
@@ -100,33 +91,26 @@
             }
         }
     };
-    let expires = marks.time_left.map(|time_left| began + time_left);
-    let caller = parts.extensions.get::<Caller>().map(|caller| caller.0);
-    let call = OutgoingCall {
-        caller,
-        service,
-        version: table.version(),
-        whole_priority: Cell::new(whole_rank(&route.settings, workspace.as_deref())),
-        workspace,
-        deadline: deadline_of(&route, &marks, began),
-        attempt: marks.attempt.unwrap_or_default(),
-        method: String::from(parts.method.as_str()),
-        target: target_of(&parts),
-        headers: fields_of(&parts.headers),
+    let token = UnspentToken::new(node, token);
+    let request = ReadRequest {
+        parts,
+        marks,
         body,
-        route,
-        progress: Cell::new(Progress::default()),
-        handed_over: HandedOver::default(),
+        began,
     };
-    if let Some(refusal) = refuse_for_shortage(node, &call, began, expires) {
-        if let Some(token) = token {
-            give_back(node, token);
-        }
-        return refusal;
-    }
+    let call = match enter(node, &request, identified).await {
+        Entered::LetIn(call) => call,
+        Entered::Refused(refusal) => return refusal,
+    };
+    let token = token.spend();
+    let let_in = node.now();
     let wait = call.deadline.saturating_sub(node.now());
     let carried = tokio::time::timeout(wait, carry(node, &call)).await;
-    if !carried.as_ref().is_ok_and(LinkAnswer::is_success) {
+    if carried.as_ref().is_ok_and(LinkAnswer::is_success) {
+        let took = node.now().saturating_sub(let_in);
+        let mut held = node.held.borrow_mut();
+        held.answered(&call.route.settings.name, took);
+    } else {
         count_failed_call(node, &call);
     }
     let carried = match carried {
@@ -204,71 +188,83 @@
     }
 }
 
-/// Refuses a whole request that a service on its way has no room for, before
-/// anything was done for it.
-fn refuse_for_shortage(
-    node: &RoutedNode,
-    call: &OutgoingCall,
+/// A request as it was read.
+struct ReadRequest {
+    parts: Parts,
+    marks: RequestMarks,
+    body: Bytes,
     began: Duration,
-    expires: Option<Duration>,
-) -> Option<Response<WholeBody>> {
-    let now = node.now();
-    let route = &call.route.settings;
-    if node.levels.borrow().is_from_outside(now, &route.name) == Some(false) {
-        node.graph.borrow_mut().called(now, &route.name);
-        if let Some(expires) = expires {
-            let whole_priority = node.tracer.borrow_mut().called(&route.name, expires);
-            if let Some(priority) = whole_priority.filter(|_| node.is_on(Mechanism::WholeOrder)) {
-                call.whole_priority.set(priority);
-            }
+}
+
+/// What became of a request that was read.
+enum Entered {
+    LetIn(OutgoingCall),
+    Refused(Response<WholeBody>),
+}
+
+/// Lets a request in, or refuses it; if another configuration comes into force meanwhile, by that.
+async fn enter(
+    node: &Rc<RoutedNode>,
+    request: &ReadRequest,
+    mut identified: Identified,
+) -> Entered {
+    loop {
+        let Some(call) = call_of(request, identified) else {
+            node.decisions.count("refused", "no_destination");
+            let retry = Some(NOT_CONFIGURED_RETRY);
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Entered::Refused(own_answer(status, retry, "no destination\n"));
+        };
+        let time_left = request.marks.time_left;
+        let entering = Entering {
+            call: &call,
+            began: request.began,
+            expires: time_left.map(|time_left| request.began + time_left),
+        };
+        match admit(node, &entering).await {
+            Admission::LetIn => return Entered::LetIn(call),
+            Admission::Refused(refusal) => return Entered::Refused(refusal),
+            Admission::Reloaded => {}
         }
-        return None;
-    }
-    if !node.is_on(Mechanism::EntryLevels) {
-        return None;
-    }
-    let table = node.routes()?;
-    let place = node.random.borrow_mut().random();
-    let request = EntryRequest {
-        route: &route.name,
-        service: &call.service,
-        priority: call.whole_priority.get(),
-        place,
-    };
-    let admitted = node
-        .levels
-        .borrow_mut()
-        .admit(now, &request, table.priorities());
-    let shortage = admitted.err()?;
-    let returns = ReturnTime {
-        target_latency: route.target_latency,
-        time_left: expires.map(|expires| expires.saturating_sub(now)),
-        short_for: if node.is_on(Mechanism::LateReturn) {
-            shortage.lasts
-        } else {
-            Duration::ZERO
-        },
-    };
-    let wait = returns.draw(&mut *node.random.borrow_mut());
-    node.decisions.count("refused", "shortage");
-    if node.decisions.has_line(now) {
-        let why = format!(
-            "{} has room for {:.2} of the offered load, told {} ms ago, short for {} ms; \
-             {:.2} of this rank are let in",
-            shortage.service,
-            shortage.level,
-            shortage.age.as_millis(),
-            shortage.lasts.as_millis(),
-            shortage.chance
-        );
-        log_line(node, call, "refused", &why, None, began);
+        identified = match look_up(node, &request.parts, request.marks.key) {
+            Ok(identified) => identified,
+            Err(refusal) => {
+                // It was allowed when it came. Its caller finds out when it comes back.
+                node.decisions.count("refused", refusal.name());
+                let refusal = refuse_for_now(node, &call, refusal.text());
+                return Entered::Refused(refusal);
+            }
+        };
     }
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    Some(own_answer(
-        status,
-        Some(wait),
-        "no room for the whole request\n",
-    ))
+}
+
+/// The call that a request is for; `None` if its route leads nowhere.
+fn call_of(request: &ReadRequest, identified: Identified) -> Option<OutgoingCall> {
+    let Identified {
+        table,
+        route,
+        workspace,
+    } = identified;
+    let service = route.split.next().cloned()?;
+    let parts = &request.parts;
+    let marks = &request.marks;
+    let caller = parts.extensions.get::<Caller>().map(|caller| caller.0);
+    Some(OutgoingCall {
+        caller,
+        service,
+        version: table.version(),
+        whole_priority: Cell::new(whole_rank(&route.settings, workspace.as_deref())),
+        workspace,
+        deadline: deadline_of(&route, marks, request.began),
+        attempt: marks.attempt.clone().unwrap_or_default(),
+        method: String::from(parts.method.as_str()),
+        target: target_of(parts),
+        headers: fields_of(&parts.headers),
+        body: request.body.clone(),
+        route,
+        progress: Cell::new(Progress::default()),
+        handed_over: HandedOver::default(),
+    })
 }
 
 fn target_of(parts: &Parts) -> String {
@@ -331,10 +327,6 @@
 
 /// When a caller should come back that wasn't refused for a shortage of which more is known.
 fn retry_after(node: &RoutedNode, route: &RouteSettings) -> Duration {
-    let returns = ReturnTime {
-        target_latency: route.target_latency,
-        time_left: None,
-        short_for: Duration::ZERO,
-    };
+    let returns = ReturnTime::soon(route.target_latency);
     returns.draw(&mut *node.random.borrow_mut())
 }
--- /dev/null
+++ b/crates/kumquatquayd/src/routed/holding.rs
@@ -0,0 +1,193 @@
+//! Requests that are held at the entry until there is room for them.
+
+use std::{rc::Rc, time::Duration};
+
+use kumquatquay_core::routed::{
+    EntryLine, EntryQueue, HoldKey, HoldOffer, HoldOutcome, HoldRequest, Released, Shortage,
+};
+use kumquatquay_wire::routed::HeaderField;
+use tokio::sync::oneshot;
+
+use super::{
+    admission::{Entering, LAST_PLACE, offer_at},
+    carry::OutgoingCall,
+    node::{RoutedNode, StopPhase},
+};
+
+/// How often it is looked whether held requests can be let in.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Memory that a held request takes beside its body and its fields.
+const HELD_LEAST_BYTES: usize = 1_024;
+
+/// Tells a held request why it is held no longer.
+type HoldTicket = oneshot::Sender<HoldEnd>;
+
+/// Requests that this node holds.
+pub(super) type HeldRequests = EntryQueue<HoldTicket>;
+
+/// Why a request is held no longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HoldEnd {
+    /// It is let in.
+    LetIn,
+    /// There is no room, and none is expected in time.
+    NoRoom {
+        /// Time after which there should be room to hold it, if that is known.
+        room_in: Option<Duration>,
+    },
+    /// The node stops.
+    Stopping,
+    /// Another configuration came into force.
+    Reloaded,
+}
+
+impl HoldEnd {
+    /// What counters and log lines call it.
+    fn name(self) -> &'static str {
+        match self {
+            Self::LetIn => "let_in",
+            Self::NoRoom { .. } => "no_room",
+            Self::Stopping => "stopping",
+            Self::Reloaded => "reloaded",
+        }
+    }
+}
+
+/// A place among held requests, which is left when its caller leaves.
+struct HeldPlace<'a> {
+    node: &'a RoutedNode,
+    key: HoldKey,
+}
+
+impl Drop for HeldPlace<'_> {
+    fn drop(&mut self) {
+        if self.node.held.borrow_mut().remove(&self.key).is_some() {
+            self.node.decisions.count("held", "caller_left");
+        }
+    }
+}
+
+/// The line in which a request waits.
+pub(super) fn line_of(call: &OutgoingCall) -> EntryLine {
+    EntryLine {
+        route: call.route.settings.name.clone(),
+        service: call.service.clone(),
+        priority: call.whole_priority.get(),
+    }
+}
+
+/// Lets a request in, holds it until something comes of it, or refuses it.
+pub(super) async fn hold(
+    node: &RoutedNode,
+    entering: &Entering<'_>,
+    shortage: &Shortage,
+) -> HoldEnd {
+    let line = line_of(entering.call);
+    let request = HoldRequest {
+        line: &line,
+        chance: shortage.chance,
+        due: entering.due(),
+        held_bytes: held_bytes(entering.call),
+    };
+    let (ticket, released) = oneshot::channel();
+    let began = node.now();
+    let offer = {
+        let mut random = node.random.borrow_mut();
+        let mut held = node.held.borrow_mut();
+        held.offer(began, &request, ticket, &mut *random)
+    };
+    let key = match offer {
+        HoldOffer::Admitted => return HoldEnd::LetIn,
+        HoldOffer::Refused { room_in } => return HoldEnd::NoRoom { room_in },
+        HoldOffer::Held(key) => key,
+    };
+    node.held_news.notify_one();
+    let place = HeldPlace { node, key };
+    // The task that lets requests in ends with the node only.
+    let end = released.await.unwrap_or(HoldEnd::Stopping);
+    drop(place);
+    note_end(node, entering, shortage, began, end);
+    end
+}
+
+fn held_bytes(call: &OutgoingCall) -> usize {
+    let field_bytes = |(name, value): &HeaderField| name.len() + value.len();
+    let fields_bytes: usize = call.headers.iter().map(field_bytes).sum();
+    HELD_LEAST_BYTES + call.body.len() + fields_bytes + call.target.len()
+}
+
+fn note_end(
+    node: &RoutedNode,
+    entering: &Entering<'_>,
+    shortage: &Shortage,
+    began: Duration,
+    end: HoldEnd,
+) {
+    let now = node.now();
+    node.decisions.count("held", end.name());
+    if !node.decisions.has_line(now) {
+        return;
+    }
+    let call = entering.call;
+    let workspace = call.workspace.as_ref();
+    log::info!(
+        event = "request_held",
+        request = call.attempt.as_str(),
+        route = call.route.settings.name.as_str(),
+        workspace = workspace.map_or("", |workspace| workspace.name.as_str()),
+        rank = call.whole_priority.get(),
+        short_service = shortage.service.as_str(),
+        level = shortage.level,
+        held_ms = now.saturating_sub(began).as_millis() as u64,
+        left_ms = entering.due().saturating_sub(now).as_millis() as u64,
+        outcome = end.name();
+        "a request was held until there was room"
+    );
+}
+
+/// Lets held requests in as room comes, and sends all back when the node stops or another
+/// configuration comes into force.
+pub(crate) async fn release_held(node: Rc<RoutedNode>) {
+    let mut version = node.route_version();
+    loop {
+        if node.held.borrow().held_count() == 0 {
+            node.held_news.notified().await;
+        }
+        tokio::time::sleep(RELEASE_INTERVAL).await;
+        let in_force = node.route_version();
+        if node.stop_phase() > StopPhase::Serving {
+            send_all_back(&node, HoldEnd::Stopping);
+        } else if std::mem::replace(&mut version, in_force) != in_force {
+            send_all_back(&node, HoldEnd::Reloaded);
+        } else {
+            release(&node);
+        }
+    }
+}
+
+fn send_all_back(node: &RoutedNode, end: HoldEnd) {
+    let tickets = node.held.borrow_mut().take_all();
+    for ticket in tickets {
+        // Nobody waits for it if the caller has left in this moment.
+        let _ = ticket.send(end);
+    }
+}
+
+fn release(node: &RoutedNode) {
+    let chance = |line: &EntryLine| match offer_at(node, line, LAST_PLACE) {
+        Ok(()) => 1.0,
+        Err(shortage) => shortage.chance,
+    };
+    let released = node.held.borrow_mut().release(node.now(), chance);
+    for Released { ticket, outcome } in released {
+        let end = match outcome {
+            HoldOutcome::Room | HoldOutcome::Due => HoldEnd::LetIn,
+            HoldOutcome::NoRoom { room_in } => HoldEnd::NoRoom { room_in },
+        };
+        if outcome == HoldOutcome::Due {
+            node.decisions.count("held", "due");
+        }
+        let _ = ticket.send(end);
+    }
+}
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -10,6 +10,7 @@
 //! requests and reports are written, and [`PlatformStore`], where what lasts is
 //! kept.
 
+mod admission;
 mod backend_pool;
 mod caller_identity;
 mod carry;
@@ -19,6 +20,7 @@
 mod decisions;
 mod entry;
 mod first_look;
+mod holding;
 mod http_io;
 mod interface;
 mod learnt_log;
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -27,6 +27,7 @@
 use super::{
     backend_pool::BackendPool,
     decisions::Decisions,
+    holding::HeldRequests,
     interface::Dialect,
     learnt_log::LearntLog,
     link::Links,
@@ -111,6 +112,10 @@
     pub(crate) tracer: RefCell<CallTracer>,
     /// What is known of the pressure on services and of where routes lead.
     pub(crate) levels: RefCell<EntryLevels>,
+    /// Requests that are held at the entry.
+    pub(super) held: RefCell<HeldRequests>,
+    /// Told of the first that is held.
+    pub(super) held_news: Notify,
     /// News of routes that were worked out just now.
     news: RefCell<HashMap<String, (Duration, RouteNews)>>,
     pub(crate) backend: BackendPool,
@@ -218,6 +223,8 @@
             graph: RefCell::default(),
             tracer: RefCell::default(),
             levels: RefCell::default(),
+            held: RefCell::default(),
+            held_news: Notify::new(),
             decisions: Decisions::new(),
             learnt: LearntLog::default(),
             quotas: RefCell::new(Quotas::new(unsuspended())),
--- a/crates/kumquatquayd/src/routed/quotas.rs
+++ b/crates/kumquatquayd/src/routed/quotas.rs
@@ -71,6 +71,33 @@
     keeper: Option<SocketAddr>,
 }
 
+/// A token of a request that has not run; it goes back unless it is spent.
+///
+/// A caller may leave while its request is held, which drops this.
+pub(crate) struct UnspentToken<'a> {
+    node: &'a Rc<RoutedNode>,
+    token: Option<QuotaToken>,
+}
+
+impl<'a> UnspentToken<'a> {
+    pub(crate) fn new(node: &'a Rc<RoutedNode>, token: Option<QuotaToken>) -> Self {
+        Self { node, token }
+    }
+
+    /// The request may run now.
+    pub(crate) fn spend(mut self) -> Option<QuotaToken> {
+        self.token.take()
+    }
+}
+
+impl Drop for UnspentToken<'_> {
+    fn drop(&mut self) {
+        if let Some(token) = self.token.take() {
+            give_back(self.node, token);
+        }
+    }
+}
+
 /// Why a request has no token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum QuotaRefusal {
--- a/crates/kumquatquayd/src/routed/start.rs
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -10,6 +10,7 @@
 
 use super::{
     first_look::look_for_backend,
+    holding::release_held,
     http_io::{accept_all, listen, serve_connection},
     interface::{Dialect, PlatformStore},
     link::watch_links,
@@ -85,6 +86,7 @@
     tasks.spawn_local(watch_links(Rc::clone(&node)));
     tasks.spawn_local(keep_quotas(Rc::clone(&node)));
     tasks.spawn_local(set_level(Rc::clone(&node)));
+    tasks.spawn_local(release_held(Rc::clone(&node)));
     tasks.spawn_local(look_for_backend(Rc::clone(&node)));
     tasks.spawn_local(ask_for_configuration(Rc::clone(&node)));
     log_start(&node);
