--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -13,6 +13,7 @@
 mod caller_census;
 mod entry_levels;
 mod entry_queue;
+mod fair_shares;
 mod gate_repeats;
 mod held_answers;
 mod host_gate;
@@ -51,6 +52,7 @@
 pub use entry_queue::{
     EntryLine, EntryQueue, HoldKey, HoldOffer, HoldOutcome, HoldRequest, Released,
 };
+pub use fair_shares::{FairShares, ShareGroup};
 pub use gate_repeats::{GateRepeats, TurnedAwayCall};
 pub use held_answers::HeldAnswers;
 pub use host_gate::{Admission, BackendLoad, GateCall, HostGate, QueueOrder, WaitKey};
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -10,6 +10,7 @@
 mod entry_levels;
 mod entry_queue;
 mod failing_server;
+mod fair_shares;
 mod gate_repeats;
 mod held_answers;
 mod host_gate;
