--- a/crates/kumquatquay-core/src/routed/entry_queue.rs
+++ b/crates/kumquatquay-core/src/routed/entry_queue.rs
@@ -40,7 +40,7 @@
 /// Time in which what is known of the chance falls to a third.
 const CHANCE_TIME_S: f64 = 0.5;
 
-/// Requests that are refused and held alike: those of one rank on one route.
+/// Requests that are refused and held alike: those of one rank and claimant on one route.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct EntryLine {
     /// Their route.
@@ -49,6 +49,8 @@
     pub service: ServiceName,
     /// Their rank.
     pub priority: Priority,
+    /// Workspace that sends them; the route where there is none.
+    pub claimant: String,
 }
 
 /// A request for which there may be no room now.
--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -75,11 +75,15 @@
     /// Requests that can wait are held at the entry until there is room for them.
     #[display("entry-hold")]
     EntryHold,
+    /// What room there is for one rank is shared by what each workspace asks for.
+    #[display("fair-shares")]
+    FairShares,
 }
 
 impl Mechanism {
     /// All of them.
     pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 20] = [
         Self::EntryLevels,
         Self::KeptGraph,
         Self::TracedCalls,
@@ -102,6 +106,7 @@
         Self::WorkLoad,
         Self::LateLast,
         Self::EntryHold,
+        Self::FairShares,
     ];
 
     fn bit(self) -> u32 {
--- a/crates/kumquatquay-core/tests/routed/entry_queue.rs
+++ b/crates/kumquatquay-core/tests/routed/entry_queue.rs
@@ -18,6 +18,7 @@
         route: String::from("timetable"),
         service: String::from("schedule"),
         priority,
+        claimant: String::from("harbour"),
     }
 }
 
--- a/crates/kumquatquayd/src/routed/admission.rs
+++ b/crates/kumquatquayd/src/routed/admission.rs
@@ -3,7 +3,9 @@
 use std::{rc::Rc, time::Duration};
 
 use http::{Response, StatusCode};
-use kumquatquay_core::routed::{EntryLine, EntryRequest, Mechanism, ReturnTime, Shortage};
+use kumquatquay_core::routed::{
+    EntryLine, EntryRequest, Mechanism, ReturnTime, ShareGroup, Shortage,
+};
 use rand::Rng;
 
 use super::{
@@ -16,7 +18,10 @@
 };
 
 /// Place behind all others of the same rank.
-pub(super) const LAST_PLACE: f64 = 1.0;
+const LAST_PLACE: f64 = 1.0;
+
+/// Work of a request at a service that nobody has told yet.
+const UNKNOWN_WORK: Duration = Duration::from_millis(50);
 
 /// A request at the entry that may have to wait.
 pub(super) struct Entering<'a> {
@@ -37,11 +42,11 @@
     Reloaded,
 }
 
-/// Why a request isn't let in.
-pub(super) struct NoRoom {
-    shortage: Shortage,
-    /// Time after which there should be room to hold it, if that is known.
-    room_in: Option<Duration>,
+/// A service that is short, and what that means for one who asks for its room.
+pub(super) struct Short {
+    pub(super) shortage: Shortage,
+    /// Share of the requests of the same claimant that are let in.
+    pub(super) own_chance: f64,
 }
 
 impl Entering<'_> {
@@ -54,18 +59,16 @@
 
 /// Lets a request in, if need be after it was held, or refuses it.
 pub(super) async fn admit(node: &Rc<RoutedNode>, entering: &Entering<'_>) -> Admission {
-    let Err(shortage) = offer(node, entering) else {
+    let line = line_of(entering.call);
+    let Err(short) = offer(node, entering, &line) else {
         return Admission::LetIn;
     };
     if !may_hold(node) {
-        let room_in = None;
-        return Admission::Refused(refuse(node, entering, &NoRoom { shortage, room_in }));
+        return Admission::Refused(refuse(node, entering, &short, None));
     }
-    match hold(node, entering, &shortage).await {
+    match hold(node, entering, &line, &short).await {
         HoldEnd::LetIn => check_again(node, entering),
-        HoldEnd::NoRoom { room_in } => {
-            Admission::Refused(refuse(node, entering, &NoRoom { shortage, room_in }))
-        }
+        HoldEnd::NoRoom { room_in } => Admission::Refused(refuse(node, entering, &short, room_in)),
         HoldEnd::Stopping => Admission::Refused(refuse_stopping(node, entering.call)),
         HoldEnd::Reloaded => Admission::Reloaded,
     }
@@ -90,27 +93,43 @@
 }
 
 /// Offers a request by its rank; a call of a backend server is part of one that was let in.
-fn offer(node: &RoutedNode, entering: &Entering<'_>) -> Result<(), Shortage> {
-    let now = node.now();
-    let call = entering.call;
-    let route = &call.route.settings.name;
-    if node.levels.borrow().is_from_outside(now, route) == Some(false) {
+fn offer(node: &RoutedNode, entering: &Entering<'_>, line: &EntryLine) -> Result<(), Short> {
+    if node
+        .levels
+        .borrow()
+        .is_from_outside(node.now(), &line.route)
+        == Some(false)
+    {
         note_call(node, entering);
         return Ok(());
     }
     if !node.is_on(Mechanism::EntryLevels) {
         return Ok(());
     }
-    let place = if may_hold(node) {
-        LAST_PLACE
-    } else {
-        node.random.borrow_mut().random()
-    };
-    offer_at(node, &line_of(call), place)
+    let place = node.random.borrow_mut().random();
+    if !may_hold(node) && !node.is_on(Mechanism::FairShares) {
+        return offer_at(node, line, place).map_err(|shortage| Short {
+            own_chance: shortage.chance,
+            shortage,
+        });
+    }
+    offer_last(node, line).or_else(|short| {
+        let is_let_in = !may_hold(node) && place < short.own_chance;
+        if is_let_in { Ok(()) } else { Err(short) }
+    })
+}
+
+/// Offers a request behind all others of its rank, and tells the chance that it has if there
+/// isn't room for all.
+pub(super) fn offer_last(node: &RoutedNode, line: &EntryLine) -> Result<(), Short> {
+    offer_at(node, line, LAST_PLACE).map_err(|shortage| Short {
+        own_chance: own_chance(node, line, &shortage),
+        shortage,
+    })
 }
 
 /// Offers a request at a place among those of its rank.
-pub(super) fn offer_at(node: &RoutedNode, line: &EntryLine, place: f64) -> Result<(), Shortage> {
+fn offer_at(node: &RoutedNode, line: &EntryLine, place: f64) -> Result<(), Shortage> {
     let Some(table) = node.routes() else {
         return Ok(());
     };
@@ -124,6 +143,27 @@
     levels.admit(node.now(), &request, table.priorities())
 }
 
+/// The chance of a claimant, by what it asks of the service that is short.
+fn own_chance(node: &RoutedNode, line: &EntryLine, shortage: &Shortage) -> f64 {
+    if !node.is_on(Mechanism::FairShares) {
+        return shortage.chance;
+    }
+    let now = node.now();
+    let works = node
+        .levels
+        .borrow()
+        .work_at(now, &line.route, &line.service);
+    let work = works.iter().find(|work| work.service == shortage.service);
+    let work = work.map_or(UNKNOWN_WORK, |work| work.work);
+    let group = ShareGroup {
+        service: shortage.service.clone(),
+        priority: line.priority,
+    };
+    let mut shares = node.shares.borrow_mut();
+    let work_s = work.as_secs_f64();
+    shares.ask(now, &group, &line.claimant, work_s, shortage.chance)
+}
+
 /// A call that a backend server made is put to the run that made it.
 fn note_call(node: &RoutedNode, entering: &Entering<'_>) {
     let now = node.now();
@@ -139,9 +179,17 @@
     }
 }
 
-fn refuse(node: &RoutedNode, entering: &Entering<'_>, why: &NoRoom) -> Response<WholeBody> {
+fn refuse(
+    node: &RoutedNode,
+    entering: &Entering<'_>,
+    short: &Short,
+    room_in: Option<Duration>,
+) -> Response<WholeBody> {
     let now = node.now();
-    let shortage = &why.shortage;
+    let Short {
+        shortage,
+        own_chance,
+    } = short;
     let short_for = if node.is_on(Mechanism::LateReturn) {
         shortage.lasts
     } else {
@@ -151,14 +199,17 @@
         target_latency: entering.call.route.settings.target_latency,
         time_left: entering.expires.map(|expires| expires.saturating_sub(now)),
         short_for,
-        room_in: why.room_in,
+        room_in,
     };
     let wait = returns.draw(&mut *node.random.borrow_mut());
     node.decisions.count("refused", "shortage");
+    if *own_chance < shortage.chance {
+        node.decisions.count("refused_by_share", "asked_for_more");
+    }
     if node.decisions.has_line(now) {
         let why = format!(
             "{} has room for {:.2} of the offered load, told {} ms ago, short for {} ms; \
-             {:.2} of this rank are let in",
+             {:.2} of this rank are let in, {own_chance:.2} of this workspace's",
             shortage.service,
             shortage.level,
             shortage.age.as_millis(),
--- a/crates/kumquatquayd/src/routed/holding.rs
+++ b/crates/kumquatquayd/src/routed/holding.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 
 use super::{
-    admission::{Entering, LAST_PLACE, offer_at},
+    admission::{Entering, Short, offer_last},
     carry::OutgoingCall,
     node::{RoutedNode, StopPhase},
 };
@@ -70,10 +70,13 @@
 
 /// The line in which a request waits.
 pub(super) fn line_of(call: &OutgoingCall) -> EntryLine {
+    let route = &call.route.settings.name;
+    let workspace = call.workspace.as_ref();
     EntryLine {
-        route: call.route.settings.name.clone(),
+        route: route.clone(),
         service: call.service.clone(),
         priority: call.whole_priority.get(),
+        claimant: workspace.map_or_else(|| route.clone(), |workspace| workspace.name.clone()),
     }
 }
 
@@ -81,12 +84,12 @@
 pub(super) async fn hold(
     node: &RoutedNode,
     entering: &Entering<'_>,
-    shortage: &Shortage,
+    line: &EntryLine,
+    short: &Short,
 ) -> HoldEnd {
-    let line = line_of(entering.call);
     let request = HoldRequest {
-        line: &line,
-        chance: shortage.chance,
+        line,
+        chance: short.own_chance,
         due: entering.due(),
         held_bytes: held_bytes(entering.call),
     };
@@ -107,7 +110,7 @@
     // The task that lets requests in ends with the node only.
     let end = released.await.unwrap_or(HoldEnd::Stopping);
     drop(place);
-    note_end(node, entering, shortage, began, end);
+    note_end(node, entering, &short.shortage, began, end);
     end
 }
 
@@ -175,9 +178,9 @@
 }
 
 fn release(node: &RoutedNode) {
-    let chance = |line: &EntryLine| match offer_at(node, line, LAST_PLACE) {
+    let chance = |line: &EntryLine| match offer_last(node, line) {
         Ok(()) => 1.0,
-        Err(shortage) => shortage.chance,
+        Err(short) => short.own_chance,
     };
     let released = node.held.borrow_mut().release(node.now(), chance);
     for Released { ticket, outcome } in released {
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -16,6 +16,11 @@
         FollowerFleet, GateRepeats, GraphRow, HeldAnswers, HostGate, LevelSetter, MachinePace,
         Mechanism, Mechanisms, NewestProof, QueueOrder, RetryWindow, RouteTable, RunFailures,
         StoreFollower, StoreReaders, TargetTable, UnknownKeys,
+        Mechanism, NewestProof, RetryWindow, RouteTable, RunFailures, StoreFollower, StoreReaders,
+        BackendLives, BackendPulse, CallGraph, CallTracer, CallerCensus, EntryLevels, FairShares,
+        FollowerFleet, GateRepeats, GraphRow, HostGate, LevelSetter, MachinePace, Mechanism,
+        NewestProof, RetryWindow, RouteTable, RunFailures, StoreFollower, StoreReaders,
+        TargetTable, UnknownKeys,
     },
 };
 use kumquatquay_wire::routed::{
@@ -114,6 +119,8 @@
     pub(crate) levels: RefCell<EntryLevels>,
     /// Requests that are held at the entry.
     pub(super) held: RefCell<HeldRequests>,
+    /// Who asked for how much of the room that is short.
+    pub(super) shares: RefCell<FairShares>,
     /// Told of the first that is held.
     pub(super) held_news: Notify,
     /// News of routes that were worked out just now.
@@ -224,6 +231,7 @@
             tracer: RefCell::default(),
             levels: RefCell::default(),
             held: RefCell::default(),
+            shares: RefCell::default(),
             held_news: Notify::new(),
             decisions: Decisions::new(),
             learnt: LearntLog::default(),
