Count the request that asks the more, the less room there is

Where a rank was shut out, a workspace that hadn't asked lately had a chance of 1: nothing that it had asked for was no more than a share of nothing.

--- a/crates/kumquatquay-core/src/routed/fair_shares.rs
+++ b/crates/kumquatquay-core/src/routed/fair_shares.rs
@@ -56,7 +56,6 @@
 #[derive(Clone, Copy, Debug)]
 struct WorkedOut {
     share: f64,
-    chance: f64,
     at: Duration,
 }
 
@@ -64,9 +63,10 @@
     /// Takes in that a claimant asks for room for so much work, and tells the chance that it has
     /// when the chance of all is `chance`.
     ///
-    /// What it asks for now doesn't count against it: an entry sees so few requests of a calm
-    /// workspace that each one would look like many. Claimants are workspaces, or the routes of
-    /// callers that belong to none.
+    /// What it asks for now counts against it the less, the more room there is: an entry sees so
+    /// few requests of a calm workspace that each one would look like many. Without any room
+    /// nobody has a chance. Claimants are workspaces, or the routes of callers that belong to
+    /// none.
     pub fn ask(
         &mut self,
         now: Duration,
@@ -86,11 +86,12 @@
         let Some(before) = group.ask(now, claimant, work) else {
             return chance;
         };
+        let counted = before + (1.0 - chance) * work;
         let share = group.share(now, chance);
-        if before <= share {
+        if counted <= share {
             return 1.0;
         }
-        share / before
+        share / counted
     }
 
     /// Forgets the group that was asked last the longest ago, if there are too many.
@@ -131,18 +132,13 @@
     /// What each may have at the most.
     fn share(&mut self, now: Duration, chance: f64) -> f64 {
         if let Some(known) = self.worked_out
-            && known.chance == chance
             && now < known.at + SHARE_LIFETIME
         {
             return known.share;
         }
         let asked = self.asked.values().map(|asked| asked.work_at(now));
         let share = max_min_share(asked.collect(), chance);
-        self.worked_out = Some(WorkedOut {
-            share,
-            chance,
-            at: now,
-        });
+        self.worked_out = Some(WorkedOut { share, at: now });
         share
     }
 }
--- a/crates/kumquatquay-core/tests/routed/fair_shares.rs
+++ b/crates/kumquatquay-core/tests/routed/fair_shares.rs
@@ -38,6 +38,14 @@
     assert!((later - 0.3).abs() < 0.01, "{later}");
 }
 
+#[test]
+fn without_room_nobody_has_a_chance() {
+    let mut shares = FairShares::default();
+    for claimant in ["a", "b", "a"] {
+        assert_eq!(shares.ask(at_ms(0), &group(), claimant, 1.0, 0.0), 0.0);
+    }
+}
+
 #[test]
 fn any_number_of_claimants_takes_bounded_memory() {
     let mut shares = FairShares::default();
--- a/crates/kumquatquayd/src/routed/admission.rs
+++ b/crates/kumquatquayd/src/routed/admission.rs
@@ -49,6 +49,39 @@
     pub(super) own_chance: f64,
 }
 
+impl Short {
+    /// Takes in that one of a line asks for room at the service that is short.
+    fn of(node: &RoutedNode, line: &EntryLine, shortage: Shortage) -> Self {
+        let own_chance = if node.is_on(Mechanism::FairShares) {
+            ask_for_share(node, line, &shortage)
+        } else {
+            shortage.chance
+        };
+        Self {
+            shortage,
+            own_chance,
+        }
+    }
+}
+
+/// The chance of a claimant, by the work that it asks of the service that is short.
+fn ask_for_share(node: &RoutedNode, line: &EntryLine, shortage: &Shortage) -> f64 {
+    let now = node.now();
+    let works = node
+        .levels
+        .borrow()
+        .work_at(now, &line.route, &line.service);
+    let work = works.iter().find(|work| work.service == shortage.service);
+    let work = work.map_or(UNKNOWN_WORK, |work| work.work);
+    let group = ShareGroup {
+        service: shortage.service.clone(),
+        priority: line.priority,
+    };
+    let mut shares = node.shares.borrow_mut();
+    let work_s = work.as_secs_f64();
+    shares.ask(now, &group, &line.claimant, work_s, shortage.chance)
+}
+
 impl Entering<'_> {
     /// Moment until which its answer is worth most.
     pub(super) fn due(&self) -> Duration {
@@ -59,16 +92,37 @@
 
 /// Lets a request in, if need be after it was held, or refuses it.
 pub(super) async fn admit(node: &Rc<RoutedNode>, entering: &Entering<'_>) -> Admission {
-    let line = line_of(entering.call);
-    let Err(short) = offer(node, entering, &line) else {
+    let Err(shortage) = offer(node, entering) else {
         return Admission::LetIn;
     };
-    if !may_hold(node) {
+    if !decides_by_chance(node) {
+        let own_chance = shortage.chance;
+        let short = Short {
+            shortage,
+            own_chance,
+        };
         return Admission::Refused(refuse(node, entering, &short, None));
     }
-    match hold(node, entering, &line, &short).await {
+    let line = line_of(entering.call);
+    let short = Short::of(node, &line, shortage);
+    if may_hold(node) {
+        return hold_or_refuse(node, entering, &line, &short).await;
+    }
+    if node.random.borrow_mut().random::<f64>() < short.own_chance {
+        return Admission::LetIn;
+    }
+    Admission::Refused(refuse(node, entering, &short, None))
+}
+
+async fn hold_or_refuse(
+    node: &RoutedNode,
+    entering: &Entering<'_>,
+    line: &EntryLine,
+    short: &Short,
+) -> Admission {
+    match hold(node, entering, line, short).await {
         HoldEnd::LetIn => check_again(node, entering),
-        HoldEnd::NoRoom { room_in } => Admission::Refused(refuse(node, entering, &short, room_in)),
+        HoldEnd::NoRoom { room_in } => Admission::Refused(refuse(node, entering, short, room_in)),
         HoldEnd::Stopping => Admission::Refused(refuse_stopping(node, entering.call)),
         HoldEnd::Reloaded => Admission::Reloaded,
     }
@@ -92,76 +146,57 @@
     node.is_on(Mechanism::EntryHold) && node.stop_phase() == StopPhase::Serving
 }
 
+/// Whether a request is let in by its chance, and not by a place of its own in its rank.
+fn decides_by_chance(node: &RoutedNode) -> bool {
+    may_hold(node) || node.is_on(Mechanism::FairShares)
+}
+
 /// Offers a request by its rank; a call of a backend server is part of one that was let in.
-fn offer(node: &RoutedNode, entering: &Entering<'_>, line: &EntryLine) -> Result<(), Short> {
-    if node
-        .levels
-        .borrow()
-        .is_from_outside(node.now(), &line.route)
-        == Some(false)
-    {
+fn offer(node: &RoutedNode, entering: &Entering<'_>) -> Result<(), Shortage> {
+    let call = entering.call;
+    let route = &call.route.settings.name;
+    let is_from_outside = node.levels.borrow().is_from_outside(node.now(), route);
+    if is_from_outside == Some(false) {
         note_call(node, entering);
         return Ok(());
     }
     if !node.is_on(Mechanism::EntryLevels) {
         return Ok(());
     }
-    let place = node.random.borrow_mut().random();
-    if !may_hold(node) && !node.is_on(Mechanism::FairShares) {
-        return offer_at(node, line, place).map_err(|shortage| Short {
-            own_chance: shortage.chance,
-            shortage,
-        });
-    }
-    offer_last(node, line).or_else(|short| {
-        let is_let_in = !may_hold(node) && place < short.own_chance;
-        if is_let_in { Ok(()) } else { Err(short) }
-    })
-}
-
-/// Offers a request behind all others of its rank, and tells the chance that it has if there
-/// isn't room for all.
-pub(super) fn offer_last(node: &RoutedNode, line: &EntryLine) -> Result<(), Short> {
-    offer_at(node, line, LAST_PLACE).map_err(|shortage| Short {
-        own_chance: own_chance(node, line, &shortage),
-        shortage,
-    })
+    let place = if decides_by_chance(node) {
+        LAST_PLACE
+    } else {
+        node.random.borrow_mut().random()
+    };
+    let request = EntryRequest {
+        route,
+        service: &call.service,
+        priority: call.whole_priority.get(),
+        place,
+    };
+    offer_request(node, &request)
 }
 
-/// Offers a request at a place among those of its rank.
-fn offer_at(node: &RoutedNode, line: &EntryLine, place: f64) -> Result<(), Shortage> {
+fn offer_request(node: &RoutedNode, request: &EntryRequest<'_>) -> Result<(), Shortage> {
     let Some(table) = node.routes() else {
         return Ok(());
     };
+    let mut levels = node.levels.borrow_mut();
+    levels.admit(node.now(), request, table.priorities())
+}
+
+/// Offers a request of a line anew and tells the chance that it has.
+pub(super) fn offer_anew(node: &RoutedNode, line: &EntryLine) -> f64 {
     let request = EntryRequest {
         route: &line.route,
         service: &line.service,
         priority: line.priority,
-        place,
+        place: LAST_PLACE,
     };
-    let mut levels = node.levels.borrow_mut();
-    levels.admit(node.now(), &request, table.priorities())
-}
-
-/// The chance of a claimant, by what it asks of the service that is short.
-fn own_chance(node: &RoutedNode, line: &EntryLine, shortage: &Shortage) -> f64 {
-    if !node.is_on(Mechanism::FairShares) {
-        return shortage.chance;
+    match offer_request(node, &request) {
+        Ok(()) => 1.0,
+        Err(shortage) => Short::of(node, line, shortage).own_chance,
     }
-    let now = node.now();
-    let works = node
-        .levels
-        .borrow()
-        .work_at(now, &line.route, &line.service);
-    let work = works.iter().find(|work| work.service == shortage.service);
-    let work = work.map_or(UNKNOWN_WORK, |work| work.work);
-    let group = ShareGroup {
-        service: shortage.service.clone(),
-        priority: line.priority,
-    };
-    let mut shares = node.shares.borrow_mut();
-    let work_s = work.as_secs_f64();
-    shares.ask(now, &group, &line.claimant, work_s, shortage.chance)
 }
 
 /// A call that a backend server made is put to the run that made it.
--- a/crates/kumquatquayd/src/routed/holding.rs
+++ b/crates/kumquatquayd/src/routed/holding.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 
 use super::{
-    admission::{Entering, Short, offer_last},
+    admission::{Entering, Short, offer_anew},
     carry::OutgoingCall,
     node::{RoutedNode, StopPhase},
 };
@@ -178,11 +178,10 @@
 }
 
 fn release(node: &RoutedNode) {
-    let chance = |line: &EntryLine| match offer_last(node, line) {
-        Ok(()) => 1.0,
-        Err(short) => short.own_chance,
-    };
-    let released = node.held.borrow_mut().release(node.now(), chance);
+    let released = node
+        .held
+        .borrow_mut()
+        .release(node.now(), |line| offer_anew(node, line));
     for Released { ticket, outcome } in released {
         let end = match outcome {
             HoldOutcome::Room | HoldOutcome::Due => HoldEnd::LetIn,
