--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -108,7 +108,7 @@
     let carried = tokio::time::timeout(wait, carry(node, &call)).await;
     if carried.as_ref().is_ok_and(LinkAnswer::is_success) {
         let took = node.now().saturating_sub(let_in);
-        let mut held = node.held.borrow_mut();
+        let mut held = node.held_requests.borrow_mut();
         held.answered(&call.route.settings.name, took);
     } else {
         count_failed_call(node, &call);
--- a/crates/kumquatquayd/src/routed/holding.rs
+++ b/crates/kumquatquayd/src/routed/holding.rs
@@ -62,8 +62,14 @@
 
 impl Drop for HeldPlace<'_> {
     fn drop(&mut self) {
-        if self.node.held.borrow_mut().remove(&self.key).is_some() {
-            self.node.decisions.count("held", "caller_left");
+        if self
+            .node
+            .held_requests
+            .borrow_mut()
+            .remove(&self.key)
+            .is_some()
+        {
+            self.node.decisions.count("held_requests", "caller_left");
         }
     }
 }
@@ -97,7 +103,7 @@
     let began = node.now();
     let offer = {
         let mut random = node.random.borrow_mut();
-        let mut held = node.held.borrow_mut();
+        let mut held = node.held_requests.borrow_mut();
         held.offer(began, &request, ticket, &mut *random)
     };
     let key = match offer {
@@ -105,7 +111,7 @@
         HoldOffer::Refused { room_in } => return HoldEnd::NoRoom { room_in },
         HoldOffer::Held(key) => key,
     };
-    node.held_news.notify_one();
+    node.held_request_news.notify_one();
     let place = HeldPlace { node, key };
     // The task that lets requests in ends with the node only.
     let end = released.await.unwrap_or(HoldEnd::Stopping);
@@ -128,7 +134,7 @@
     end: HoldEnd,
 ) {
     let now = node.now();
-    node.decisions.count("held", end.name());
+    node.decisions.count("held_requests", end.name());
     if !node.decisions.has_line(now) {
         return;
     }
@@ -154,8 +160,8 @@
 pub(crate) async fn release_held(node: Rc<RoutedNode>) {
     let mut version = node.route_version();
     loop {
-        if node.held.borrow().held_count() == 0 {
-            node.held_news.notified().await;
+        if node.held_requests.borrow().held_count() == 0 {
+            node.held_request_news.notified().await;
         }
         tokio::time::sleep(RELEASE_INTERVAL).await;
         let in_force = node.route_version();
@@ -170,7 +176,7 @@
 }
 
 fn send_all_back(node: &RoutedNode, end: HoldEnd) {
-    let tickets = node.held.borrow_mut().take_all();
+    let tickets = node.held_requests.borrow_mut().take_all();
     for ticket in tickets {
         // Nobody waits for it if the caller has left in this moment.
         let _ = ticket.send(end);
@@ -179,7 +185,7 @@
 
 fn release(node: &RoutedNode) {
     let released = node
-        .held
+        .held_requests
         .borrow_mut()
         .release(node.now(), |line| offer_anew(node, line));
     for Released { ticket, outcome } in released {
@@ -188,7 +194,7 @@
             HoldOutcome::NoRoom { room_in } => HoldEnd::NoRoom { room_in },
         };
         if outcome == HoldOutcome::Due {
-            node.decisions.count("held", "due");
+            node.decisions.count("held_requests", "due");
         }
         let _ = ticket.send(end);
     }
--- a/crates/kumquatquayd/src/routed/metrics_text.rs
+++ b/crates/kumquatquayd/src/routed/metrics_text.rs
@@ -30,8 +30,14 @@
     let gauges = [
         ("in_flight", node.in_flight_count.get() as u64),
         ("held_answer_bytes", node.held_answers.get().bytes() as u64),
-        ("held", node.held.borrow().held_count() as u64),
-        ("held_bytes", node.held.borrow().held_bytes() as u64),
+        (
+            "held_requests",
+            node.held_requests.borrow().held_count() as u64,
+        ),
+        (
+            "held_request_bytes",
+            node.held_requests.borrow().held_bytes() as u64,
+        ),
         ("gate_running", u64::from(report.running_count)),
         ("gate_waiting", u64::from(report.waiting_count)),
         ("gate_waiting_work_ms", waiting_work.as_millis() as u64),
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -12,14 +12,11 @@
 use kumquatquay_core::{
     Clock,
     routed::{
-        BackendLives, BackendPulse, CallGraph, CallTracer, CallerCensus, EntryLevels,
+        BackendLives, BackendPulse, CallGraph, CallTracer, CallerCensus, EntryLevels, FairShares,
         FollowerFleet, GateRepeats, GraphRow, HeldAnswers, HostGate, LevelSetter, MachinePace,
         Mechanism, Mechanisms, NewestProof, QueueOrder, RetryWindow, RouteTable, RunFailures,
         StoreFollower, StoreReaders, TargetTable, UnknownKeys,
         Mechanism, NewestProof, RetryWindow, RouteTable, RunFailures, StoreFollower, StoreReaders,
-        BackendLives, BackendPulse, CallGraph, CallTracer, CallerCensus, EntryLevels, FairShares,
-        FollowerFleet, GateRepeats, GraphRow, HostGate, LevelSetter, MachinePace, Mechanism,
-        NewestProof, RetryWindow, RouteTable, RunFailures, StoreFollower, StoreReaders,
         TargetTable, UnknownKeys,
     },
 };
@@ -118,11 +115,11 @@
     /// What is known of the pressure on services and of where routes lead.
     pub(crate) levels: RefCell<EntryLevels>,
     /// Requests that are held at the entry.
-    pub(super) held: RefCell<HeldRequests>,
+    pub(super) held_requests: RefCell<HeldRequests>,
     /// Who asked for how much of the room that is short.
     pub(super) shares: RefCell<FairShares>,
     /// Told of the first that is held.
-    pub(super) held_news: Notify,
+    pub(super) held_request_news: Notify,
     /// News of routes that were worked out just now.
     news: RefCell<HashMap<String, (Duration, RouteNews)>>,
     pub(crate) backend: BackendPool,
@@ -230,9 +227,9 @@
             graph: RefCell::default(),
             tracer: RefCell::default(),
             levels: RefCell::default(),
-            held: RefCell::default(),
+            held_requests: RefCell::default(),
             shares: RefCell::default(),
-            held_news: Notify::new(),
+            held_request_news: Notify::new(),
             decisions: Decisions::new(),
             learnt: LearntLog::default(),
             quotas: RefCell::new(Quotas::new(unsuspended())),
