--- a/crates/kumquatquayd/src/routed/holding.rs
+++ b/crates/kumquatquayd/src/routed/holding.rs
@@ -69,7 +69,7 @@
             .remove(&self.key)
             .is_some()
         {
-            self.node.decisions.count("held_requests", "caller_left");
+            self.node.decisions.count("held", "caller_left");
         }
     }
 }
@@ -134,7 +134,7 @@
     end: HoldEnd,
 ) {
     let now = node.now();
-    node.decisions.count("held_requests", end.name());
+    node.decisions.count("held", end.name());
     if !node.decisions.has_line(now) {
         return;
     }
@@ -194,7 +194,7 @@
             HoldOutcome::NoRoom { room_in } => HoldEnd::NoRoom { room_in },
         };
         if outcome == HoldOutcome::Due {
-            node.decisions.count("held_requests", "due");
+            node.decisions.count("held", "due");
         }
         let _ = ticket.send(end);
     }
