--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -109,6 +109,9 @@
         Self::FairShares,
     ];
 
+    /// Those that are on only where they are asked for.
+    pub const TRIALS: [Self; 2] = [Self::EntryHold, Self::FairShares];
+
     fn bit(self) -> u32 {
         1 << self as u32
     }
@@ -135,19 +138,34 @@
     }
 }
 
-/// Which mechanisms are on; all of them, unless one was switched off.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// Which mechanisms are on; all but the trials, unless something else was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Mechanisms {
     off: u32,
 }
 
+impl Default for Mechanisms {
+    fn default() -> Self {
+        Self { off: 0 }.without(Mechanism::TRIALS)
+    }
+}
+
 impl Mechanisms {
-    /// All but these.
-    pub fn without(off: impl IntoIterator<Item = Mechanism>) -> Self {
+    /// These beside those that are on.
+    pub fn with(self, on: impl IntoIterator<Item = Mechanism>) -> Self {
+        Self {
+            off: on
+                .into_iter()
+                .fold(self.off, |off, mechanism| off & !mechanism.bit()),
+        }
+    }
+
+    /// Those that are on but for these.
+    pub fn without(self, off: impl IntoIterator<Item = Mechanism>) -> Self {
         Self {
             off: off
                 .into_iter()
-                .fold(0, |off, mechanism| off | mechanism.bit()),
+                .fold(self.off, |off, mechanism| off | mechanism.bit()),
         }
     }
 
--- a/crates/kumquatquay-daemon/src/main.rs
+++ b/crates/kumquatquay-daemon/src/main.rs
@@ -24,6 +24,9 @@
 /// Name of the flag that switches mechanisms off.
 const WITHOUT_FLAG: &str = "without";
 
+/// Name of the flag that switches trials on.
+const WITH_FLAG: &str = "with";
+
 fn main() -> ExitCode {
     let settings = Arg::new(SETTINGS_FLAG)
         .long(SETTINGS_FLAG)
@@ -40,7 +43,14 @@
         .value_delimiter(',')
         .value_parser(|name: &str| name.parse::<Mechanism>())
         .help(without_help());
-    let command = kumquatquayd::command().arg(settings).arg(without);
+    let with = Arg::new(WITH_FLAG)
+        .long(WITH_FLAG)
+        .env("KUMQUATQUAY_WITH")
+        .value_name("MECHANISM,…")
+        .value_delimiter(',')
+        .value_parser(|name: &str| name.parse::<Mechanism>())
+        .help(with_help());
+    let command = kumquatquayd::command().arg(settings).arg(with).arg(without);
     let matches = command.get_matches();
     match matches.get_one::<String>(SETTINGS_FLAG) {
         Some(path) => on_platform::serve(path, mechanisms(&matches)),
@@ -57,9 +67,20 @@
     )
 }
 
+fn with_help() -> String {
+    let names = Mechanism::TRIALS.map(|mechanism| mechanism.to_string());
+    format!(
+        "Mechanisms on trial that decide all the same, of {}",
+        names.join(", ")
+    )
+}
+
 fn mechanisms(matches: &ArgMatches) -> Mechanisms {
     let off = matches.get_many::<Mechanism>(WITHOUT_FLAG);
-    Mechanisms::without(off.into_iter().flatten().copied())
+    let on = matches.get_many::<Mechanism>(WITH_FLAG);
+    Mechanisms::default()
+        .with(on.into_iter().flatten().copied())
+        .without(off.into_iter().flatten().copied())
 }
 
 /// Says on standard error why the node doesn't run.
