--- a/crates/kumquatquay-core/src/routed/entry_queue.rs
+++ b/crates/kumquatquay-core/src/routed/entry_queue.rs
@@ -19,8 +19,9 @@
 /// Part of the time that requests can wait in which those that are held are offered anew.
 const SPREAD_RATIO: f64 = 0.5;
 
-/// The least time that a request must be able to wait to be held.
-const LEAST_WAIT: Duration = Duration::from_millis(50);
+/// The least time that a request must be able to wait to be held. Offered anew in less time than a
+/// level takes to answer, those that are held would be let in as if there were room for them.
+const LEAST_WAIT: Duration = Duration::from_secs(2);
 
 /// Requests that are held at the same time.
 const HELD_LIMIT_COUNT: usize = 512;
