--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -82,8 +82,7 @@
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 21] = [
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 23] = [
         Self::EntryLevels,
         Self::KeptGraph,
         Self::TracedCalls,
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -16,8 +16,6 @@
         FollowerFleet, GateRepeats, GraphRow, HeldAnswers, HostGate, LevelSetter, MachinePace,
         Mechanism, Mechanisms, NewestProof, QueueOrder, RetryWindow, RouteTable, RunFailures,
         StoreFollower, StoreReaders, TargetTable, UnknownKeys,
-        Mechanism, NewestProof, RetryWindow, RouteTable, RunFailures, StoreFollower, StoreReaders,
-        TargetTable, UnknownKeys,
     },
 };
 use kumquatquay_wire::routed::{
