--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -72,11 +72,17 @@
     /// At a gate, calls that can't be in time any more come after those of their rank that can.
     #[display("late-last")]
     LateLast,
+    /// Requests that can wait are held at the entry until there is room for them.
+    #[display("entry-hold")]
+    EntryHold,
+    /// What room there is for one rank is shared by what each workspace asks for.
+    #[display("fair-shares")]
+    FairShares,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 23] = [
         Self::EntryLevels,
         Self::KeptGraph,
         Self::TracedCalls,
@@ -98,8 +104,13 @@
         Self::Pipelining,
         Self::WorkLoad,
         Self::LateLast,
+        Self::EntryHold,
+        Self::FairShares,
     ];
 
+    /// Those that are on only where they are asked for.
+    pub const TRIALS: [Self; 2] = [Self::EntryHold, Self::FairShares];
+
     fn bit(self) -> u32 {
         1 << self as u32
     }
@@ -126,19 +137,34 @@
     }
 }
 
-/// Which mechanisms are on; all of them, unless one was switched off.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// Which mechanisms are on; all but the trials, unless something else was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Mechanisms {
     off: u32,
 }
 
+impl Default for Mechanisms {
+    fn default() -> Self {
+        Self { off: 0 }.without(Mechanism::TRIALS)
+    }
+}
+
 impl Mechanisms {
-    /// All but these.
-    pub fn without(off: impl IntoIterator<Item = Mechanism>) -> Self {
+    /// These beside those that are on.
+    pub fn with(self, on: impl IntoIterator<Item = Mechanism>) -> Self {
+        Self {
+            off: on
+                .into_iter()
+                .fold(self.off, |off, mechanism| off & !mechanism.bit()),
+        }
+    }
+
+    /// Those that are on but for these.
+    pub fn without(self, off: impl IntoIterator<Item = Mechanism>) -> Self {
         Self {
             off: off
                 .into_iter()
-                .fold(0, |off, mechanism| off | mechanism.bit()),
+                .fold(self.off, |off, mechanism| off | mechanism.bit()),
         }
     }
 
--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -12,6 +12,8 @@
 mod call_tracer;
 mod caller_census;
 mod entry_levels;
+mod entry_queue;
+mod fair_shares;
 mod gate_repeats;
 mod held_answers;
 mod host_gate;
@@ -37,6 +39,7 @@
 mod store_follower;
 mod store_readers;
 mod target_table;
+mod time_needed;
 mod unknown_keys;
 mod workspaces;
 
@@ -46,6 +49,10 @@
 pub use call_tracer::{CallTracer, RunNumber};
 pub use caller_census::CallerCensus;
 pub use entry_levels::{EntryLevels, EntryRequest, ServiceWork, Shortage};
+pub use entry_queue::{
+    EntryLine, EntryQueue, HoldKey, HoldOffer, HoldOutcome, HoldRequest, Released,
+};
+pub use fair_shares::{FairShares, ShareGroup};
 pub use gate_repeats::{GateRepeats, TurnedAwayCall};
 pub use held_answers::HeldAnswers;
 pub use host_gate::{Admission, BackendLoad, GateCall, HostGate, QueueOrder, WaitKey};
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -10,10 +10,10 @@
 };
 
 use kumquatquay_core::routed::{
-    BackendLives, BackendPulse, CallGraph, CallTracer, CallerCensus, EntryLevels, FollowerFleet,
-    GateRepeats, GraphRow, HeldAnswers, HostGate, LevelSetter, MachinePace, Mechanism, Mechanisms,
-    NewestProof, QueueOrder, RetryWindow, RouteTable, RunFailures, StoreFollower, StoreReaders,
-    TargetTable, UnknownKeys,
+    BackendLives, BackendPulse, CallGraph, CallTracer, CallerCensus, EntryLevels, FairShares,
+    FollowerFleet, GateRepeats, GraphRow, HeldAnswers, HostGate, LevelSetter, MachinePace,
+    Mechanism, Mechanisms, NewestProof, QueueOrder, RetryWindow, RouteTable, RunFailures,
+    StoreFollower, StoreReaders, TargetTable, UnknownKeys,
 };
 use kumquatquay_wire::routed::{
     FollowState, GateReport, RouteConfiguration, RouteNews, RouteVersion, ServiceDemand,
@@ -24,6 +24,7 @@
 use super::{
     backend_pool::BackendPool,
     decisions::Decisions,
+    holding::HeldRequests,
     interface::Dialect,
     learnt_log::LearntLog,
     link::Links,
@@ -111,6 +112,12 @@
     pub(crate) tracer: RefCell<CallTracer>,
     /// What is known of the pressure on services and of where routes lead.
     pub(crate) levels: RefCell<EntryLevels>,
+    /// Requests that are held at the entry.
+    pub(super) held_requests: RefCell<HeldRequests>,
+    /// Who asked for how much of the room that is short.
+    pub(super) shares: RefCell<FairShares>,
+    /// Told of the first that is held.
+    pub(super) held_request_news: Notify,
     /// News of routes that were worked out just now.
     news: RefCell<HashMap<String, (Duration, RouteNews)>>,
     pub(crate) backend: BackendPool,
@@ -219,6 +226,9 @@
             graph: RefCell::default(),
             tracer: RefCell::default(),
             levels: RefCell::default(),
+            held_requests: RefCell::default(),
+            shares: RefCell::default(),
+            held_request_news: Notify::new(),
             decisions: Decisions::new(),
             learnt: LearntLog::default(),
             quotas: RefCell::new(Quotas::new(unsuspended())),
