Mend what a first reading found: times of gates without calls, older versions in a row, and names

A gate that has run no call yet counted as one whose calls take no time, so requests seemed to need less than they do; a request of HTTP/1.0 in a row was started as one of 1.1 and ran twice. Besides: lines of held requests are forgotten in the time that is said, routes beyond 64 can take the place of ones that are gone, an answer that a link can't carry is given up at the gate, what becomes of a held request is told in the right words, and comments give reasons in place of figures. Mechanisms that are off by default are named so.

--- a/crates/kumquatquay-core/src/routed/entry_queue.rs
+++ b/crates/kumquatquay-core/src/routed/entry_queue.rs
@@ -10,13 +10,14 @@
 
 use super::time_needed::TimeNeeded;
 
-/// Part of the time that a request can wait for which it may be expected to.
+/// A request is held only if its expected wait is at most this part of the time that it can wait.
 const EXPECTED_RATIO: f64 = 0.7;
 
-/// The same beyond which one that is held is given up: there is less room than was expected.
+/// A held request is given up once its expected wait is this many times the time that it can
+/// still wait.
 const GIVEN_UP_RATIO: f64 = 2.5;
 
-/// Part of the time that requests can wait in which those that are held are offered anew.
+/// Part of the time that a request can wait over which held ones are offered again.
 const SPREAD_RATIO: f64 = 0.5;
 
 /// The least time that a request must be able to wait to be held. Offered anew in less time than a
@@ -308,21 +309,22 @@
         self.held_count < HELD_LIMIT_COUNT && self.held_bytes + bytes <= HELD_LIMIT_BYTES
     }
 
-    /// Whether there is a line, now at the latest.
+    /// Makes the line if it isn't remembered; `false` if there are too many.
     fn make_line(
         &mut self,
         now: Duration,
         request: &HoldRequest<'_>,
         random: &mut impl Rng,
     ) -> bool {
-        if self.lines.contains_key(request.line) {
+        let known = self.lines.get(request.line);
+        let is_new = known.is_none();
+        if known.is_some_and(|line| line.is_remembered(now)) {
             return true;
         }
-        if self.lines.len() >= LINES_LIMIT_COUNT {
-            self.lines
-                .retain(|_, line| !line.held.is_empty() || now < line.arrived + LINE_LIFETIME);
+        if is_new && self.lines.len() >= LINES_LIMIT_COUNT {
+            self.lines.retain(|_, line| line.is_remembered(now));
         }
-        if self.lines.len() >= LINES_LIMIT_COUNT {
+        if is_new && self.lines.len() >= LINES_LIMIT_COUNT {
             return false;
         }
         // Entries that see few requests each would otherwise all refuse their first ones.
@@ -342,6 +344,10 @@
 }
 
 impl<T> Line<T> {
+    fn is_remembered(&self, now: Duration) -> bool {
+        !self.held.is_empty() || now < self.arrived + LINE_LIFETIME
+    }
+
     fn new(now: Duration, chance: f64, credit: f64) -> Self {
         Self {
             held: BTreeMap::new(),
--- a/crates/kumquatquay-core/src/routed/held_answers.rs
+++ b/crates/kumquatquay-core/src/routed/held_answers.rs
@@ -1,7 +1,7 @@
 //! Answers that are held for callers who have not read them.
 
-/// Part of a node's memory that answers may take which wait for those of requests before
-/// them on their connections.
+/// Part of a node's memory that held answers may take before no request is started ahead of its
+/// turn.
 const EARLY_RATIO: f64 = 0.1;
 
 /// Part of a node's memory that answers may take before no request is taken any more.
--- a/crates/kumquatquay-core/src/routed/host_gate.rs
+++ b/crates/kumquatquay-core/src/routed/host_gate.rs
@@ -9,8 +9,8 @@
 /// Waiting calls of the mean size for each running one, at most: the wait is twice the time of
 /// a call.
 ///
-/// A longer queue delays all calls of whole requests under way alike, up to eight
-/// times over, and each of them is late.
+/// A longer queue delays all calls of whole requests under way alike, at each service on their
+/// way, and each of them is late.
 const WAITING_RATIO: usize = 2;
 
 /// Waiting calls of the mean size that a gate with few slots holds all the same.
--- a/crates/kumquatquay-core/src/routed/mechanisms.rs
+++ b/crates/kumquatquay-core/src/routed/mechanisms.rs
@@ -108,8 +108,8 @@
         Self::FairShares,
     ];
 
-    /// Those that are on only where they are asked for.
-    pub const TRIALS: [Self; 2] = [Self::EntryHold, Self::FairShares];
+    /// Mechanisms that are off unless they are switched on.
+    pub const OFF_BY_DEFAULT: [Self; 2] = [Self::EntryHold, Self::FairShares];
 
     fn bit(self) -> u32 {
         1 << self as u32
@@ -137,7 +137,7 @@
     }
 }
 
-/// Which mechanisms are on; all but the trials, unless something else was asked for.
+/// Which mechanisms are on; all but those that are off by default, unless something else was asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Mechanisms {
     off: u32,
@@ -145,7 +145,7 @@
 
 impl Default for Mechanisms {
     fn default() -> Self {
-        Self { off: 0 }.without(Mechanism::TRIALS)
+        Self { off: 0 }.without(Mechanism::OFF_BY_DEFAULT)
     }
 }
 
--- a/crates/kumquatquay-core/src/routed/offered_load.rs
+++ b/crates/kumquatquay-core/src/routed/offered_load.rs
@@ -10,8 +10,8 @@
 /// Time over which requests are counted, in seconds: they fade to a third in it.
 const SHORT_S: f64 = 2.9;
 
-/// The same for the count that holds while the load stays as it is. An entry of many sees one
-/// request of a kind a second; three seconds of those are off by a third.
+/// The same for the count that holds while the load stays as it is. An entry of many sees few
+/// requests of a kind, so a short count is mostly noise.
 const LONG_S: f64 = 20.0;
 
 /// Standard errors by which the short count may differ from the long one until it goes before it.
--- a/crates/kumquatquay-core/src/routed/request_row.rs
+++ b/crates/kumquatquay-core/src/routed/request_row.rs
@@ -123,11 +123,6 @@
         wants_close && self.started.is_empty()
     }
 
-    /// Nothing more is started.
-    pub fn close(&mut self) {
-        self.is_closed = true;
-    }
-
     /// Gives up what was started, and starts nothing more.
     pub fn give_up(&mut self) -> usize {
         self.is_closed = true;
--- a/crates/kumquatquay-core/src/routed/route_works.rs
+++ b/crates/kumquatquay-core/src/routed/route_works.rs
@@ -5,14 +5,16 @@
 /// Weight of the newest time against those before.
 const NEW_WEIGHT: f64 = 0.05;
 
-/// Weight of the newest call in the mix of routes against those before. A route with one call in
-/// fifty that run sixteen times as long as the others is a quarter of the work: its share has to
-/// be counted over some ten of its calls.
+/// Weight of the newest call in the mix of routes against those before. It is small, so that a
+/// rare route with long calls is counted over several of them.
 const MIX_WEIGHT: f64 = 0.002;
 
 /// Time to run a call that is assumed until the first one has ended.
 const FIRST_WORK_S: f64 = 0.05;
 
+/// Share of the last calls below which a route is forgotten when there are too many.
+const FORGOTTEN_RATIO: f64 = 1e-4;
+
 /// Routes that are told apart; calls on further ones are taken for the mean.
 const ROUTES_LIMIT_COUNT: usize = 64;
 
@@ -27,8 +29,8 @@
 
 /// How long calls run, by route.
 ///
-/// A service that serves a route with calls of 55 ms and one with calls of 880 ms can't be
-/// measured in calls: one call in fifty takes a quarter of its slots.
+/// Routes of one service may differ much in the time of a call, so a count of calls doesn't tell
+/// the load.
 #[derive(Debug, Default)]
 pub struct RouteWorks {
     routes: HashMap<String, RouteWork>,
@@ -73,6 +75,10 @@
             known.share -= MIX_WEIGHT * known.share;
         }
         self.others_share -= MIX_WEIGHT * self.others_share;
+        if self.routes.len() >= ROUTES_LIMIT_COUNT && !self.routes.contains_key(route) {
+            self.routes
+                .retain(|_, known| known.share >= FORGOTTEN_RATIO);
+        }
         if let Some(known) = self.routes.get_mut(route) {
             known.add(work_s);
         } else if self.routes.len() < ROUTES_LIMIT_COUNT {
--- a/crates/kumquatquay-core/src/routed/service_levels.rs
+++ b/crates/kumquatquay-core/src/routed/service_levels.rs
@@ -84,12 +84,16 @@
     pub(super) fn told(&self, now: Duration) -> Option<Told> {
         let fresh = self.gates.values().filter(|gate| now < gate.told + LAPSE);
         let (mut level, mut capacity_per_s, mut newest) = (0.0, 0.0, Duration::ZERO);
-        let mut busy_count = 0.0;
+        // A gate that has run no call tells no time.
+        let (mut timed_per_s, mut busy_count) = (0.0, 0.0);
         for gate in fresh {
             let weight = gate.capacity_per_s.max(1.0);
             level += weight * gate.at(now);
             capacity_per_s += weight;
-            busy_count += weight * gate.work_s;
+            if gate.work_s > 0.0 {
+                timed_per_s += weight;
+                busy_count += weight * gate.work_s;
+            }
             newest = newest.max(gate.told);
         }
         if capacity_per_s == 0.0 {
@@ -98,7 +102,11 @@
         Some(Told {
             level: level / capacity_per_s,
             capacity_per_s,
-            work_s: busy_count / capacity_per_s,
+            work_s: if timed_per_s > 0.0 {
+                busy_count / timed_per_s
+            } else {
+                0.0
+            },
             told: newest,
         })
     }
--- a/crates/kumquatquay-core/src/routed/store_follower.rs
+++ b/crates/kumquatquay-core/src/routed/store_follower.rs
@@ -31,7 +31,7 @@
 
 /// Time over which the first own reads of nodes whose proofs grow old together are spread, for each
 /// node that is known, and pause between their questions meanwhile. The store can't prove it to
-/// each of 5,100 nodes in time, and the first to whom it does can tell the others.
+/// each node of a large fleet in time, and the first to whom it does can tell the others.
 const PROOF_READ_PER_NODE: Duration = Duration::from_millis(2);
 const ASK_AGAIN: Duration = Duration::from_millis(500);
 
--- a/crates/kumquatquay-core/tests/routed/entry_levels.rs
+++ b/crates/kumquatquay-core/tests/routed/entry_levels.rs
@@ -144,6 +144,24 @@
     assert!(levels.work_at(at_ms(1), "unheard", "archive").is_empty());
 }
 
+/// A backend server has joined and has run no call yet. Its gate tells no time, which isn't a call
+/// that takes none: taken for that, requests would seem to need half of what they do.
+#[test]
+fn a_gate_that_has_run_no_call_tells_no_time() {
+    let mut levels = levels();
+    tell(&mut levels, 0, 1, 0.5);
+    let joined = GateReport {
+        limit_count: 30,
+        work_us: 0,
+        ..GateReport::default()
+    };
+    levels.on_gate(at_ms(0), "register", gate(2), &joined);
+    let works = levels.work_at(at_ms(1), "history", "archive");
+    let register = works.iter().find(|work| work.service == "register");
+    let work = register.expect("histories lead to the register").work;
+    assert!(work.abs_diff(Duration::from_millis(176)) < Duration::from_millis(1));
+}
+
 /// Why the last of a rank is refused.
 fn refusal(levels: &mut EntryLevels, at: u64, route: &str) -> Shortage {
     admit(levels, at, route, 0.999).unwrap_err()
--- a/crates/kumquatquay-daemon/src/main.rs
+++ b/crates/kumquatquay-daemon/src/main.rs
@@ -24,7 +24,7 @@
 /// Name of the flag that switches mechanisms off.
 const WITHOUT_FLAG: &str = "without";
 
-/// Name of the flag that switches trials on.
+/// Name of the flag that switches mechanisms on.
 const WITH_FLAG: &str = "with";
 
 fn main() -> ExitCode {
@@ -68,9 +68,9 @@
 }
 
 fn with_help() -> String {
-    let names = Mechanism::TRIALS.map(|mechanism| mechanism.to_string());
+    let names = Mechanism::OFF_BY_DEFAULT.map(|mechanism| mechanism.to_string());
     format!(
-        "Mechanisms on trial that decide all the same, of {}",
+        "Mechanisms to switch on that are off by default, of {}; `--without` goes first",
         names.join(", ")
     )
 }
--- a/crates/kumquatquay-wire/src/routed/fields.rs
+++ b/crates/kumquatquay-wire/src/routed/fields.rs
@@ -16,8 +16,7 @@
 /// name length: u32 | value length: u32 | name | value
 /// ```
 ///
-/// A message has a dozen fields; with a text for each name and each value, they were most of what
-/// a node allocated for a call.
+/// A message has a dozen fields; one block takes one allocation for all of them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Fields {
     block: Bytes,
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -21,6 +21,9 @@
 /// The longest frame, in bytes; a body may take nearly all of it.
 const FRAME_LIMIT_BYTES: usize = 80 * 1024 * 1024;
 
+/// The longest body of a frame, in bytes; what is left is for its head and its fields.
+pub const BODY_LIMIT_BYTES: usize = FRAME_LIMIT_BYTES - 1024 * 1024;
+
 /// What a frame says; header fields and a body may follow it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FrameHead<'a> {
@@ -106,8 +109,7 @@
 
 /// A call, without its header fields and its body.
 ///
-/// Its texts lie where the sender and the receiver hold them anyway: each call has one, and as
-/// texts of their own they would be allocated and freed four times a call.
+/// It borrows its texts, so that none is allocated for a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallHead<'a> {
     /// Names the call in its answer.
--- a/crates/kumquatquay-wire/src/routed/gate_report.rs
+++ b/crates/kumquatquay-wire/src/routed/gate_report.rs
@@ -21,7 +21,7 @@
     /// Share of the backend server's last runs that failed by its own doing, in thousandths.
     pub failed_permille: u16,
     /// Time that work takes on the backend server's machine at this moment over its usual
-    /// one, in thousandths; 0 while that isn't known.
+    /// one, in thousandths; 0 while that isn't known. For metrics: nothing is decided by it.
     pub pace_permille: u16,
 }
 
--- a/crates/kumquatquay-wire/src/routed/mod.rs
+++ b/crates/kumquatquay-wire/src/routed/mod.rs
@@ -23,8 +23,8 @@
 };
 pub use fields::{Field, Fields};
 pub use frame::{
-    AnswerHead, CallHead, CallNumber, Frame, FrameHead, FrameReader, HeldFrame, LinkOutcome,
-    NotRunReason, Payload, UnknownReason, encode_frame,
+    AnswerHead, BODY_LIMIT_BYTES, CallHead, CallNumber, Frame, FrameHead, FrameReader, HeldFrame,
+    LinkOutcome, NotRunReason, Payload, UnknownReason, encode_frame,
 };
 pub use gate_report::GateReport;
 pub use quota::{HALVES_COUNT, QuotaVerdict, SLICES_COUNT, SliceSets};
--- a/crates/kumquatquayd/src/routed/backend_pool.rs
+++ b/crates/kumquatquayd/src/routed/backend_pool.rs
@@ -197,7 +197,10 @@
         let (head, body) = answer.into_parts();
         // One without end would fill the memory.
         let body = Limited::new(body, self.answer_limit_bytes).collect().await;
-        let body = body.map_err(|_| (SendError::Broke, None))?;
+        let body = body.map_err(|error| {
+            log::debug!(event = "backend_answer_unread"; "{error}");
+            (SendError::Broke, None)
+        })?;
         Ok(BackendAnswer {
             status: head.status.as_u16(),
             headers: head.headers,
--- a/crates/kumquatquayd/src/routed/holding.rs
+++ b/crates/kumquatquayd/src/routed/holding.rs
@@ -150,7 +150,7 @@
         held_ms = now.saturating_sub(began).as_millis() as u64,
         left_ms = entering.due().saturating_sub(now).as_millis() as u64,
         outcome = end.name();
-        "a request was held until there was room"
+        "a request is held no longer"
     );
 }
 
--- a/crates/kumquatquayd/src/routed/link_frames.rs
+++ b/crates/kumquatquayd/src/routed/link_frames.rs
@@ -23,8 +23,8 @@
 /// Bytes that may wait for a peer that doesn't read; no call is added beyond.
 const UNWRITTEN_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 
-/// Bytes of answers that may wait for a peer that doesn't read; no call is run beyond. At
-/// 200 Mbit/s they take 40 ms.
+/// Bytes of answers that may wait for a peer that doesn't read, beside those that are being
+/// written; no call is run beyond.
 const UNWRITTEN_ANSWERS_LIMIT_BYTES: usize = 1024 * 1024;
 
 /// Frames on their way into a connection.
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -16,7 +16,8 @@
     StoreFollower, StoreReaders, TargetTable, UnknownKeys,
 };
 use kumquatquay_wire::routed::{
-    FollowState, GateReport, RouteConfiguration, RouteNews, RouteVersion, ServiceDemand,
+    BODY_LIMIT_BYTES, FollowState, GateReport, RouteConfiguration, RouteNews, RouteVersion,
+    ServiceDemand,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::sync::{Notify, oneshot, watch};
@@ -192,6 +193,8 @@
             None => follower,
         };
         let held_answers = HeldAnswers::new(settings.limits.memory_bytes);
+        // A longer one would end the link that is to carry it.
+        let answer_limit_bytes = held_answers.answer_limit_bytes().min(BODY_LIMIT_BYTES);
         Rc::new(Self {
             follower: RefCell::new(follower),
             follower_wake: Notify::new(),
@@ -199,7 +202,7 @@
             proof: RefCell::default(),
             suspended: Cell::default(),
             proof_news: Notify::new(),
-            backend: BackendPool::new(settings.backend, held_answers.answer_limit_bytes()),
+            backend: BackendPool::new(settings.backend, answer_limit_bytes),
             phase: random.random(),
             targets: RefCell::new(TargetTable::new(settings.mechanisms)),
             settings,
--- a/crates/kumquatquayd/src/routed/request_frame.rs
+++ b/crates/kumquatquayd/src/routed/request_frame.rs
@@ -144,7 +144,10 @@
     let mut request = Request::new(Bytes::copy_from_slice(body));
     *request.method_mut() = Method::from_bytes(parsed.method?.as_bytes()).ok()?;
     *request.uri_mut() = Uri::try_from(parsed.path?).ok()?;
-    *request.version_mut() = Version::HTTP_11;
+    *request.version_mut() = match parsed.version? {
+        0 => Version::HTTP_10,
+        _ => Version::HTTP_11,
+    };
     *request.headers_mut() = headers;
     Some(request)
 }
--- a/crates/kumquatquayd/src/routed/routes_watch.rs
+++ b/crates/kumquatquayd/src/routed/routes_watch.rs
@@ -137,7 +137,7 @@
         Ok(news) if news.is_outdated => {
             follower.failed(now);
             drop(follower);
-            node.on_outdated_answer(news.era);
+            node.on_outdated_answer();
             take_news(node, news);
             false
         }
--- a/crates/kumquatquayd/src/routed/runners.rs
+++ b/crates/kumquatquayd/src/routed/runners.rs
@@ -1,8 +1,7 @@
 //! Tasks that run the calls of other nodes, one after the other.
 //!
-//! A task for each call is a block of some kilobytes at an address of its own alignment, which
-//! the allocator finds slowly and leaves holes behind. A task that has run a call waits for the
-//! next one instead.
+//! A new task takes an allocation of some kilobytes; one that has run a call waits for the next
+//! one instead.
 
 use std::{cell::RefCell, rc::Rc};
 
--- a/crates/kumquatquayd/src/routed/store_return.rs
+++ b/crates/kumquatquayd/src/routed/store_return.rs
@@ -88,10 +88,8 @@
     }
 
     /// The store has answered from an era that is over.
-    pub(crate) fn on_outdated_answer(&self, era: Option<StoreEra>) {
-        let known = self.follower.borrow().era();
+    pub(crate) fn on_outdated_answer(&self) {
         self.pass_over_era("outdated", "an answer is of an era that is over");
-        log::debug!(event = "store_answer_outdated", era = era, known = known; "passed over");
     }
 
     /// Tells operators whether the store lacks the configuration in force.
