Draw the time to return in one place; serve a caller's request without a wrapper

From a last reading: the time to return was drawn in two functions alike, one function only called another, and a count of given-up requests was returned and dropped.

--- a/crates/kumquatquay-core/src/routed/request_row.rs
+++ b/crates/kumquatquay-core/src/routed/request_row.rs
@@ -124,10 +124,9 @@
     }
 
     /// Gives up what was started, and starts nothing more.
-    pub fn give_up(&mut self) -> usize {
+    pub fn give_up(&mut self) {
         self.is_closed = true;
-        let given_up = std::mem::take(&mut self.started);
-        given_up.len()
+        self.started.clear();
     }
 
     /// Requests that were started and that the server hasn't reached.
--- a/crates/kumquatquayd/src/routed/admission.rs
+++ b/crates/kumquatquayd/src/routed/admission.rs
@@ -11,6 +11,7 @@
 use super::{
     caller_identity::IdentityRefusal,
     carry::OutgoingCall,
+    entry::retry_after,
     holding::{HoldEnd, hold, line_of},
     http_io::{WholeBody, own_answer},
     node::{RoutedNode, StopPhase},
@@ -271,7 +272,6 @@
     call: &OutgoingCall,
     text: &'static str,
 ) -> Response<WholeBody> {
-    let returns = ReturnTime::soon(call.route.settings.target_latency);
-    let wait = returns.draw(&mut *node.random.borrow_mut());
+    let wait = retry_after(node, &call.route.settings);
     own_answer(StatusCode::SERVICE_UNAVAILABLE, Some(wait), text)
 }
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -40,23 +40,7 @@
     node: Rc<RoutedNode>,
     request: Request<CallerBody>,
 ) -> Response<WholeBody> {
-    answer_entry(&node, request).await
-}
-
-/// Whether this node is about to end and takes no new requests.
-///
-/// One that is taken in the last moment of the grace is cut off when it ends. Calls
-/// that backend servers make belong to requests that are under way.
-fn is_too_late(node: &RoutedNode, route: &TableRoute) -> bool {
-    if node.stop_phase() == StopPhase::Ending {
-        return true;
-    }
-    let name = &route.settings.name;
-    let is_called = node.levels.borrow().is_from_outside(node.now(), name) == Some(false);
-    node.stop_phase() == StopPhase::Closing && !is_called
-}
-
-async fn answer_entry(node: &Rc<RoutedNode>, request: Request<CallerBody>) -> Response<WholeBody> {
+    let node = &node;
     let began = node.now();
     let (mut parts, body) = request.into_parts();
     let marks = (node.dialect.read_request)(&parts.headers);
@@ -138,6 +122,19 @@
     }
 }
 
+/// Whether this node is about to end and takes no new requests.
+///
+/// One that is taken in the last moment of the grace is cut off when it ends. Calls
+/// that backend servers make belong to requests that are under way.
+fn is_too_late(node: &RoutedNode, route: &TableRoute) -> bool {
+    if node.stop_phase() == StopPhase::Ending {
+        return true;
+    }
+    let name = &route.settings.name;
+    let is_called = node.levels.borrow().is_from_outside(node.now(), name) == Some(false);
+    node.stop_phase() == StopPhase::Closing && !is_called
+}
+
 /// Answers a request of which it isn't known whose it is, or for which there is no route.
 fn refuse_unidentified(
     node: &RoutedNode,
@@ -342,7 +339,7 @@
 }
 
 /// When a caller should come back that wasn't refused for a shortage of which more is known.
-fn retry_after(node: &RoutedNode, route: &RouteSettings) -> Duration {
+pub(super) fn retry_after(node: &RoutedNode, route: &RouteSettings) -> Duration {
     let returns = ReturnTime::soon(route.target_latency);
     returns.draw(&mut *node.random.borrow_mut())
 }
