Log and count rate limits and leavings that backend servers name in answers

Nothing in logs or metrics told that a backend server advertised a limit, when, or what was handed over since, so the three hypotheses of the incident couldn't be told apart. Both fields are decoded in the adapter; the node logs when a limit begins, changes and ends, and shows it in its metrics. Nothing is decided by either yet.

An answer without a limit ends it only if its run began after the limit was advertised last. What can't be read (signs, exponents, two of them) changes nothing and is told by a bounded line.

--- a/crates/kumquatquay-core/src/routed/host_gate.rs
+++ b/crates/kumquatquay-core/src/routed/host_gate.rs
@@ -4,7 +4,7 @@
 
 use kumquatquay_wire::routed::{GateReport, Priority};
 
-use super::{GateState, RouteRun, RouteWorks};
+use super::{GateState, RouteRun, RouteWorks, ServerLimit};
 
 /// Waiting calls of the mean size for each running one, at most: the wait is twice the time of
 /// a call.
@@ -117,6 +117,7 @@
     waiting_work: Duration,
     last_sequence: u64,
     works: RouteWorks,
+    server_limit: ServerLimit,
 }
 
 #[derive(Debug)]
@@ -144,6 +145,7 @@
             waiting_work: Duration::ZERO,
             last_sequence: 0,
             works: RouteWorks::default(),
+            server_limit: ServerLimit::default(),
         }
     }
 }
@@ -308,6 +310,16 @@
         &self.works
     }
 
+    /// The rate limit that the backend server advertises.
+    pub fn server_limit(&self) -> &ServerLimit {
+        &self.server_limit
+    }
+
+    /// The same, to take in what it says.
+    pub fn server_limit_mut(&mut self) -> &mut ServerLimit {
+        &mut self.server_limit
+    }
+
     /// What decides about the level of whole requests.
     pub fn state(&self) -> GateState {
         GateState {
--- a/crates/kumquatquayd/src/routed/interface.rs
+++ b/crates/kumquatquayd/src/routed/interface.rs
@@ -4,7 +4,7 @@
 
 use derive_more::{Display, Error};
 use http::HeaderMap;
-use kumquatquay_core::routed::{BackendLoad, KeyClaim, LifeReport, RegisterPlace};
+use kumquatquay_core::routed::{AdvertisedLimit, BackendLoad, KeyClaim, LifeReport, RegisterPlace};
 use kumquatquay_wire::{
     BackendLife, InstanceId,
     routed::{RouteConfiguration, RouteVersion, StoreEra},
@@ -82,6 +82,11 @@
     /// Time that work takes on its machine at this moment over its usual one; not all tell
     /// it.
     pub pace_ratio: Option<f64>,
+    /// Calls a second that the backend server takes of all callers together, while it names
+    /// them.
+    pub limit: AdvertisedLimit,
+    /// Whether the backend server leaves.
+    pub is_leaving: bool,
 }
 
 /// A report of the backend server on this host.
--- a/crates/kumquatquayd/src/routed/members.rs
+++ b/crates/kumquatquayd/src/routed/members.rs
@@ -45,6 +45,9 @@
         LifeState::Draining | LifeState::Gone => MemberState::Draining,
     };
     node.failures.borrow_mut().on_life(&current.life);
+    let mut gate = node.gate.borrow_mut();
+    gate.server_limit_mut().on_life(&current.life);
+    drop(gate);
     log::info!(event = "backend", life:% = current.life, state:% = state,
         slots = current.slots_count, sequence = current.sequence;
         "the backend server of this host told how it is");
--- a/crates/kumquatquayd/src/routed/metrics_text.rs
+++ b/crates/kumquatquayd/src/routed/metrics_text.rs
@@ -21,6 +21,7 @@
         );
     }
     let report = node.gate_report();
+    let server_limit = node.gate.borrow().server_limit().per_s();
     let waiting_work = node.gate.borrow().state().waiting_work;
     let unheard = node.follower.borrow().unheard(node.now());
     let store_era = node.follower.borrow().era().unwrap_or_default();
@@ -56,6 +57,9 @@
     for (name, value) in gauges {
         let _ = writeln!(text, "kumquatquay_{name} {value}");
     }
+    if let Some(per_s) = server_limit {
+        let _ = writeln!(text, "kumquatquay_server_limit_per_s {per_s}");
+    }
     for known in node.gate.borrow().works().routes() {
         let (route, work_us) = (known.route, known.work.as_micros());
         let _ = writeln!(
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -41,6 +41,7 @@
 mod routes_watch;
 mod run_here;
 mod runners;
+mod server_notices;
 mod settings;
 mod spare_buffers;
 mod start;
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -17,6 +17,7 @@
     link_answer::LinkAnswer,
     members::{announce, announce_death},
     node::{RoutedNode, RunTicket},
+    server_notices::on_notices,
 };
 
 /// The least time in which a call is still handed over.
@@ -381,13 +382,14 @@
     let Some(request) = request_of(node, timed, time_left) else {
         return HandedOver::Ended(LinkAnswer::not_run(NotRunReason::Unsent));
     };
+    let began = node.now();
     let mut run = Run::new(node, timed.call, time_left);
     let sent = node.backend.send(request, timed.call.is_idempotent);
     let sent = tokio::time::timeout(time_left, sent).await;
     run.has_sign = sent.is_ok();
     run.is_well = matches!(&sent, Ok(Ok(answer)) if (200..300).contains(&answer.status));
     match sent {
-        Ok(Ok(answer)) => judge(node, timed, answer),
+        Ok(Ok(answer)) => judge(node, timed, began, answer),
         Ok(Err(error)) => HandedOver::Ended(on_send_error(node, error)),
         Err(_) => HandedOver::Ended(LinkAnswer::unknown(UnknownReason::NoAnswer)),
     }
@@ -418,7 +420,12 @@
 /// A connection may bring the late answer to an earlier request, bytes that no
 /// backend server vouches for, or a refusal without the promise. None of these may
 /// reach a caller as the answer to its request.
-fn judge(node: &RoutedNode, timed: &Timed<'_>, answer: BackendAnswer) -> HandedOver {
+fn judge(
+    node: &RoutedNode,
+    timed: &Timed<'_>,
+    began: Duration,
+    answer: BackendAnswer,
+) -> HandedOver {
     let marks = (node.dialect.read_answer)(&answer.headers);
     if let Some(load) = marks.load
         && node.is_on(Mechanism::Transit)
@@ -447,6 +454,7 @@
         return HandedOver::Ended(LinkAnswer::not_run(NotRunReason::TurnedAway));
     }
     if marks.is_not_run {
+        on_notices(node, began, &marks);
         answer.keep(marks.kept_open);
         return HandedOver::TurnedAway;
     }
@@ -459,6 +467,7 @@
         answer.discard();
         return HandedOver::Ended(LinkAnswer::unknown(UnknownReason::Garbled));
     }
+    on_notices(node, began, &marks);
     let status = answer.status;
     let fields = fields_of(&answer.headers);
     let body = answer.keep(marks.kept_open);
