--- a/crates/kumquatquay-core/src/routed/host_gate.rs
+++ b/crates/kumquatquay-core/src/routed/host_gate.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use kumquatquay_wire::routed::{GateReport, Priority};
+use kumquatquay_wire::routed::{GateReport, NotRunReason, Priority};
 
 use super::{GateState, RouteRun, RouteWorks, ServerLimit};
 
@@ -24,6 +24,10 @@
 /// server may tell less than it has; beyond this its own queue would fill.
 const TRANSIT_RATIO: f64 = 0.25;
 
+/// How long a call waits for the backend server's rate limit, at most. Another one of the service
+/// may have room, and is asked sooner.
+const LIMIT_WAIT: Duration = Duration::from_millis(250);
+
 /// Place of a waiting call: the most important first, then those that can still be in time, then
 /// the one whose answer is due first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -192,8 +196,8 @@
     /// Takes in a call that asks to run.
     pub fn offer(&mut self, now: Duration, call: GateCall, ticket: T) -> Admission<T> {
         let deadline = call.deadline;
-        if self.running_count < self.limit_count() && self.waiting.is_empty() {
-            self.running_count += 1;
+        if self.waiting.is_empty() && self.has_room(now) {
+            self.begin(now);
             return Admission::Run;
         }
         self.last_sequence += 1;
@@ -206,7 +210,10 @@
         };
         let work = call.work;
         let ahead = self.ahead_of(key);
-        if now + self.time_for(ahead.work) + work > deadline || !self.has_room_behind(ahead, work) {
+        let limit_wait = self.server_limit.wait(now, ahead.calls_count);
+        let wait = self.time_for(ahead.work).max(limit_wait);
+        let is_in_time = now + wait + work <= deadline && limit_wait <= LIMIT_WAIT;
+        if !is_in_time || !self.has_room_behind(ahead, work) {
             return Admission::Refuse(ticket);
         }
         let waiting = Waiting {
@@ -216,7 +223,7 @@
         };
         self.waiting_work += work;
         self.waiting.insert(key, waiting);
-        let evicted = self.evict();
+        let evicted = self.evict(now, 1);
         if evicted.is_empty() {
             Admission::Wait(key)
         } else {
@@ -224,6 +231,26 @@
         }
     }
 
+    /// Why a call is refused now.
+    pub fn refusal(&self, now: Duration) -> NotRunReason {
+        let waiting_count = self.waiting.len();
+        if self.server_limit.wait(now, waiting_count) > LIMIT_WAIT {
+            NotRunReason::Limited
+        } else {
+            NotRunReason::Full
+        }
+    }
+
+    /// Whether one more call may be handed over.
+    fn has_room(&self, now: Duration) -> bool {
+        self.running_count < self.limit_count() && self.server_limit.has_token(now)
+    }
+
+    fn begin(&mut self, now: Duration) {
+        self.running_count += 1;
+        self.server_limit.take(now);
+    }
+
     /// Whether a call may wait behind those that are more important, whatever waits behind it.
     fn has_room_behind(&self, ahead: Ahead, work: Duration) -> bool {
         let is_first = ahead.calls_count == 0;
@@ -237,10 +264,16 @@
         self.order == QueueOrder::LateLast && now + work > due
     }
 
-    /// Takes out the least important, until what waits is no more than may wait.
-    fn evict(&mut self) -> Vec<T> {
+    /// Takes out those that would wait too long now that the rate limit is another one.
+    pub fn shed(&mut self, now: Duration) -> Vec<T> {
+        self.evict(now, 0)
+    }
+
+    /// Takes out the least important, until what waits is no more than may wait or so few are
+    /// left.
+    fn evict(&mut self, now: Duration, least_count: usize) -> Vec<T> {
         let mut evicted = Vec::new();
-        while self.waiting.len() > 1 && self.is_too_much() {
+        while self.waiting.len() > least_count && self.is_too_much(now) {
             let Some((_, last)) = self.waiting.pop_last() else {
                 break;
             };
@@ -250,14 +283,16 @@
         evicted
     }
 
-    fn is_too_much(&self) -> bool {
+    fn is_too_much(&self, now: Duration) -> bool {
+        let last = self.waiting.len().saturating_sub(1);
         self.waiting.len() > self.waiting_limit_count()
+            || self.server_limit.wait(now, last) > LIMIT_WAIT
             || self.waiting_work > self.waiting_work_limit()
     }
 
     /// The call that runs next, if there is room for one; it counts as running.
     pub fn next(&mut self, now: Duration) -> Option<T> {
-        if self.running_count >= self.limit_count() {
+        if !self.has_room(now) {
             return None;
         }
         while let Some((key, waiting)) = self.waiting.pop_first() {
@@ -267,13 +302,35 @@
             }
             self.waiting_work = self.waiting_work.saturating_sub(waiting.work);
             if now < waiting.deadline {
-                self.running_count += 1;
+                self.begin(now);
                 return Some(waiting.ticket);
             }
         }
         None
     }
 
+    /// Time until the backend server's rate limit lets the next call begin; `None` if none waits
+    /// for that.
+    pub fn limit_wait(&self, now: Duration) -> Option<Duration> {
+        let waits = !self.waiting.is_empty() && self.running_count < self.limit_count();
+        let wait = self.server_limit.wait(now, 0);
+        (waits && !wait.is_zero()).then_some(wait)
+    }
+
+    /// Whether a running call that was turned away may be handed over once more.
+    pub fn may_hand_over_again(&mut self, now: Duration) -> bool {
+        let has_token = self.server_limit.has_token(now);
+        if has_token {
+            self.server_limit.take(now);
+        }
+        has_token
+    }
+
+    /// A call that was let run never reached the backend server.
+    pub fn not_handed_over(&mut self, now: Duration) {
+        self.server_limit.give_back(now);
+    }
+
     /// A running call has ended; `run` if it tells how long calls of its route run.
     pub fn ended(&mut self, run: Option<RouteRun<'_>>) {
         self.running_count = self.running_count.saturating_sub(1);
@@ -323,7 +380,7 @@
     /// What decides about the level of whole requests.
     pub fn state(&self) -> GateState {
         GateState {
-            limit_count: self.limit_count(),
+            slots: self.slots(),
             waiting_work: self.waiting_work,
         }
     }
@@ -331,7 +388,7 @@
     /// How busy the backend server is, with the level for whole requests. While no call
     /// has ended it tells no time, which is not the same as a guess. Of failures and
     /// of the machine's pace a gate knows nothing.
-    pub fn report(&self, level: f64) -> GateReport {
+    pub fn report(&self, now: Duration, level: f64) -> GateReport {
         let work = if self.works.is_known() {
             self.work()
         } else {
@@ -345,9 +402,17 @@
             waiting_count: self.waiting.len() as u32,
             limit_count: self.limit_count() as u32,
             work_us: work.as_micros() as u32,
+            rate: self.server_limit.report(now, self.waiting.len()),
         }
     }
 
+    /// Calls that run at the same time where as many are handed over as may be.
+    fn slots(&self) -> f64 {
+        let slots = self.limit_count().max(1) as f64;
+        let by_rate = self.server_limit.per_s();
+        by_rate.map_or(slots, |per_s| slots.min(per_s * self.work().as_secs_f64()))
+    }
+
     fn ahead_of(&self, key: WaitKey) -> Ahead {
         let ahead = self.waiting.range(..key);
         ahead.fold(Ahead::default(), |ahead, (_, waiting)| Ahead {
--- a/crates/kumquatquay-core/src/routed/level_setter.rs
+++ b/crates/kumquatquay-core/src/routed/level_setter.rs
@@ -42,6 +42,9 @@
 /// Spans over which the work of one long call is counted, at most.
 const SPREAD_SPANS_COUNT: usize = 10;
 
+/// Slots that a gate is taken to have at least; without any, a load over them has no end.
+const SLOTS_LEAST: f64 = 0.01;
+
 /// Weight of the newest span against those before.
 const NEW_WEIGHT: f64 = 0.4;
 
@@ -89,8 +92,9 @@
 /// What a gate is like at the end of a span.
 #[derive(Clone, Copy, Debug)]
 pub struct GateState {
-    /// Calls that may run at the same time.
-    pub limit_count: usize,
+    /// Calls that run at the same time where as many run as may: under a rate limit a part of
+    /// one, if need be.
+    pub slots: f64,
     /// Expected work of the calls that wait.
     pub waiting_work: Duration,
 }
@@ -132,7 +136,7 @@
         if passed_s < WINDOW.as_secs_f64() {
             return;
         }
-        let slots = gate.limit_count.max(1) as f64;
+        let slots = gate.slots.max(SLOTS_LEAST);
         let asked = self.asked.pop_front().unwrap_or_default();
         self.window_began = now;
         let asked = asked.as_secs_f64() / passed_s / slots;
--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -41,6 +41,7 @@
 mod store_readers;
 mod target_table;
 mod time_needed;
+mod told_lives;
 mod unknown_keys;
 mod workspaces;
 
--- a/crates/kumquatquay-core/src/routed/service_levels.rs
+++ b/crates/kumquatquay-core/src/routed/service_levels.rs
@@ -60,11 +60,14 @@
     /// the others of its service.
     fn capacity_per_s(&self, report: &GateReport) -> f64 {
         let work_s = report.work().as_secs_f64();
-        if work_s > 0.0 {
-            return f64::from(report.limit_count) / work_s;
-        }
-        let known = self.gates.values().map(|gate| gate.capacity_per_s);
-        known.fold(f64::from(report.limit_count), f64::min)
+        let by_slots = if work_s > 0.0 {
+            f64::from(report.limit_count) / work_s
+        } else {
+            let known = self.gates.values().map(|gate| gate.capacity_per_s);
+            known.fold(f64::from(report.limit_count), f64::min)
+        };
+        let by_rate = report.rate.map(|rate| rate.limit_per_s());
+        by_rate.map_or(by_slots, |by_rate| by_slots.min(by_rate))
     }
 
     /// Takes in what another node knows.
--- a/crates/kumquatquay-core/src/routed/target_table.rs
+++ b/crates/kumquatquay-core/src/routed/target_table.rs
@@ -6,10 +6,13 @@
     time::Duration,
 };
 
-use kumquatquay_wire::{BackendLife, MemberRecord, MemberState, ServiceName, routed::GateReport};
+use kumquatquay_wire::{
+    BackendLife, MemberRecord, MemberState, ServiceName,
+    routed::{GateReport, KnownLimit},
+};
 use rand::{Rng, seq::IndexedRandom};
 
-use super::{LineChange, Mechanism, Mechanisms, out_of_line::OutOfLine};
+use super::{LineChange, Mechanism, Mechanisms, out_of_line::OutOfLine, told_lives::ToldLives};
 
 /// How long a gate's report counts; after that only this node's own calls do.
 const REPORT_LAPSE: Duration = Duration::from_secs(1);
@@ -27,6 +30,11 @@
 /// nothing; the news of it arrives in that time.
 const CLOSED_PAUSE: Duration = Duration::from_millis(500);
 
+/// How long a host is left out at least and at most after it said that its backend server takes
+/// no more calls a second; in between it is the time until it takes the next one.
+const LIMITED_PAUSE_LEAST: Duration = Duration::from_millis(20);
+const LIMITED_PAUSE_LONGEST: Duration = Duration::from_secs(2);
+
 /// Fill of the own data centre's choice above which another one's is weighed.
 ///
 /// Work that stays in its data centre costs no bytes between them. Beyond this fill
@@ -68,6 +76,11 @@
 /// to find out whether it is well again.
 const TRIAL_INTERVAL_COUNT: u32 = 500;
 
+/// Slots and calls a second that a limited backend server is taken to have at least; what is
+/// divided by them must stay finite.
+const LEAST_SLOTS: f64 = 0.01;
+const LEAST_PER_S: f64 = 0.01;
+
 /// Candidates that are compared, of each kind.
 const COMPARED_COUNT: usize = 2;
 
@@ -88,6 +101,8 @@
     failed_ratio: f64,
     closed_until: Duration,
     lost_pause: Duration,
+    /// Until when the rate limit of its backend server leaves no room.
+    limited_until: Duration,
     /// Whether its node can't be reached.
     is_lost: bool,
 }
@@ -103,6 +118,8 @@
     pub life: Option<BackendLife>,
     /// Mean time that it takes to run a call.
     pub work: Duration,
+    /// The rate limit that the backend server told this node.
+    pub known_limit: Option<KnownLimit>,
 }
 
 /// How a call to a target ended.
@@ -114,6 +131,8 @@
     Failed,
     /// The gate had no room.
     Full,
+    /// The backend server takes no more calls a second.
+    Limited,
     /// The host takes nothing for that backend server.
     Closed,
     /// The link to the host was lost or could not be made.
@@ -131,6 +150,7 @@
     /// Backend servers that fail more than their peers, by service.
     out_of_line: HashMap<ServiceName, OutOfLine>,
     line_changes: Vec<LineChange>,
+    told_lives: ToldLives,
 }
 
 impl TargetTable {
@@ -245,11 +265,14 @@
         let target = self.targets.get_mut(&control)?;
         target.outstanding_count += 1;
         target.sent_since_report_count += 1;
+        let known_limit = target.life.as_ref();
+        let known_limit = known_limit.and_then(|life| self.told_lives.limit(now, life));
         Some(Choice {
             control,
             peer: target.peer,
             life: target.life.clone(),
             work: Duration::from_secs_f64(work_s),
+            known_limit,
         })
     }
 
@@ -272,6 +295,11 @@
             target.report_told = Some(now);
             target.sent_since_report_count = 0;
         }
+        if how == TargetEnded::Answered
+            && let (Some(life), Some(report)) = (&target.life, report)
+        {
+            self.told_lives.on_limit(now, life, report.rate);
+        }
         match how {
             TargetEnded::Answered => {
                 target.failed_ratio -= NEW_WEIGHT * target.failed_ratio;
@@ -283,6 +311,12 @@
                 target.closed_until = now + target.lost_pause;
                 target.lost_pause = (target.lost_pause * 2).min(LOST_PAUSE_LONGEST);
             }
+            TargetEnded::Limited => {
+                let wait = target.report.rate.map(|rate| rate.wait());
+                let pause = wait.unwrap_or_default();
+                let pause = pause.clamp(LIMITED_PAUSE_LEAST, LIMITED_PAUSE_LONGEST);
+                target.limited_until = now + pause;
+            }
             TargetEnded::Full | TargetEnded::GivenUp => {}
         }
         if is_other_ratio {
@@ -291,6 +325,14 @@
         }
     }
 
+    /// Whether backend servers of a service are left out now because they take no more calls a
+    /// second.
+    pub fn is_limited(&self, now: Duration, service: &str) -> bool {
+        let controls = self.services.get(service).into_iter().flatten();
+        let mut targets = controls.map(|control| &self.targets[control]);
+        targets.any(|target| now < target.limited_until)
+    }
+
     /// A node can't be reached; it gets no calls until it is [`reached`](Self::reached).
     /// Whether it is known here.
     pub fn lost(&mut self, peer: SocketAddr) -> bool {
@@ -389,19 +431,20 @@
             failed_ratio: 0.0,
             closed_until: Duration::ZERO,
             lost_pause: LOST_PAUSE,
+            limited_until: Duration::ZERO,
             is_lost: false,
         }
     }
 
     fn is_open(&self, now: Duration) -> bool {
-        !self.is_lost && self.closed_until <= now
+        !self.is_lost && self.closed_until <= now && self.limited_until <= now
     }
 
     /// Calls at the backend server over those that it runs, as far as is known:
     /// the last report with what was sent since, and never less than what this
     /// node itself has there.
     fn fill_ratio(&self, now: Duration) -> f64 {
-        let limit = self.report.limit_count.max(1).max(self.slots_count) as f64;
+        let limit = self.slots();
         let own = f64::from(self.outstanding_count) / limit;
         let is_fresh = self
             .report_told
@@ -413,6 +456,26 @@
         own.max(self.report.fill_ratio() + sent)
     }
 
+    /// Calls that it runs at the same time, under its rate limit if there is one.
+    fn slots(&self) -> f64 {
+        let limit_count = self.report.limit_count.max(self.slots_count);
+        let report = GateReport {
+            limit_count,
+            ..self.report
+        };
+        report.slots().max(LEAST_SLOTS)
+    }
+
+    /// Time until its rate limit lets one more call begin, as far as is known.
+    fn limit_wait_s(&self, now: Duration) -> f64 {
+        let Some(rate) = self.report.rate else {
+            return 0.0;
+        };
+        let sent_s = f64::from(self.sent_since_report_count) / rate.limit_per_s().max(LEAST_PER_S);
+        let passed = now.saturating_sub(self.report_told.unwrap_or_default());
+        (rate.wait().as_secs_f64() + sent_s - passed.as_secs_f64()).max(0.0)
+    }
+
     /// Mean time to run a call, if the gate has told it.
     fn told_work_s(&self) -> Option<f64> {
         let told_s = self.report.work().as_secs_f64();
@@ -431,6 +494,7 @@
         } else {
             OTHER_DATA_CENTRE_S
         };
+        let wait_s = wait_s.max(self.limit_wait_s(now));
         work_s + wait_s + crowding_s + failure_s + way_s
     }
 }
--- a/crates/kumquatquay-core/tests/routed/call_mesh.rs
+++ b/crates/kumquatquay-core/tests/routed/call_mesh.rs
@@ -277,7 +277,12 @@
     fn emptier_gate(&mut self) -> usize {
         let mut any = || self.random.random_range(0..self.gates.len());
         let (one, other) = (any(), any());
-        let fill = |gate: usize| self.gates[gate].gate.report(1.0).fill_ratio();
+        let fill = |gate: usize| {
+            self.gates[gate]
+                .gate
+                .report(Duration::ZERO, 1.0)
+                .fill_ratio()
+        };
         if fill(one) <= fill(other) { one } else { other }
     }
 
@@ -329,7 +334,7 @@
         let kind = self.kinds[call.kind];
         let from = &self.gates[gate];
         let address = SocketAddr::from(([10, 0, 0, 1], gate as u16));
-        let report = from.gate.report(from.level.level());
+        let report = from.gate.report(now, from.level.level());
         self.entries[call.entry].on_gate(now, SERVICE, address, &report);
         let told = self.told.entry((gate, call.entry, call.kind));
         let told = told.or_insert(Duration::ZERO);
--- a/crates/kumquatquay-core/tests/routed/host_gate.rs
+++ b/crates/kumquatquay-core/tests/routed/host_gate.rs
@@ -235,7 +235,7 @@
             break;
         }
     }
-    assert_eq!(gate.report(1.0).running_count, 100);
+    assert_eq!(gate.report(at_ms(0), 1.0).running_count, 100);
 }
 
 /// Calls that wait in the backend server's own queue are there: none more is handed
@@ -294,9 +294,9 @@
 fn the_time_of_a_call_is_told_once_one_has_ended() {
     let mut gate = HostGate::<&str>::default();
     gate.set_limit_count(4);
-    assert_eq!(gate.report(1.0).work_us, 0);
+    assert_eq!(gate.report(at_ms(0), 1.0).work_us, 0);
     gate.ended(Some(run(22)));
-    assert_eq!(gate.report(1.0).work_us, 22_000);
+    assert_eq!(gate.report(at_ms(0), 1.0).work_us, 22_000);
 }
 
 /// A service that is short has a queue of calls on one route, which searches made, and then
--- a/crates/kumquatquay-core/tests/routed/level_setter.rs
+++ b/crates/kumquatquay-core/tests/routed/level_setter.rs
@@ -59,7 +59,7 @@
         self.setter.tick(
             at_ms(self.span * 100),
             GateState {
-                limit_count: SLOTS,
+                slots: SLOTS as f64,
                 waiting_work: Duration::from_secs_f64(WORK_S).mul_f64(self.waiting),
             },
         );
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -28,6 +28,7 @@
 mod route_table;
 mod route_works;
 mod run_failures;
+mod server_limit;
 mod split;
 mod store_eras;
 mod store_follower;
--- /dev/null
+++ b/crates/kumquatquay-core/tests/routed/server_limit.rs
@@ -0,0 +1,461 @@
+//! The rate limit that a backend server advertises, alone and at a gate, in virtual time.
+
+use std::{collections::VecDeque, time::Duration};
+
+use kumquatquay_core::routed::{
+    Admission, AdvertisedLimit, BackendLoad, GateCall, HostGate, RouteRun, ServerLimit,
+};
+use kumquatquay_wire::{
+    BackendLife,
+    routed::{KnownLimit, NotRunReason, Priority},
+};
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
+
+use crate::at_ms;
+
+/// Calls in any such span are held against the limit.
+const WINDOW_MS: u64 = 4_000;
+
+/// Time after the first naming in which nodes may still settle.
+const SETTLING_MS: u64 = 3_000;
+
+/// How often the arrivals are held against the limit.
+const LOOK_MS: u64 = 10;
+
+/// Time after which a caller that was told counts.
+const TOLD_MS: u64 = 500;
+
+fn life(name: &str) -> BackendLife {
+    BackendLife::untold(String::from(name))
+}
+
+fn limited(per_s: f64) -> ServerLimit {
+    let mut limit = ServerLimit::default();
+    limit.on_life(&life("a"));
+    limit.on_answer(at_ms(0), at_ms(0), AdvertisedLimit::PerSecond(per_s));
+    limit
+}
+
+fn known(limit_per_s: f64, age_ms: u64) -> KnownLimit {
+    KnownLimit {
+        limit_milli_per_s: (limit_per_s * 1_000.0) as u64,
+        age_ms,
+    }
+}
+
+/// Takes all that may begin in a span, looked at each millisecond.
+fn taken(limit: &mut ServerLimit, from_ms: u64, to_ms: u64) -> usize {
+    let mut count = 0;
+    for ms in from_ms..to_ms {
+        while limit.has_token(at_ms(ms)) {
+            limit.take(at_ms(ms));
+            count += 1;
+            assert!(count < 1_000_000, "no limit");
+        }
+    }
+    count
+}
+
+macro_rules! takes_what_is_advertised {
+    ($($name:ident: $per_s:expr;)*) => {
+        $(
+            /// Whoever is short of room is kept at its limit, and no further below it than a tenth.
+            #[test]
+            fn $name() {
+                let mut limit = limited($per_s);
+                let count = taken(&mut limit, 0, 60_000) as f64;
+                assert!(count <= 60.0 * $per_s + 1.0, "{count}");
+                assert!(count >= 0.9 * 60.0 * $per_s, "{count}");
+            }
+        )*
+    };
+}
+
+takes_what_is_advertised! {
+    a_third_of_a_call_a_second: 0.3;
+    one_and_a_half: 1.6;
+    forty: 41.9;
+    a_thousand: 1_000.0;
+}
+
+/// A backend server that takes nothing gets a call now and then: without any it could never say
+/// that its limit is over.
+#[test]
+fn a_limit_of_none_is_tried() {
+    let mut limit = limited(0.0);
+    let count = taken(&mut limit, 0, 60_000);
+    assert!((10..=12).contains(&count), "{count}");
+}
+
+/// The tokens of the higher limit would all be taken at once under the lower one.
+#[test]
+fn a_limit_that_falls_leaves_no_burst() {
+    let mut limit = limited(1_000.0);
+    limit.on_answer(at_ms(10_000), at_ms(9_990), AdvertisedLimit::PerSecond(1.0));
+    assert!(taken(&mut limit, 10_000, 14_000) <= 5);
+}
+
+/// After a pause the calls of a quarter of a second may begin at once, and one.
+#[test]
+fn a_pause_saves_little_up() {
+    let mut limit = limited(40.0);
+    assert_eq!(taken(&mut limit, 60_000, 60_001), 11);
+}
+
+/// An answer to a long run was written before the server named its limit and is read behind one
+/// that names it. Taken for news it would let the whole load through.
+#[test]
+fn an_answer_to_an_earlier_run_does_not_end_a_limit() {
+    let mut limit = limited(1.0);
+    limit.on_answer(at_ms(2_000), at_ms(1_900), AdvertisedLimit::PerSecond(1.0));
+    let change = limit.on_answer(at_ms(2_100), at_ms(1_500), AdvertisedLimit::None);
+    assert_eq!((change, limit.per_s()), (None, Some(1.0)));
+    let change = limit.on_answer(at_ms(2_200), at_ms(2_050), AdvertisedLimit::None);
+    assert_eq!(change.unwrap().to_per_s, None);
+    assert_eq!(limit.per_s(), None);
+}
+
+#[test]
+fn what_cannot_be_read_changes_nothing() {
+    let mut limit = limited(2.0);
+    let change = limit.on_answer(at_ms(2_000), at_ms(1_900), AdvertisedLimit::Malformed);
+    assert_eq!((change, limit.per_s()), (None, Some(2.0)));
+}
+
+#[test]
+fn another_life_begins_without_a_limit() {
+    let mut limit = limited(2.0);
+    limit.on_life(&life("a"));
+    assert_eq!(limit.per_s(), Some(2.0));
+    limit.on_life(&life("b"));
+    assert_eq!(limit.per_s(), None);
+}
+
+/// A node starts anew beside a limited backend server: what its callers were told holds, the
+/// newest first, until the backend server answers itself.
+#[test]
+fn callers_tell_a_node_that_starts_anew() {
+    let mut limit = ServerLimit::default();
+    limit.on_life(&life("a"));
+    let of_another = limit.on_told(at_ms(10), &life("b"), known(9.0, 0));
+    assert_eq!(of_another, None);
+    limit.on_told(at_ms(10), &life("a"), known(2.0, 5_000));
+    limit.on_told(at_ms(20), &life("a"), known(3.0, 1_000));
+    limit.on_told(at_ms(30), &life("a"), known(4.0, 8_000));
+    assert_eq!(limit.per_s(), Some(3.0));
+    assert_eq!(limit.age(at_ms(30)), Duration::from_millis(1_010));
+    limit.on_answer(at_ms(200), at_ms(15), AdvertisedLimit::None);
+    assert_eq!(limit.per_s(), None);
+    limit.on_told(at_ms(210), &life("a"), known(2.0, 0));
+    assert_eq!(limit.per_s(), None);
+}
+
+/// A caller leaves before its call was handed over: another one may begin in its place.
+#[test]
+fn a_call_that_was_not_handed_over_costs_nothing() {
+    let mut limit = limited(1.0);
+    limit.take(at_ms(1_000));
+    assert!(!limit.has_token(at_ms(1_000)));
+    limit.give_back(at_ms(1_000));
+    assert!(limit.has_token(at_ms(1_000)));
+}
+
+type Ticket = usize;
+
+fn call(now_ms: u64, priority: Priority) -> GateCall {
+    GateCall {
+        priority,
+        whole_priority: priority,
+        due: at_ms(now_ms + 500),
+        deadline: at_ms(now_ms + 2_000),
+        work: Duration::from_millis(50),
+    }
+}
+
+fn limited_gate(per_s: f64) -> HostGate<Ticket> {
+    let mut gate = HostGate::default();
+    gate.set_limit_count(100);
+    let limit = gate.server_limit_mut();
+    limit.on_life(&life("a"));
+    limit.on_answer(at_ms(0), at_ms(0), AdvertisedLimit::PerSecond(per_s));
+    gate
+}
+
+/// A call that would wait for seconds is refused at once, and told why: others may have room.
+#[test]
+fn a_call_does_not_wait_long_for_a_limit() {
+    let mut gate = limited_gate(1.0);
+    assert_eq!(gate.offer(at_ms(0), call(0, 1), 1), Admission::Refuse(1));
+    assert_eq!(gate.refusal(at_ms(0)), NotRunReason::Limited);
+    assert!(matches!(
+        gate.offer(at_ms(800), call(800, 1), 2),
+        Admission::Wait(_)
+    ));
+    assert_eq!(gate.next(at_ms(990)), None);
+    let wait = gate.limit_wait(at_ms(990)).unwrap();
+    assert!(wait <= Duration::from_millis(11), "{wait:?}");
+    assert_eq!(gate.next(at_ms(1_001)), Some(2));
+}
+
+/// Many wait for slots when the limit comes. Those who would wait for seconds are sent elsewhere,
+/// the least important first.
+#[test]
+fn a_limit_that_comes_sheds_the_least_important() {
+    let mut gate = HostGate::default();
+    gate.set_limit_count(1);
+    gate.server_limit_mut().on_life(&life("a"));
+    gate.offer(at_ms(0), call(0, 1), 0);
+    for ticket in 1..=20 {
+        let priority = if ticket % 2 == 0 { 0 } else { 2 };
+        gate.offer(at_ms(0), call(0, priority), ticket);
+    }
+    let limit = AdvertisedLimit::PerSecond(20.0);
+    gate.server_limit_mut()
+        .on_answer(at_ms(100), at_ms(50), limit);
+    let shed = gate.shed(at_ms(100));
+    assert_eq!(shed.len(), 15);
+    assert!(shed[..10].iter().all(|ticket| ticket % 2 == 1));
+}
+
+/// A limit counts for the level as the slots do that it leaves: with a twentieth of the calls a
+/// second that the slots could run, a twentieth is let in.
+#[test]
+fn a_limit_is_told_as_room() {
+    let mut gate = limited_gate(20.0);
+    for _ in 0..100 {
+        let run = RouteRun {
+            route: "r",
+            work: Duration::from_millis(50),
+        };
+        gate.ended(Some(run));
+    }
+    assert!((gate.state().slots - 1.0).abs() < 0.1);
+    let report = gate.report(at_ms(0), 1.0);
+    assert!((report.slots() - 1.0).abs() < 0.1);
+    assert_eq!(report.rate.unwrap().limit_milli_per_s, 20_000);
+}
+
+/// One backend server, its gate, and callers on other hosts that know what they were told.
+struct Model {
+    random: StdRng,
+    now_ms: u64,
+    gate: HostGate<Ticket>,
+    /// Callers of calls that wait, by ticket.
+    callers: Vec<usize>,
+    /// Calls at the backend server: when they end, when they began, whose they are.
+    running: Vec<(u64, u64, usize)>,
+    limit: AdvertisedLimit,
+    first_named_ms: Option<u64>,
+    /// The limit in calls a second, at each look; endless where none is named.
+    limits: Vec<f64>,
+    /// The highest limit of the last half second, at each look.
+    allowed: Vec<f64>,
+    /// What each caller was told, when, and when it was first told of a limit.
+    told: Vec<Option<(KnownLimit, u64)>>,
+    first_told_ms: Vec<Option<u64>>,
+    arrivals: VecDeque<(u64, usize)>,
+    arrivals_count: usize,
+    most_excess: f64,
+}
+
+/// Callers of the model.
+const CALLERS_COUNT: usize = 8;
+
+/// Slots of its backend server.
+const SLOTS: usize = 60;
+
+fn new_gate() -> HostGate<Ticket> {
+    let mut gate = HostGate::default();
+    gate.set_limit_count(SLOTS);
+    gate.server_limit_mut().on_life(&life("a"));
+    gate
+}
+
+impl Model {
+    fn new(seed: u64) -> Self {
+        Self {
+            random: StdRng::seed_from_u64(seed),
+            now_ms: 0,
+            gate: new_gate(),
+            callers: Vec::new(),
+            running: Vec::new(),
+            limit: AdvertisedLimit::None,
+            first_named_ms: None,
+            limits: Vec::new(),
+            allowed: Vec::new(),
+            told: vec![None; CALLERS_COUNT],
+            first_told_ms: vec![None; CALLERS_COUNT],
+            arrivals: VecDeque::new(),
+            arrivals_count: 0,
+            most_excess: f64::NEG_INFINITY,
+        }
+    }
+
+    /// The node beside the backend server starts anew; calls that waited there are lost.
+    fn restart(&mut self) {
+        self.gate = new_gate();
+    }
+
+    fn name(&mut self, per_s: Option<f64>) {
+        self.limit = per_s.map_or(AdvertisedLimit::None, AdvertisedLimit::PerSecond);
+        if per_s.is_some() {
+            self.first_named_ms.get_or_insert(self.now_ms);
+        }
+    }
+
+    /// One millisecond in which calls arrive at this rate.
+    fn step(&mut self, offered_per_s: f64) {
+        let now = at_ms(self.now_ms);
+        self.end_runs();
+        while let Some(ticket) = self.gate.next(now) {
+            self.begin(self.callers[ticket]);
+        }
+        let mut due = offered_per_s / 1_000.0;
+        while due > 0.0 && self.random.random_bool(due.min(1.0)) {
+            self.offer();
+            due -= 1.0;
+        }
+        if self.now_ms.is_multiple_of(LOOK_MS) {
+            self.look();
+        }
+        self.now_ms += 1;
+    }
+
+    fn offer(&mut self) {
+        let now = at_ms(self.now_ms);
+        let caller = self.random.random_range(0..CALLERS_COUNT);
+        if let Some((known, told_ms)) = self.told[caller] {
+            let age_ms = self.now_ms - told_ms;
+            let known = KnownLimit { age_ms, ..known };
+            self.gate.server_limit_mut().on_told(now, &life("a"), known);
+        }
+        let ticket = self.callers.len();
+        self.callers.push(caller);
+        let priority = self.random.random_range(0..3);
+        if self.gate.offer(now, call(self.now_ms, priority), ticket) == Admission::Run {
+            self.begin(caller);
+        }
+    }
+
+    fn begin(&mut self, caller: usize) {
+        let takes_ms = self.random.random_range(5..400);
+        self.running
+            .push((self.now_ms + takes_ms, self.now_ms, caller));
+        self.arrivals_count += 1;
+        let told_ms = self.first_told_ms[caller];
+        if told_ms.is_some_and(|told_ms| told_ms + TOLD_MS <= self.now_ms) {
+            self.arrivals.push_back((self.now_ms, caller));
+        }
+    }
+
+    fn end_runs(&mut self) {
+        let now = at_ms(self.now_ms);
+        let (ended, running) = self
+            .running
+            .drain(..)
+            .partition(|(ends_ms, ..)| *ends_ms <= self.now_ms);
+        self.running = running;
+        let ended: Vec<(u64, u64, usize)> = ended;
+        for (_, began_ms, caller) in ended {
+            let limit = self.gate.server_limit_mut();
+            limit.on_answer(now, at_ms(began_ms), self.limit);
+            self.gate.on_backend_load(BackendLoad {
+                running_count: self.running.len(),
+                waiting_count: 0,
+            });
+            self.gate.ended(Some(RouteRun {
+                route: "r",
+                work: at_ms(self.now_ms - began_ms),
+            }));
+            let rate = self.gate.report(now, 1.0).rate;
+            self.told[caller] = rate.map(|rate| {
+                let limit_milli_per_s = rate.limit_milli_per_s;
+                let known = KnownLimit {
+                    limit_milli_per_s,
+                    age_ms: 0,
+                };
+                (known, self.now_ms)
+            });
+            if matches!(self.limit, AdvertisedLimit::PerSecond(_)) {
+                self.first_told_ms[caller].get_or_insert(self.now_ms);
+            }
+        }
+    }
+
+    /// Holds the last span against what the limit allows in it. News of a limit needs an answer to
+    /// travel: at each moment the highest one of the last half second counts.
+    fn look(&mut self) {
+        self.limits.push(match self.limit {
+            AdvertisedLimit::PerSecond(per_s) => per_s,
+            _ => f64::INFINITY,
+        });
+        let told_looks = (TOLD_MS / LOOK_MS) as usize;
+        let recent = self.limits.iter().rev().take(told_looks + 1);
+        self.allowed.push(recent.copied().fold(0.0, f64::max));
+        while let Some((at_ms, _)) = self.arrivals.front()
+            && at_ms + WINDOW_MS <= self.now_ms
+        {
+            self.arrivals.pop_front();
+        }
+        let from_ms = self.now_ms.saturating_sub(WINDOW_MS);
+        let is_settled = self
+            .first_named_ms
+            .is_some_and(|named_ms| named_ms + SETTLING_MS <= from_ms);
+        if !is_settled {
+            return;
+        }
+        let window_looks = (WINDOW_MS / LOOK_MS) as usize;
+        let allowed = self.allowed.iter().rev().take(window_looks);
+        let allowed = allowed.sum::<f64>() * at_ms(LOOK_MS).as_secs_f64();
+        let excess = self.arrivals.len() as f64 - (1.5 * allowed + 5.0);
+        self.most_excess = self.most_excess.max(excess);
+    }
+}
+
+/// A backend server names limits, other ones, and none for a while, and the node beside it
+/// starts anew again and again while its callers press on.
+#[test]
+fn no_window_is_over_the_limit_while_nodes_restart() {
+    for seed in 0..40 {
+        let mut model = Model::new(seed);
+        let offered_per_s = *[20.0, 80.0, 300.0].choose(&mut model.random).unwrap();
+        for ms in 0..40_000 {
+            if ms >= 2_000 && model.random.random_ratio(1, 5_000) || ms == 2_000 {
+                let limits = [0.0, 0.4, 1.0, 1.6, 5.0, 41.9, 1_000.0];
+                let limit = *limits.choose(&mut model.random).unwrap();
+                model.name(Some(limit));
+            }
+            if ms >= 2_000 && model.random.random_ratio(1, 20_000) {
+                model.name(None);
+            }
+            if model.random.random_ratio(1, 3_000) {
+                model.restart();
+            }
+            model.step(offered_per_s);
+        }
+        assert!(model.first_named_ms.is_some());
+        let excess = model.most_excess;
+        assert!(
+            excess <= 0.0,
+            "seed {seed}: {excess} calls over what is allowed"
+        );
+    }
+}
+
+/// While enough is offered, a limited backend server gets what it takes.
+#[test]
+fn nine_tenths_of_a_limit_are_used() {
+    for (seed, per_s) in [1.0, 1.6, 5.0, 41.9, 120.0].into_iter().enumerate() {
+        let mut model = Model::new(seed as u64);
+        model.name(Some(per_s));
+        for _ in 0..5_000 {
+            model.step(2.0 * per_s + 20.0);
+        }
+        let before = model.arrivals_count;
+        for _ in 0..30_000 {
+            model.step(2.0 * per_s + 20.0);
+        }
+        let used = (model.arrivals_count - before) as f64 / (30.0 * per_s);
+        assert!(used >= 0.9, "{used} of {per_s} a second");
+    }
+}
--- a/crates/kumquatquay-core/tests/routed/target_table.rs
+++ b/crates/kumquatquay-core/tests/routed/target_table.rs
@@ -3,7 +3,10 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use kumquatquay_core::routed::{TargetEnded, TargetTable};
-use kumquatquay_wire::{BackendLife, MemberRecord, MemberState, routed::GateReport};
+use kumquatquay_wire::{
+    BackendLife, MemberRecord, MemberState,
+    routed::{GateReport, RateReport},
+};
 use rand::{SeedableRng, rngs::StdRng};
 
 use crate::at_ms;
@@ -36,6 +39,7 @@
         level_permille: 1_000,
         failed_permille: 0,
         pace_permille: 0,
+        rate: None,
     }
 }
 
@@ -341,3 +345,74 @@
     let choice = table.choose(at_ms(0), "archive", &excluded, false, &mut random);
     assert_eq!(choice.unwrap().control, address(1));
 }
+
+/// A report of a backend server that takes so many calls a second, and the next in so long.
+fn limited_report(per_s: f64, wait_ms: u32) -> GateReport {
+    GateReport {
+        rate: Some(RateReport {
+            limit_milli_per_s: (per_s * 1_000.0) as u64,
+            wait_ms,
+        }),
+        ..report(0, 100)
+    }
+}
+
+/// The nearest backend server takes two calls a second and looks empty. Judged by its slots it would
+/// be asked for each call; judged by its limit it gets one, and the others go past it.
+#[test]
+fn calls_go_past_a_server_that_takes_few_a_second() {
+    let (mut table, mut random) = table();
+    for host in [1, 2, 3] {
+        tell(&mut table, host, TargetEnded::Answered, report(2, 100));
+    }
+    let told = limited_report(2.0, 400);
+    tell(&mut table, 1, TargetEnded::Answered, told);
+    let counts = spread(&mut table, &mut random, 100);
+    assert!(counts.get(&1).is_none_or(|count| *count <= 5), "{counts:?}");
+}
+
+/// A server that has refused a call for its limit isn't asked again before it takes the next one, and
+/// while all have refused, callers learn why at once.
+#[test]
+fn a_server_that_takes_no_more_is_left_out_until_it_does() {
+    let (mut table, mut random) = table();
+    for host in [1, 2, 3] {
+        let told = limited_report(2.0, 400);
+        tell(&mut table, host, TargetEnded::Limited, told);
+    }
+    let mut choose = |ms| table.choose(at_ms(ms), "archive", &[], false, &mut random);
+    assert_eq!(choose(399), None);
+    assert!(choose(400).is_some());
+    assert!(table.is_limited(at_ms(399), "archive"));
+    assert!(!table.is_limited(at_ms(400), "archive"));
+}
+
+/// The node beside a limited backend server is gone for a while and starts anew. It knows of no
+/// limit, and a refusal of its own tells none; the caller's word goes with the next call.
+#[test]
+fn a_limit_goes_with_calls_to_a_node_that_starts_anew() {
+    let (mut table, mut random) = table();
+    let of_host = |table: &mut TargetTable, random: &mut StdRng, ms| {
+        let excluded = [address(2), address(3)];
+        table.choose(at_ms(ms), "archive", &excluded, false, random)
+    };
+    assert_eq!(
+        of_host(&mut table, &mut random, 0).unwrap().known_limit,
+        None
+    );
+    tell(&mut table, 1, TargetEnded::Answered, limited_report(1.6, 0));
+    let others = [2, 3].map(|host| member(host, "near", MemberState::Serving));
+    table.rebuild("near", others.iter());
+    let all = [1, 2, 3].map(|host| member(host, "near", MemberState::Serving));
+    table.rebuild("near", all.iter());
+    tell(&mut table, 1, TargetEnded::Full, report(0, 100));
+    let known = of_host(&mut table, &mut random, 2_500).unwrap().known_limit;
+    let known = known.unwrap();
+    assert_eq!((known.limit_milli_per_s, known.age_ms), (1_600, 2_500));
+    // The backend server answers without one.
+    tell(&mut table, 1, TargetEnded::Answered, report(0, 100));
+    assert_eq!(
+        of_host(&mut table, &mut random, 0).unwrap().known_limit,
+        None
+    );
+}
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -139,6 +139,8 @@
     pub is_idempotent: bool,
     /// Whether it is handed over only once its sender has committed to it.
     pub needs_commit: bool,
+    /// The rate limit that the backend server told this sender, for a gate that has started anew.
+    pub known_limit: Option<KnownLimit>,
     /// Whether it runs although the backend server fails what it runs: its sender has been
     /// told of one that does.
     pub accepts_failing: bool,
@@ -152,6 +154,15 @@
     pub target: &'a str,
 }
 
+/// A rate limit that a backend server told a caller with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownLimit {
+    /// Calls a second that it takes of all callers together, in thousandths.
+    pub limit_milli_per_s: u64,
+    /// How long ago it was told, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// An answer, without its header fields and its body.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AnswerHead {
@@ -207,6 +218,9 @@
     /// It is held back because it seems to crash what runs it.
     #[display("quarantined")]
     Quarantined,
+    /// The backend server takes no more calls a second.
+    #[display("limited")]
+    Limited,
 }
 
 /// Why it is not known whether a call has run.
--- a/crates/kumquatquay-wire/src/routed/gate_report.rs
+++ b/crates/kumquatquay-wire/src/routed/gate_report.rs
@@ -4,6 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Slots that a backend server is taken to have at least: a rate limit near zero leaves none, and
+/// what is divided by them must stay finite.
+const LEAST_SLOTS: f64 = 0.01;
+
 /// How busy a backend server is, as the gate beside it sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GateReport {
@@ -23,6 +27,29 @@
     /// Time that work takes on the backend server's machine at this moment over its usual
     /// one, in thousandths; 0 while that isn't known. For metrics: nothing is decided by it.
     pub pace_permille: u16,
+    /// The rate limit that the backend server advertises, if it does.
+    pub rate: Option<RateReport>,
+}
+
+/// How far a backend server's rate limit is used up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RateReport {
+    /// Calls a second that it takes of all callers together, in thousandths.
+    pub limit_milli_per_s: u64,
+    /// Time until it takes one call more than those that are at the gate, in milliseconds.
+    pub wait_ms: u32,
+}
+
+impl RateReport {
+    /// Calls a second that the backend server takes.
+    pub fn limit_per_s(&self) -> f64 {
+        self.limit_milli_per_s as f64 / 1_000.0
+    }
+
+    /// Time until it takes one call more than those that are at the gate.
+    pub fn wait(&self) -> Duration {
+        Duration::from_millis(u64::from(self.wait_ms))
+    }
 }
 
 impl GateReport {
@@ -48,10 +75,20 @@
         is_known.then(|| f64::from(self.pace_permille) / 1_000.0)
     }
 
+    /// Calls that run at the same time where as many are handed over as may be: under a rate
+    /// limit as many as begin in the mean time of a call.
+    pub fn slots(&self) -> f64 {
+        let slots = f64::from(self.limit_count.max(1));
+        let by_rate = self.rate.filter(|_| self.work_us > 0);
+        by_rate.map_or(slots, |rate| {
+            slots.min(rate.limit_per_s() * self.work().as_secs_f64())
+        })
+    }
+
     /// Calls at the gate over those that it lets run.
     pub fn fill_ratio(&self) -> f64 {
         let calls_count = self.running_count + self.waiting_count;
-        f64::from(calls_count) / f64::from(self.limit_count.max(1))
+        f64::from(calls_count) / self.slots().max(LEAST_SLOTS)
     }
 }
 
@@ -66,6 +103,7 @@
             level_permille: 1_000,
             failed_permille: 0,
             pace_permille: 0,
+            rate: None,
         }
     }
 }
--- a/crates/kumquatquay-wire/src/routed/mod.rs
+++ b/crates/kumquatquay-wire/src/routed/mod.rs
@@ -24,9 +24,9 @@
 pub use fields::{Field, Fields};
 pub use frame::{
     AnswerHead, BODY_LIMIT_BYTES, CallHead, CallNumber, Frame, FrameHead, FrameReader, HeldFrame,
-    LinkOutcome, NotRunReason, Payload, UnknownReason, encode_frame,
+    KnownLimit, LinkOutcome, NotRunReason, Payload, UnknownReason, encode_frame,
 };
-pub use gate_report::GateReport;
+pub use gate_report::{GateReport, RateReport};
 pub use quota::{HALVES_COUNT, QuotaVerdict, SLICES_COUNT, SliceSets};
 pub use route_news::{RouteNews, ServiceDemand, ServicePressure};
 pub use workspace::{KeyDigest, Quota, WorkspaceName, WorkspaceSettings};
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -88,12 +88,13 @@
             return course.end(LinkAnswer::not_run(NotRunReason::Late));
         }
         let Some(choice) = choose(node, call, &course.asked) else {
+            let reason = course.no_room(node, call);
             if course.can_look_again(node, call) {
                 tokio::time::sleep(LOOK_AGAIN).await;
                 course.asked.clear();
                 continue;
             }
-            return course.end(LinkAnswer::not_run(NotRunReason::Full));
+            return course.end(LinkAnswer::not_run(reason));
         };
         course.asked.push(choice.control);
         course.progress.last = Some(choice.control);
@@ -248,6 +249,20 @@
         }
     }
 
+    /// Why no backend server is asked now.
+    ///
+    /// Rate limits that leave no room now will hardly leave any for all who wait at once, so each
+    /// look counts as a refusal, and the caller soon hears that it has not run.
+    fn no_room(&mut self, node: &RoutedNode, call: &OutgoingCall) -> NotRunReason {
+        let is_limited = node.targets.borrow().is_limited(node.now(), &call.service);
+        if !is_limited {
+            return NotRunReason::Full;
+        }
+        self.progress.refusals_count += 1;
+        call.progress.set(self.progress);
+        NotRunReason::Limited
+    }
+
     /// Whether a call for which no backend server has room looks again: while there
     /// may be one that was not found yet.
     fn can_look_again(&self, node: &RoutedNode, call: &OutgoingCall) -> bool {
@@ -393,6 +408,7 @@
         // Its gate tells how many runs it fails, those that lost a call left out.
         LinkOutcome::Answered { .. } => TargetEnded::Answered,
         LinkOutcome::NotRun(NotRunReason::Full | NotRunReason::Failing) => TargetEnded::Full,
+        LinkOutcome::NotRun(NotRunReason::Limited) => TargetEnded::Limited,
         LinkOutcome::NotRun(NotRunReason::Late) => TargetEnded::GivenUp,
         LinkOutcome::NotRun(NotRunReason::TurnedAway | NotRunReason::Quarantined) => {
             TargetEnded::Failed
@@ -426,6 +442,7 @@
         target_latency_ms: settings.target_latency.as_millis() as u64,
         level_permille: (level * 1_000.0) as u16,
         is_idempotent: settings.repeat == Repeat::Idempotent,
+        known_limit: choice.known_limit,
         accepts_failing: false,
         needs_commit: settings.repeat == Repeat::AtMostOnce && node.is_on(Mechanism::Commit),
         remaining_ms: time_left.as_millis() as u64,
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -96,6 +96,8 @@
     /// What runs the calls of other nodes.
     pub(super) runners: Runners,
     pub(crate) gate: RefCell<HostGate<RunTicket>>,
+    /// Told of the first call that waits for the rate limit of the backend server.
+    pub(crate) limit_wait_news: Notify,
     pub(crate) lives: RefCell<BackendLives>,
     /// Whether the backend server of this host gives answers.
     pub(crate) pulse: RefCell<BackendPulse>,
@@ -219,6 +221,7 @@
             links: RefCell::default(),
             runners: Runners::default(),
             gate: RefCell::new(gate),
+            limit_wait_news: Notify::new(),
             lives: RefCell::default(),
             pulse: RefCell::default(),
             pace: RefCell::default(),
@@ -345,7 +348,7 @@
         GateReport {
             failed_permille: (failed_ratio * 1_000.0) as u16,
             pace_permille: (pace_ratio.unwrap_or_default() * 1_000.0) as u16,
-            ..self.gate.borrow().report(level)
+            ..self.gate.borrow().report(self.now(), level)
         }
     }
 
--- a/crates/kumquatquayd/src/routed/request_log.rs
+++ b/crates/kumquatquayd/src/routed/request_log.rs
@@ -20,6 +20,7 @@
         NotRunReason::Late => "late",
         NotRunReason::Unsent => "unsent",
         NotRunReason::Failing => "failing",
+        NotRunReason::Limited => "limited",
         NotRunReason::Quarantined => "quarantined",
     }
 }
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -17,7 +17,7 @@
     link_answer::LinkAnswer,
     members::{announce, announce_death},
     node::{RoutedNode, RunTicket},
-    server_notices::on_notices,
+    server_notices::{on_known_limit, on_notices},
 };
 
 /// The least time in which a call is still handed over.
@@ -63,6 +63,7 @@
     cancelled: impl Future<Output = ()>,
 ) -> LinkAnswer {
     let now = node.now();
+    on_known_limit(node, call);
     let deadline = now + Duration::from_millis(call.remaining_ms);
     let heard = f64::from(call.level_permille) / 1_000.0;
     let work = node.gate.borrow().works().of(call.route);
@@ -116,12 +117,25 @@
     }
 }
 
+/// Lets calls run that wait for the rate limit of the backend server, as it allows.
+pub(crate) async fn admit_by_limit(node: Rc<RoutedNode>) {
+    loop {
+        let wait = node.gate.borrow().limit_wait(node.now());
+        match wait {
+            Some(wait) => tokio::time::sleep(wait).await,
+            None => node.limit_wait_news.notified().await,
+        }
+        admit_waiting(&node);
+    }
+}
+
 /// A place among the calls that run; leaving it lets the next one run.
 struct Slot {
     node: Rc<RoutedNode>,
     route: String,
     began: Duration,
     counts_work: bool,
+    has_reached_backend: bool,
 }
 
 impl Drop for Slot {
@@ -131,7 +145,12 @@
             route: &self.route,
             work,
         });
-        self.node.gate.borrow_mut().ended(run);
+        let mut gate = self.node.gate.borrow_mut();
+        gate.ended(run);
+        if !self.has_reached_backend {
+            gate.not_handed_over(self.node.now());
+        }
+        drop(gate);
         admit_waiting(&self.node);
     }
 }
@@ -142,11 +161,16 @@
     loop {
         let next = node.gate.borrow_mut().next(now);
         let Some(ticket) = next else {
+            if node.gate.borrow().limit_wait(now).is_some() {
+                node.limit_wait_news.notify_one();
+            }
             return;
         };
         if ticket.send(()).is_err() {
             // Its caller left while it waited.
-            node.gate.borrow_mut().ended(None);
+            let mut gate = node.gate.borrow_mut();
+            gate.ended(None);
+            gate.not_handed_over(now);
         }
     }
 }
@@ -177,13 +201,17 @@
     let admission = offer(node, timed, ticket);
     let key = match admission {
         Admission::Run => return Ok(Slot::new(node, timed)),
-        Admission::Refuse(_) => return Err(NotRunReason::Full),
+        Admission::Refuse(_) => return Err(refusal(node)),
         Admission::Wait(key) => key,
         Admission::Evict(key, evicted) => {
             drop(evicted);
             key
         }
     };
+    if node.gate.borrow().limit_wait(node.now()).is_some() {
+        node.decisions.count("server_limit", "waited");
+        node.limit_wait_news.notify_one();
+    }
     let mut waiting = WaitingCall { node, key, granted };
     let wait = timed.latest_start(node).saturating_sub(node.now());
     match tokio::time::timeout(wait, &mut waiting.granted).await {
@@ -192,11 +220,20 @@
             check_open(node, timed)?;
             Ok(slot)
         }
-        Ok(Err(_)) => Err(NotRunReason::Full),
+        Ok(Err(_)) => Err(refusal(node)),
         Err(_) => Err(NotRunReason::Late),
     }
 }
 
+/// Why the gate has no room for a call.
+fn refusal(node: &RoutedNode) -> NotRunReason {
+    let reason = node.gate.borrow().refusal(node.now());
+    if reason == NotRunReason::Limited {
+        node.decisions.count("server_limit", "refused");
+    }
+    reason
+}
+
 /// A call in the queue; it leaves the queue with its task.
 struct WaitingCall<'a> {
     node: &'a Rc<RoutedNode>,
@@ -209,7 +246,10 @@
         let withdrawn = self.node.gate.borrow_mut().withdraw(self.key);
         // A grant that nobody took would hold its place for good.
         if withdrawn.is_none() && self.granted.try_recv().is_ok() {
-            self.node.gate.borrow_mut().ended(None);
+            let mut gate = self.node.gate.borrow_mut();
+            gate.ended(None);
+            gate.not_handed_over(self.node.now());
+            drop(gate);
             admit_waiting(self.node);
         }
     }
@@ -261,6 +301,7 @@
             route: String::from(timed.call.route),
             began: node.now(),
             counts_work: false,
+            has_reached_backend: false,
         }
     }
 }
@@ -320,7 +361,7 @@
     node.gate_repeats.borrow_mut().on_call(node.now());
     for hand_overs_count in 1.. {
         slot.began = node.now();
-        let handed_over = hand_over_once(node, timed).await;
+        let handed_over = hand_over_once(node, timed, &mut slot).await;
         let is_turned_away = matches!(handed_over, HandedOver::TurnedAway);
         count_run(node, slot.began, &handed_over);
         node.gate_repeats.borrow_mut().on_result(is_turned_away);
@@ -374,22 +415,23 @@
         is_from_outside: census.is_from_outside(now, timed.call.route, services_count),
         hand_overs_count,
     };
-    node.gate_repeats.borrow_mut().take(now, call)
+    let mut repeats = node.gate_repeats.borrow_mut();
+    repeats.take(now, call) && node.gate.borrow_mut().may_hand_over_again(now)
 }
 
-async fn hand_over_once(node: &Rc<RoutedNode>, timed: &Timed<'_>) -> HandedOver {
+async fn hand_over_once(node: &Rc<RoutedNode>, timed: &Timed<'_>, slot: &mut Slot) -> HandedOver {
     let time_left = timed.deadline.saturating_sub(node.now());
     let Some(request) = request_of(node, timed, time_left) else {
         return HandedOver::Ended(LinkAnswer::not_run(NotRunReason::Unsent));
     };
-    let began = node.now();
+    slot.has_reached_backend = true;
     let mut run = Run::new(node, timed.call, time_left);
     let sent = node.backend.send(request, timed.call.is_idempotent);
     let sent = tokio::time::timeout(time_left, sent).await;
     run.has_sign = sent.is_ok();
     run.is_well = matches!(&sent, Ok(Ok(answer)) if (200..300).contains(&answer.status));
     match sent {
-        Ok(Ok(answer)) => judge(node, timed, began, answer),
+        Ok(Ok(answer)) => judge(node, timed, slot.began, answer),
         Ok(Err(error)) => HandedOver::Ended(on_send_error(node, error)),
         Err(_) => HandedOver::Ended(LinkAnswer::unknown(UnknownReason::NoAnswer)),
     }
--- a/crates/kumquatquayd/src/routed/start.rs
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -21,7 +21,7 @@
     quotas::keep_quotas,
     reports::{serve_metrics, serve_readiness, serve_report},
     routes_watch::{ask_for_configuration, follow_routes},
-    run_here::set_level,
+    run_here::{admit_by_limit, set_level},
     settings::RoutedSettings,
 };
 use crate::{clock::incarnation, control, engine::Engine};
@@ -86,6 +86,7 @@
     tasks.spawn_local(watch_links(Rc::clone(&node)));
     tasks.spawn_local(keep_quotas(Rc::clone(&node)));
     tasks.spawn_local(set_level(Rc::clone(&node)));
+    tasks.spawn_local(admit_by_limit(Rc::clone(&node)));
     tasks.spawn_local(release_held(Rc::clone(&node)));
     tasks.spawn_local(look_for_backend(Rc::clone(&node)));
     tasks.spawn_local(ask_for_configuration(Rc::clone(&node)));
