Take a leaving that an answer tells for one that is reported

That node may be started again and believe a report that came late, so each host also remembers which lives told it that they leave, and calls them no more, also when it is cut off from the rest. A life is known by its id where its start isn't told yet. The first health check reads both fields too.

--- a/crates/kumquatquay-core/src/routed/backend_lives.rs
+++ b/crates/kumquatquay-core/src/routed/backend_lives.rs
@@ -124,6 +124,16 @@
         is_known
     }
 
+    /// Whether a life has said that it leaves.
+    pub fn is_leaving(&self, life: &BackendLife) -> bool {
+        let life = match life.born_unix_ms {
+            Some(_) => life,
+            None => self.last_life_of(&life.instance).unwrap_or(life),
+        };
+        let life = self.lives.get(life);
+        life.is_some_and(|life| life.leaving_since.is_some())
+    }
+
     /// The backend server answered in the name of an id; whether that changes what
     /// counts.
     pub fn on_answered_as(&mut self, instance: &str) -> bool {
--- a/crates/kumquatquay-core/src/routed/server_limit.rs
+++ b/crates/kumquatquay-core/src/routed/server_limit.rs
@@ -66,15 +66,19 @@
 
     /// The life that counts; a limit of another one is over.
     pub fn on_life(&mut self, life: &BackendLife) {
+        if !self.is_of(life) {
+            *self = Self::default();
+        }
         if self.life.as_ref() != Some(life) {
-            *self = Self {
-                life: Some(life.clone()),
-                ..Self::default()
-            };
+            self.life = Some(life.clone());
         }
     }
 
-    /// Takes in what the answer of a run that began at `began` says.
+    fn is_of(&self, life: &BackendLife) -> bool {
+        self.life.as_ref().is_some_and(|known| known.may_be(life))
+    }
+
+    /// Takes in what the answer of this life to a run that began at `began` says.
     ///
     /// An answer without a limit ends it if its run began after the limit was advertised last.
     /// Answers to longer runs may be read late: without this, one that was written before the
@@ -82,9 +86,13 @@
     pub fn on_answer(
         &mut self,
         now: Duration,
+        life: &BackendLife,
         began: Duration,
         limit: AdvertisedLimit,
     ) -> Option<LimitChange> {
+        if !self.is_of(life) {
+            return None;
+        }
         let per_s = match limit {
             AdvertisedLimit::Malformed => return None,
             AdvertisedLimit::PerSecond(per_s) => Some(per_s),
@@ -111,7 +119,7 @@
     ) -> Option<LimitChange> {
         let age = Duration::from_millis(known.age_ms);
         let is_news = self.per_s.is_none() || age < self.age(now);
-        if self.is_first_hand || self.life.as_ref() != Some(life) || !is_news {
+        if self.is_first_hand || !self.is_of(life) || !is_news {
             return None;
         }
         self.hear(now, age);
--- a/crates/kumquatquay-core/src/routed/target_table.rs
+++ b/crates/kumquatquay-core/src/routed/target_table.rs
@@ -101,6 +101,8 @@
     failed_ratio: f64,
     closed_until: Duration,
     lost_pause: Duration,
+    /// Whether its backend server has told this node that it leaves.
+    is_leaving: bool,
     /// Until when the rate limit of its backend server leaves no room.
     limited_until: Duration,
     /// Whether its node can't be reached.
@@ -181,7 +183,7 @@
                 .filter(|target| target.life == record.life && target.peer == record.peer);
             let target = same_life
                 .filter(|target| target.service == *service)
-                .unwrap_or_else(|| Target::new(record, service, own_data_centre));
+                .unwrap_or_else(|| Target::new(record, service, own_data_centre, &self.told_lives));
             self.targets.insert(record.control, target);
             let controls = self.services.entry(service.clone()).or_default();
             controls.push(record.control);
@@ -325,6 +327,20 @@
         }
     }
 
+    /// A backend server has told this node that it leaves; it gets no calls from here any more,
+    /// whatever its host tells of it later. Whether that is news.
+    pub fn on_leaving(&mut self, now: Duration, life: &BackendLife) -> bool {
+        if self.told_lives.is_leaving(life) {
+            return false;
+        }
+        self.told_lives.on_leaving(now, life);
+        let targets = self.targets.values_mut();
+        for target in targets.filter(|target| target.life.as_ref() == Some(life)) {
+            target.is_leaving = true;
+        }
+        true
+    }
+
     /// Whether backend servers of a service are left out now because they take no more calls a
     /// second.
     pub fn is_limited(&self, now: Duration, service: &str) -> bool {
@@ -417,8 +433,15 @@
 }
 
 impl Target {
-    fn new(record: &MemberRecord, service: &str, own_data_centre: &str) -> Self {
+    fn new(
+        record: &MemberRecord,
+        service: &str,
+        own_data_centre: &str,
+        told_lives: &ToldLives,
+    ) -> Self {
+        let life = record.life.as_ref();
         Self {
+            is_leaving: life.is_some_and(|life| told_lives.is_leaving(life)),
             peer: record.peer,
             life: record.life.clone(),
             service: ServiceName::from(service),
@@ -437,7 +460,7 @@
     }
 
     fn is_open(&self, now: Duration) -> bool {
-        !self.is_lost && self.closed_until <= now && self.limited_until <= now
+        !self.is_lost && !self.is_leaving && self.closed_until <= now && self.limited_until <= now
     }
 
     /// Calls at the backend server over those that it runs, as far as is known:
--- a/crates/kumquatquay-core/tests/routed/backend_lives.rs
+++ b/crates/kumquatquay-core/tests/routed/backend_lives.rs
@@ -252,3 +252,22 @@
     assert_eq!(lives.current().unwrap().state, LifeState::Gone);
     assert!(!lives.may_run(at_ms(3_000), Some(&second), DRAIN));
 }
+
+/// The backend server says in an answer that it leaves and goes on to report that it is ready. The
+/// answer holds: after the drain nothing is handed over.
+#[test]
+fn a_leaving_told_in_an_answer_outlasts_later_reports() {
+    let mut lives = BackendLives::default();
+    let life = BackendLife::untold("a");
+    lives
+        .on_report(at_ms(0), report("a", 1, LifeState::Serving))
+        .unwrap();
+    assert!(!lives.is_leaving(&life));
+    lives.on_leave(at_ms(100), &life);
+    lives
+        .on_report(at_ms(200), report("a", 2, LifeState::Serving))
+        .unwrap();
+    assert!(lives.is_leaving(&life));
+    assert!(lives.may_run(at_ms(2_000), Some(&life), DRAIN));
+    assert!(!lives.may_run(at_ms(2_100), Some(&life), DRAIN));
+}
--- a/crates/kumquatquay-core/tests/routed/server_limit.rs
+++ b/crates/kumquatquay-core/tests/routed/server_limit.rs
@@ -32,7 +32,12 @@
 fn limited(per_s: f64) -> ServerLimit {
     let mut limit = ServerLimit::default();
     limit.on_life(&life("a"));
-    limit.on_answer(at_ms(0), at_ms(0), AdvertisedLimit::PerSecond(per_s));
+    limit.on_answer(
+        at_ms(0),
+        &life("a"),
+        at_ms(0),
+        AdvertisedLimit::PerSecond(per_s),
+    );
     limit
 }
 
@@ -91,7 +96,12 @@
 #[test]
 fn a_limit_that_falls_leaves_no_burst() {
     let mut limit = limited(1_000.0);
-    limit.on_answer(at_ms(10_000), at_ms(9_990), AdvertisedLimit::PerSecond(1.0));
+    limit.on_answer(
+        at_ms(10_000),
+        &life("a"),
+        at_ms(9_990),
+        AdvertisedLimit::PerSecond(1.0),
+    );
     assert!(taken(&mut limit, 10_000, 14_000) <= 5);
 }
 
@@ -107,10 +117,25 @@
 #[test]
 fn an_answer_to_an_earlier_run_does_not_end_a_limit() {
     let mut limit = limited(1.0);
-    limit.on_answer(at_ms(2_000), at_ms(1_900), AdvertisedLimit::PerSecond(1.0));
-    let change = limit.on_answer(at_ms(2_100), at_ms(1_500), AdvertisedLimit::None);
+    limit.on_answer(
+        at_ms(2_000),
+        &life("a"),
+        at_ms(1_900),
+        AdvertisedLimit::PerSecond(1.0),
+    );
+    let change = limit.on_answer(
+        at_ms(2_100),
+        &life("a"),
+        at_ms(1_500),
+        AdvertisedLimit::None,
+    );
     assert_eq!((change, limit.per_s()), (None, Some(1.0)));
-    let change = limit.on_answer(at_ms(2_200), at_ms(2_050), AdvertisedLimit::None);
+    let change = limit.on_answer(
+        at_ms(2_200),
+        &life("a"),
+        at_ms(2_050),
+        AdvertisedLimit::None,
+    );
     assert_eq!(change.unwrap().to_per_s, None);
     assert_eq!(limit.per_s(), None);
 }
@@ -118,7 +143,12 @@
 #[test]
 fn what_cannot_be_read_changes_nothing() {
     let mut limit = limited(2.0);
-    let change = limit.on_answer(at_ms(2_000), at_ms(1_900), AdvertisedLimit::Malformed);
+    let change = limit.on_answer(
+        at_ms(2_000),
+        &life("a"),
+        at_ms(1_900),
+        AdvertisedLimit::Malformed,
+    );
     assert_eq!((change, limit.per_s()), (None, Some(2.0)));
 }
 
@@ -131,6 +161,32 @@
     assert_eq!(limit.per_s(), None);
 }
 
+/// A node that has just started learns the id of a life first and its start later. It is the same
+/// life, and its limit holds.
+#[test]
+fn a_limit_holds_when_the_start_of_its_life_is_told() {
+    let mut limit = limited(2.0);
+    let told = BackendLife {
+        born_unix_ms: Some(7),
+        ..life("a")
+    };
+    limit.on_life(&told);
+    assert_eq!(limit.per_s(), Some(2.0));
+    limit.on_answer(
+        at_ms(9),
+        &life("a"),
+        at_ms(8),
+        AdvertisedLimit::PerSecond(3.0),
+    );
+    assert_eq!(limit.per_s(), Some(3.0));
+    let next = BackendLife {
+        born_unix_ms: Some(8),
+        ..life("a")
+    };
+    limit.on_life(&next);
+    assert_eq!(limit.per_s(), None);
+}
+
 /// A node starts anew beside a limited backend server: what its callers were told holds, the
 /// newest first, until the backend server answers itself.
 #[test]
@@ -144,7 +200,7 @@
     limit.on_told(at_ms(30), &life("a"), known(4.0, 8_000));
     assert_eq!(limit.per_s(), Some(3.0));
     assert_eq!(limit.age(at_ms(30)), Duration::from_millis(1_010));
-    limit.on_answer(at_ms(200), at_ms(15), AdvertisedLimit::None);
+    limit.on_answer(at_ms(200), &life("a"), at_ms(15), AdvertisedLimit::None);
     assert_eq!(limit.per_s(), None);
     limit.on_told(at_ms(210), &life("a"), known(2.0, 0));
     assert_eq!(limit.per_s(), None);
@@ -177,7 +233,12 @@
     gate.set_limit_count(100);
     let limit = gate.server_limit_mut();
     limit.on_life(&life("a"));
-    limit.on_answer(at_ms(0), at_ms(0), AdvertisedLimit::PerSecond(per_s));
+    limit.on_answer(
+        at_ms(0),
+        &life("a"),
+        at_ms(0),
+        AdvertisedLimit::PerSecond(per_s),
+    );
     gate
 }
 
@@ -211,7 +272,7 @@
     }
     let limit = AdvertisedLimit::PerSecond(20.0);
     gate.server_limit_mut()
-        .on_answer(at_ms(100), at_ms(50), limit);
+        .on_answer(at_ms(100), &life("a"), at_ms(50), limit);
     let shed = gate.shed(at_ms(100));
     assert_eq!(shed.len(), 15);
     assert!(shed[..10].iter().all(|ticket| ticket % 2 == 1));
@@ -358,7 +419,7 @@
         let ended: Vec<(u64, u64, usize)> = ended;
         for (_, began_ms, caller) in ended {
             let limit = self.gate.server_limit_mut();
-            limit.on_answer(now, at_ms(began_ms), self.limit);
+            limit.on_answer(now, &life("a"), at_ms(began_ms), self.limit);
             self.gate.on_backend_load(BackendLoad {
                 running_count: self.running.len(),
                 waiting_count: 0,
--- a/crates/kumquatquay-core/tests/routed/target_table.rs
+++ b/crates/kumquatquay-core/tests/routed/target_table.rs
@@ -416,3 +416,31 @@
         None
     );
 }
+
+/// A backend server has told this host that it leaves, and the node beside it, which starts anew, has
+/// a late report and tells that it serves. Nothing goes there from here, until its next life.
+#[test]
+fn a_server_that_told_its_leaving_is_called_no_more() {
+    let (mut table, mut random) = table();
+    let members = |born_unix_ms: Option<u64>| {
+        let mut members = [1, 2, 3].map(|host| member(host, "near", MemberState::Serving));
+        let life = members[0].life.as_mut().unwrap();
+        life.born_unix_ms = born_unix_ms;
+        members
+    };
+    let life = BackendLife {
+        born_unix_ms: Some(7),
+        ..BackendLife::untold("life-1")
+    };
+    assert!(table.on_leaving(at_ms(0), &life));
+    assert!(!table.on_leaving(at_ms(0), &life));
+    for born in [Some(7), None] {
+        table.rebuild("near", [].into_iter());
+        table.rebuild("near", members(born).iter());
+        let counts = spread(&mut table, &mut random, 100);
+        assert_eq!(counts.get(&1), None, "{born:?}");
+    }
+    table.rebuild("near", members(Some(8)).iter());
+    let counts = spread(&mut table, &mut random, 100);
+    assert!(counts.contains_key(&1));
+}
--- a/crates/kumquatquay-wire/src/backend_life.rs
+++ b/crates/kumquatquay-wire/src/backend_life.rs
@@ -27,4 +27,11 @@
             born_unix_ms: None,
         }
     }
+
+    /// Whether this may be the same life as another one: their ids are the same, and so are their
+    /// starts where both are told.
+    pub fn may_be(&self, other: &Self) -> bool {
+        let is_told = self.born_unix_ms.is_some() && other.born_unix_ms.is_some();
+        self.instance == other.instance && (!is_told || self.born_unix_ms == other.born_unix_ms)
+    }
 }
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -163,6 +163,16 @@
     pub age_ms: u64,
 }
 
+impl KnownLimit {
+    /// So many calls a second, told now.
+    pub fn told_now(limit_per_s: f64) -> Self {
+        Self {
+            limit_milli_per_s: (limit_per_s * 1_000.0) as u64,
+            age_ms: 0,
+        }
+    }
+}
+
 /// An answer, without its header fields and its body.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AnswerHead {
@@ -170,6 +180,8 @@
     pub number: CallNumber,
     /// What became of the call.
     pub outcome: LinkOutcome,
+    /// Whether the backend server said in its answer that it leaves.
+    pub is_leaving: bool,
     /// How busy the backend server is.
     pub report: GateReport,
     /// How far the sender follows the configuration.
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -346,12 +346,28 @@
     let answer = send(node, call, choice, accepts_failing).await;
     open.is_open.set(false);
     learn(node, call, choice.control, &answer);
+    if answer.is_leaving {
+        on_leaving(node, choice);
+    }
     let ended = ended_of(&answer.outcome);
     let mut targets = node.targets.borrow_mut();
     targets.ended(node.now(), choice.control, ended, answer.report);
     answer
 }
 
+/// A backend server told this host that it leaves.
+fn on_leaving(node: &RoutedNode, choice: &Choice) {
+    let Some(life) = &choice.life else {
+        return;
+    };
+    if node.targets.borrow_mut().on_leaving(node.now(), life) {
+        node.decisions.count("server_leaving", "told");
+        log::info!(event = "server_leaving", life:% = life, from = "answer",
+            node:% = choice.control;
+            "a backend server says that it leaves and is called no more");
+    }
+}
+
 /// Sends a call to its target, which may be on this host.
 async fn send(
     node: &Rc<RoutedNode>,
--- a/crates/kumquatquayd/src/routed/first_look.rs
+++ b/crates/kumquatquayd/src/routed/first_look.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
-use kumquatquay_core::routed::{LifeReport, LifeState, Mechanism};
+use kumquatquay_core::routed::{AdvertisedLimit, LifeReport, LifeState, Mechanism};
 use kumquatquay_wire::BackendLife;
 
-use super::{node::RoutedNode, reports::backend_changed};
+use super::{node::RoutedNode, reports::backend_changed, server_notices::on_first_limit};
 
 /// Pauses before the looks. Reports come every second or two, so a few looks in the first
 /// second bring a node back to work a second earlier on the mean; each is a small request.
@@ -37,29 +37,37 @@
             return;
         }
         let found = tokio::time::timeout(LOOK_TIMEOUT, look(&node)).await;
-        if let Ok(Some(report)) = found {
-            take(&node, report);
+        if let Ok(Some(found)) = found {
+            take(&node, found);
             return;
         }
     }
 }
 
-fn take(node: &RoutedNode, report: LifeReport) {
+/// What a health check tells of the backend server.
+struct Found {
+    report: LifeReport,
+    limit: AdvertisedLimit,
+}
+
+fn take(node: &RoutedNode, found: Found) {
     let mut lives = node.lives.borrow_mut();
     if lives.current().is_some() {
         return;
     }
-    let taken = lives.on_report(node.now(), report);
+    let life = found.report.life.clone();
+    let taken = lives.on_report(node.now(), found.report);
     drop(lives);
     if taken == Ok(true) {
         node.decisions.count("report", "first_look");
         backend_changed(node);
+        on_first_limit(node, &life, found.limit);
     }
 }
 
 /// What the backend server's health check tells of it; `None` unless it is well and names
 /// itself and its slots.
-async fn look(node: &RoutedNode) -> Option<LifeReport> {
+async fn look(node: &RoutedNode) -> Option<Found> {
     let routes = node.routes()?;
     let service = &node.settings.service;
     let path = routes.health_path(service)?;
@@ -68,15 +76,19 @@
     request.headers_mut().insert(header::HOST, host);
     let answer = node.backend.send(request, true).await.ok()?;
     let marks = (node.dialect.read_answer)(&answer.headers);
-    let is_well = answer.status == StatusCode::OK.as_u16();
+    let is_well = answer.status == StatusCode::OK.as_u16() && !marks.is_leaving;
     answer.keep(marks.kept_open);
     let instance = marks.instance.filter(|_| is_well)?;
-    Some(LifeReport {
+    let report = LifeReport {
         life: BackendLife::untold(instance),
         service: service.clone(),
         slots_count: marks.slots_count.filter(|slots| *slots > 0)?,
         state: LifeState::Serving,
         sequence: 0,
         cold: Duration::ZERO,
+    };
+    Some(Found {
+        report,
+        limit: marks.limit,
     })
 }
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -358,6 +358,7 @@
         let _ = pending.answer.send(LinkAnswer {
             outcome: answer.outcome,
             payload,
+            is_leaving: answer.is_leaving,
             report: Some(answer.report),
             news: answer.news,
             pressures: answer.pressures,
--- a/crates/kumquatquayd/src/routed/link_answer.rs
+++ b/crates/kumquatquayd/src/routed/link_answer.rs
@@ -31,6 +31,8 @@
 pub(crate) struct LinkAnswer {
     pub(crate) outcome: LinkOutcome,
     pub(crate) payload: Payload,
+    /// Whether the backend server said with it that it leaves.
+    pub(crate) is_leaving: bool,
     pub(crate) report: Option<GateReport>,
     pub(crate) news: Option<RouteNews>,
     pub(crate) pressures: Vec<ServicePressure>,
@@ -76,6 +78,7 @@
         Self {
             outcome,
             payload: Payload::default(),
+            is_leaving: false,
             report: None,
             news: None,
             pressures: Vec::new(),
--- a/crates/kumquatquayd/src/routed/link_server.rs
+++ b/crates/kumquatquayd/src/routed/link_server.rs
@@ -275,6 +275,7 @@
     let head = FrameHead::Answer(AnswerHead {
         number,
         outcome: answer.outcome,
+        is_leaving: answer.is_leaving,
         report: node.gate_report(),
         followed: link.followed(node),
         news: link.news(node, route),
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -496,7 +496,7 @@
         return HandedOver::Ended(LinkAnswer::not_run(NotRunReason::TurnedAway));
     }
     if marks.is_not_run {
-        on_notices(node, began, &marks);
+        on_notices(node, timed.call, began, &marks);
         answer.keep(marks.kept_open);
         return HandedOver::TurnedAway;
     }
@@ -509,13 +509,14 @@
         answer.discard();
         return HandedOver::Ended(LinkAnswer::unknown(UnknownReason::Garbled));
     }
-    on_notices(node, began, &marks);
+    on_notices(node, timed.call, began, &marks);
     let status = answer.status;
     let fields = fields_of(&answer.headers);
     let body = answer.keep(marks.kept_open);
     HandedOver::Ended(LinkAnswer {
         outcome: LinkOutcome::Answered { status },
         payload: Payload { fields, body },
+        is_leaving: marks.is_leaving,
         report: None,
         news: None,
         pressures: Vec::new(),
--- a/crates/kumquatquayd/src/routed/server_notices.rs
+++ b/crates/kumquatquayd/src/routed/server_notices.rs
@@ -3,66 +3,120 @@
 use std::time::Duration;
 
 use kumquatquay_core::routed::{AdvertisedLimit, LimitChange};
-use kumquatquay_wire::routed::CallHead;
+use kumquatquay_wire::{
+    BackendLife,
+    routed::{CallHead, KnownLimit},
+};
 
-use super::{interface::AnswerMarks, node::RoutedNode, run_here::admit_waiting};
+use super::{
+    interface::AnswerMarks, node::RoutedNode, reports::backend_changed, run_here::admit_waiting,
+};
 
-/// Takes in what the answer to a run that began at `began` says of a rate limit and of a leaving.
-pub(crate) fn on_notices(node: &RoutedNode, began: Duration, marks: &AnswerMarks) {
+/// Takes in what the answer to a run that began at `began` says of a leaving and a rate limit.
+pub(crate) fn on_notices(
+    node: &RoutedNode,
+    call: &CallHead<'_>,
+    began: Duration,
+    marks: &AnswerMarks,
+) {
+    let Some(life) = life_of(node, call) else {
+        return;
+    };
+    if marks.is_leaving {
+        on_leaving(node, &life);
+    }
+    on_limit(node, &life, began, marks.limit);
+}
+
+/// The life that answers a call: the one that was meant, or else the one that is there.
+fn life_of(node: &RoutedNode, call: &CallHead<'_>) -> Option<BackendLife> {
+    if let Some(life) = &call.life {
+        return Some(life.clone().into_owned());
+    }
+    let lives = node.lives.borrow();
+    lives.current().map(|current| current.life.clone())
+}
+
+/// A leaving that an answer tells is the same as one that a report tells: all hosts are told, and
+/// nothing is handed over once the drain is over, whatever later reports say.
+fn on_leaving(node: &RoutedNode, life: &BackendLife) {
+    let mut lives = node.lives.borrow_mut();
+    if lives.is_leaving(life) {
+        return;
+    }
+    lives.on_leave(node.now(), life);
+    drop(lives);
+    node.decisions.count("server_leaving", "answer");
+    log::info!(event = "server_leaving", life:% = life, from = "answer";
+        "the backend server of this host says that it leaves");
+    backend_changed(node);
+}
+
+fn on_limit(node: &RoutedNode, life: &BackendLife, began: Duration, limit: AdvertisedLimit) {
     let now = node.now();
-    if marks.limit == AdvertisedLimit::Malformed {
+    if limit == AdvertisedLimit::Malformed {
         node.decisions.count("server_limit", "malformed");
         if node.decisions.has_line(now) {
-            log::warn!(event = "server_limit_malformed";
+            log::warn!(event = "server_limit_malformed", life:% = life;
                 "a rate limit in an answer can't be read; what was known before holds");
         }
     }
     let mut gate = node.gate.borrow_mut();
-    let change = gate.server_limit_mut().on_answer(now, began, marks.limit);
+    let change = gate.server_limit_mut().on_answer(now, life, began, limit);
     drop(gate);
-    if let Some(change) = change {
-        on_change(node, change, "answer");
-    }
-    if marks.is_leaving {
-        node.decisions.count("server_leaving", "answer");
-    }
+    on_change(node, life, change, "answer");
 }
 
 /// Takes in what the sender of a call was told of a rate limit.
 pub(crate) fn on_known_limit(node: &RoutedNode, call: &CallHead<'_>) {
-    let (Some(known), Some(life)) = (call.known_limit, &call.life) else {
-        return;
-    };
+    if let (Some(known), Some(life)) = (call.known_limit, &call.life) {
+        on_told(node, life, known, "caller");
+    }
+}
+
+/// Takes in the rate limit that a health check tells. One that it doesn't tell may be told by
+/// answers to calls all the same, so it counts as a caller's word.
+pub(crate) fn on_first_limit(node: &RoutedNode, life: &BackendLife, limit: AdvertisedLimit) {
+    if let AdvertisedLimit::PerSecond(per_s) = limit {
+        let known = KnownLimit::told_now(per_s);
+        on_told(node, life, known, "health_check");
+    }
+}
+
+fn on_told(node: &RoutedNode, life: &BackendLife, known: KnownLimit, from: &'static str) {
     let mut gate = node.gate.borrow_mut();
     let change = gate.server_limit_mut().on_told(node.now(), life, known);
     drop(gate);
-    if let Some(change) = change {
-        on_change(node, change, "caller");
-    }
+    on_change(node, life, change, from);
 }
 
-fn on_change(node: &RoutedNode, change: LimitChange, from: &'static str) {
+fn on_change(
+    node: &RoutedNode,
+    life: &BackendLife,
+    change: Option<LimitChange>,
+    from: &'static str,
+) {
+    let Some(change) = change else {
+        return;
+    };
     // Those that would wait too long now are sent elsewhere: dropped tickets tell them.
     let shed = node.gate.borrow_mut().shed(node.now());
     drop(shed);
-    log_limit(node, change, from);
+    log_change(node, life, change, from);
     admit_waiting(node);
 }
 
-fn log_limit(node: &RoutedNode, change: LimitChange, from: &'static str) {
-    let why = match change {
-        LimitChange {
-            from_per_s: None, ..
-        } => "began",
-        LimitChange { to_per_s: None, .. } => "ended",
+fn log_change(node: &RoutedNode, life: &BackendLife, change: LimitChange, from: &'static str) {
+    let what = match (change.from_per_s, change.to_per_s) {
+        (None, _) => "began",
+        (_, None) => "ended",
         _ => "changed",
     };
-    node.decisions.count("server_limit", why);
-    if node.decisions.has_line(node.now()) {
-        let lives = node.lives.borrow();
-        let life = lives.current().map(|current| current.life.to_string());
-        let age = node.gate.borrow().server_limit().age(node.now());
-        log::info!(event = "server_limit", life = life.unwrap_or_default(), what = why,
+    node.decisions.count("server_limit", what);
+    let now = node.now();
+    if node.decisions.has_line(now) {
+        let age = node.gate.borrow().server_limit().age(now);
+        log::info!(event = "server_limit", life:% = life, what = what,
             was_per_s = change.from_per_s, per_s = change.to_per_s,
             from = from, age_ms = age.as_millis() as u64;
             "the backend server of this host advertises another rate limit");
