Test a service whose backend servers advertise limits, in virtual time

The pattern: one of six backend servers, or all of them, take fewer calls a second than are offered. With one limited to 1.6 a second nobody is refused; with all limited to half of the load filings are served and the least important are refused at the entry.

--- a/crates/kumquatquay-core/tests/routed/call_mesh.rs
+++ b/crates/kumquatquay-core/tests/routed/call_mesh.rs
@@ -8,9 +8,13 @@
 };
 
 use kumquatquay_core::routed::{
-    Admission, EntryLevels, EntryRequest, GateCall, HostGate, LevelSetter, QueueOrder, RouteRun,
+    Admission, AdvertisedLimit, EntryLevels, EntryRequest, GateCall, HostGate, LevelSetter,
+    QueueOrder, RouteRun,
+};
+use kumquatquay_wire::{
+    BackendLife,
+    routed::{NotRunReason, Priority, RouteNews, ServiceDemand},
 };
-use kumquatquay_wire::routed::{Priority, RouteNews, ServiceDemand};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 /// The service at which all calls are made.
@@ -22,6 +26,9 @@
 /// Time from one top of the wave to the next, in seconds.
 const WAVE_PERIOD_S: f64 = 15.0;
 
+/// Gates that are asked for one call, at most.
+const ASKED_COUNT: usize = 4;
+
 /// How often gates set their levels.
 const LEVEL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -90,6 +97,8 @@
         call: Call,
         work_us: u64,
     },
+    /// The rate limit of a backend server allows for another call.
+    Admit { gate: usize },
     /// Levels are set.
     Levels,
 }
@@ -162,6 +171,17 @@
         }
     }
 
+    /// The backend servers of the first gates take so many calls a second.
+    pub(crate) fn limit_gates(&mut self, gates_count: usize, per_s: f64) {
+        let life = BackendLife::untold("limited");
+        for gate in &mut self.gates[..gates_count] {
+            let limit = gate.gate.server_limit_mut();
+            limit.on_life(&life);
+            let advertised = AdvertisedLimit::PerSecond(per_s);
+            limit.on_answer(Duration::ZERO, &life, Duration::ZERO, advertised);
+        }
+    }
+
     /// Lets requests come for `warm` and then for `watched`, which counts.
     pub(crate) fn run(&mut self, warm: Duration, watched: Duration) {
         self.watched_from = warm;
@@ -183,6 +203,7 @@
                     call,
                     work_us,
                 } => self.ended(now, gate, call, Duration::from_micros(work_us)),
+                Event::Admit { gate } => self.admit_waiting(now, gate),
                 Event::Levels => self.set_levels(now),
             }
         }
@@ -245,9 +266,31 @@
         }
     }
 
+    /// Asks one gate after the other while they refuse for their limits, and does the same for calls
+    /// that are put out of a queue for this one.
     fn send(&mut self, now: Duration, call: Call) {
+        let mut unsent = vec![(call, ASKED_COUNT)];
+        while let Some((call, asks_left)) = unsent.pop() {
+            let gate = self.emptier_gate(now);
+            for lost in self.ask(now, gate, call) {
+                let asks_left = if lost == call { asks_left - 1 } else { 1 };
+                if asks_left > 0 && self.is_limited(now, gate) {
+                    unsent.push((lost, asks_left));
+                } else {
+                    self.count(lost, |outcome| outcome.lost_count += 1);
+                }
+            }
+        }
+    }
+
+    /// Whether a gate refuses for its limit: others are asked then, as for any refusal.
+    fn is_limited(&self, now: Duration, gate: usize) -> bool {
+        self.gates[gate].gate.refusal(now) == NotRunReason::Limited
+    }
+
+    /// Asks a gate to run a call; those that are lost.
+    fn ask(&mut self, now: Duration, gate: usize, call: Call) -> Vec<Call> {
         let kind = self.kinds[call.kind];
-        let gate = self.emptier_gate();
         let known = self.entries[call.entry].level(now, SERVICE);
         let heard = known.map_or(1.0, |(level, _)| level);
         let to = &mut self.gates[gate];
@@ -269,21 +312,32 @@
             Admission::Evict(_, evicted) => evicted,
             Admission::Refuse(refused) => vec![refused],
         };
-        for call in lost {
-            self.count(call, |outcome| outcome.lost_count += 1);
+        self.admit_later(now, gate);
+        lost
+    }
+
+    fn admit_waiting(&mut self, now: Duration, gate: usize) {
+        while let Some(next) = self.gates[gate].gate.next(now) {
+            self.begin(now, gate, next);
         }
+        self.admit_later(now, gate);
     }
 
-    fn emptier_gate(&mut self) -> usize {
+    fn admit_later(&mut self, now: Duration, gate: usize) {
+        if let Some(wait) = self.gates[gate].gate.limit_wait(now) {
+            self.at(now + wait, Event::Admit { gate });
+        }
+    }
+
+    fn emptier_gate(&mut self, now: Duration) -> usize {
         let mut any = || self.random.random_range(0..self.gates.len());
         let (one, other) = (any(), any());
-        let fill = |gate: usize| {
-            self.gates[gate]
-                .gate
-                .report(Duration::ZERO, 1.0)
-                .fill_ratio()
+        let cost = |gate: usize| {
+            let report = self.gates[gate].gate.report(now, 1.0);
+            let wait = report.rate.map(|rate| rate.wait()).unwrap_or_default();
+            (wait, report.fill_ratio())
         };
-        if fill(one) <= fill(other) { one } else { other }
+        if cost(one) <= cost(other) { one } else { other }
     }
 
     fn begin(&mut self, now: Duration, gate: usize, call: Call) {
@@ -307,9 +361,7 @@
             self.busy += work;
         }
         self.gates[gate].gate.ended(Some(RouteRun { route, work }));
-        while let Some(next) = self.gates[gate].gate.next(now) {
-            self.begin(now, gate, next);
-        }
+        self.admit_waiting(now, gate);
         self.tell(now, gate, call);
         let call = Call {
             done_count: call.done_count + 1,
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -15,6 +15,7 @@
 mod held_answers;
 mod host_gate;
 mod level_setter;
+mod limited_service;
 mod link_health;
 mod log_read;
 mod machine_pace;
