Count held requests whose callers leave as they are let in

So the requests were neither let in nor left: the task that lets requests in took them out of the queue in the moment in which their callers went, and the place that was then dropped found nothing to remove and counted nothing.

A place counts its caller as gone unless the request was told why it is held no longer.

--- a/crates/kumquatquayd/src/routed/holding.rs
+++ b/crates/kumquatquayd/src/routed/holding.rs
@@ -58,19 +58,18 @@
 struct HeldPlace<'a> {
     node: &'a RoutedNode,
     key: HoldKey,
+    /// Whether the request was told why it is held no longer.
+    has_ended: bool,
 }
 
 impl Drop for HeldPlace<'_> {
     fn drop(&mut self) {
-        if self
-            .node
-            .held_requests
-            .borrow_mut()
-            .remove(&self.key)
-            .is_some()
-        {
-            self.node.decisions.count("held", "caller_left");
+        if self.has_ended {
+            return;
         }
+        // It isn't there any more if it was let in as its caller left.
+        self.node.held_requests.borrow_mut().remove(&self.key);
+        self.node.decisions.count("held", "caller_left");
     }
 }
 
@@ -112,10 +111,14 @@
         HoldOffer::Held(key) => key,
     };
     node.held_request_news.notify_one();
-    let place = HeldPlace { node, key };
+    let mut place = HeldPlace {
+        node,
+        key,
+        has_ended: false,
+    };
     // The task that lets requests in ends with the node only.
     let end = released.await.unwrap_or(HoldEnd::Stopping);
-    drop(place);
+    place.has_ended = true;
     note_end(node, entering, &short.shortage, began, end);
     end
 }
