--- a/crates/kumquatquayd/src/routed/server_notices.rs
+++ b/crates/kumquatquayd/src/routed/server_notices.rs
@@ -106,6 +106,10 @@
     admit_waiting(node);
 }
 
+fn text_of(per_s: Option<f64>) -> String {
+    per_s.map_or_else(|| String::from("none"), |per_s| per_s.to_string())
+}
+
 fn log_change(node: &RoutedNode, life: &BackendLife, change: LimitChange, from: &'static str) {
     let what = match (change.from_per_s, change.to_per_s) {
         (None, _) => "began",
@@ -117,7 +121,7 @@
     if node.decisions.has_line(now) {
         let age = node.gate.borrow().server_limit().age(now);
         log::info!(event = "server_limit", life:% = life, what = what,
-            was_per_s = change.from_per_s, per_s = change.to_per_s,
+            was_per_s = text_of(change.from_per_s), per_s = text_of(change.to_per_s),
             from = from, age_ms = age.as_millis() as u64;
             "the backend server of this host advertises another rate limit");
     }
