Remember a limit that an answer told although its host is no target any more

Read in the diff: a caller took in what an answer says of a limit only while the host stood in its table (TargetTable::ended returned before that). A node that is stopped leaves the table while answers of its last calls still come; if one of these is the first to tell a limit, it was passed on and forgotten, and the node that starts anew there was told nothing. It is remembered by the life that the call was for, as a leaving is.

The test of callers that tell a node that starts anew now has the answer come behind the leaving of the host. It was not run on the code before, which has no call for it; no run has shown the fault.

--- a/crates/kumquatquay-core/src/routed/server_limit.rs
+++ b/crates/kumquatquay-core/src/routed/server_limit.rs
@@ -9,7 +9,7 @@
 
 /// Calls that may begin at once after a pause, in seconds of the limit, beside one.
 ///
-/// Calls come unevenly: without it a server that takes forty a second would be kept at thirty.
+/// Calls come unevenly: without it what the limit allows in a quiet moment would be lost.
 const BURST_S: f64 = 0.25;
 
 /// Calls a second that are handed over whatever the limit, as trials: a backend server that gets
--- a/crates/kumquatquay-core/src/routed/target_table.rs
+++ b/crates/kumquatquay-core/src/routed/target_table.rs
@@ -8,7 +8,7 @@
 
 use kumquatquay_wire::{
     BackendLife, MemberRecord, MemberState, ServiceName,
-    routed::{GateReport, KnownLimit},
+    routed::{GateReport, KnownLimit, RateReport},
 };
 use rand::{Rng, seq::IndexedRandom};
 
@@ -297,11 +297,6 @@
             target.report_told = Some(now);
             target.sent_since_report_count = 0;
         }
-        if how == TargetEnded::Answered
-            && let (Some(life), Some(report)) = (&target.life, report)
-        {
-            self.told_lives.on_limit(now, life, report.rate);
-        }
         match how {
             TargetEnded::Answered => {
                 target.failed_ratio -= NEW_WEIGHT * target.failed_ratio;
@@ -327,6 +322,12 @@
         }
     }
 
+    /// A backend server has told this node its rate limit with an answer, or that it has none. It
+    /// is remembered also while the host isn't a target.
+    pub fn on_limit(&mut self, now: Duration, life: &BackendLife, rate: Option<RateReport>) {
+        self.told_lives.on_limit(now, life, rate);
+    }
+
     /// A backend server has told this node that it leaves; it gets no calls from here any more,
     /// whatever its host tells of it later. Whether that is news.
     pub fn on_leaving(&mut self, now: Duration, life: &BackendLife) -> bool {
--- a/crates/kumquatquay-core/tests/routed/target_table.rs
+++ b/crates/kumquatquay-core/tests/routed/target_table.rs
@@ -400,9 +400,11 @@
         of_host(&mut table, &mut random, 0).unwrap().known_limit,
         None
     );
-    tell(&mut table, 1, TargetEnded::Answered, limited_report(1.6, 0));
+    let life = BackendLife::untold("life-1");
+    // The answer comes when the host is no target any more.
     let others = [2, 3].map(|host| member(host, "near", MemberState::Serving));
     table.rebuild("near", others.iter());
+    table.on_limit(at_ms(0), &life, limited_report(1.6, 0).rate);
     let all = [1, 2, 3].map(|host| member(host, "near", MemberState::Serving));
     table.rebuild("near", all.iter());
     tell(&mut table, 1, TargetEnded::Full, report(0, 100));
@@ -410,7 +412,7 @@
     let known = known.unwrap();
     assert_eq!((known.limit_milli_per_s, known.age_ms), (1_600, 2_500));
     // The backend server answers without one.
-    tell(&mut table, 1, TargetEnded::Answered, report(0, 100));
+    table.on_limit(at_ms(0), &life, None);
     assert_eq!(
         of_host(&mut table, &mut random, 0).unwrap().known_limit,
         None
--- a/crates/kumquatquayd/src/routed/carry.rs
+++ b/crates/kumquatquayd/src/routed/carry.rs
@@ -4,7 +4,7 @@
 
 use kumquatquay_core::routed::{Choice, Mechanism, TableRoute, TargetEnded};
 use kumquatquay_wire::{
-    ServiceName,
+    BackendLife, ServiceName,
     routed::{
         CallHead, LinkOutcome, NotRunReason, Payload, Priority, Repeat, RouteVersion,
         UnknownReason, WorkspaceSettings,
@@ -346,8 +346,8 @@
     let answer = send(node, call, choice, accepts_failing).await;
     open.is_open.set(false);
     learn(node, call, choice.control, &answer);
-    if answer.is_leaving {
-        on_leaving(node, choice);
+    if let Some(life) = &choice.life {
+        on_notices(node, choice, life, &answer);
     }
     let ended = ended_of(&answer.outcome);
     let mut targets = node.targets.borrow_mut();
@@ -355,12 +355,13 @@
     answer
 }
 
-/// A backend server told this host that it leaves.
-fn on_leaving(node: &RoutedNode, choice: &Choice) {
-    let Some(life) = &choice.life else {
-        return;
-    };
-    if node.targets.borrow_mut().on_leaving(node.now(), life) {
+/// Takes in what a backend server has told this host of a rate limit and of its leaving.
+fn on_notices(node: &RoutedNode, choice: &Choice, life: &BackendLife, answer: &LinkAnswer) {
+    if let (LinkOutcome::Answered { .. }, Some(report)) = (&answer.outcome, answer.report) {
+        let mut targets = node.targets.borrow_mut();
+        targets.on_limit(node.now(), life, report.rate);
+    }
+    if answer.is_leaving && node.targets.borrow_mut().on_leaving(node.now(), life) {
         node.decisions.count("server_leaving", "told");
         log::info!(event = "server_leaving", life:% = life, from = "answer",
             node:% = choice.control;
