End the time in which a stopping node takes requests by the clock, not by two sleeps

Cause: the 2.8 s in which a stopping node takes requests were two sleeps, one after the other; the second began anew behind the pause, so the node took requests until 4.6 s, and what needs longer than the rest of the grace is cut. They end by the time of the signal now. A stop that isn't paused is as before.

--- a/crates/kumquatquayd/src/routed/start.rs
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -169,7 +169,8 @@
 /// once nothing is under way, at the latest when the grace is over.
 async fn leave(node: &Rc<RoutedNode>) {
     let grace = node.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
-    let until = node.now() + grace;
+    let began = node.now();
+    let until = began + grace;
     log::info!(event = "stopping", grace_ms = grace.as_millis() as u64,
         in_flight = node.in_flight_count.get() as u64;
         "the node was asked to stop");
@@ -183,7 +184,10 @@
     tokio::time::sleep(serving).await;
     let grace = grace.saturating_sub(serving);
     node.engine.handle(Input::Stopping { grace });
-    tokio::time::sleep(leaving.saturating_sub(serving)).await;
+    // A node that is paused meanwhile takes no request for longer than that: what it took then
+    // would be cut off at the end of the grace.
+    let rest = (began + leaving).saturating_sub(node.now());
+    tokio::time::sleep(rest).await;
     node.stop.send_replace(StopPhase::Closing);
     finish(node, until).await;
     log::info!(event = "stopped", cut = node.in_flight_count.get() as u64; "the node has left");
