--- a/crates/kumquatquay-core/src/routed/backend_lives.rs
+++ b/crates/kumquatquay-core/src/routed/backend_lives.rs
@@ -8,10 +8,6 @@
 /// Lives that are remembered; a host starts few backend servers in its own life.
 const LIVES_LIMIT_COUNT: usize = 256;
 
-/// Time in which a life that was known by its id alone tells its start: reports come every second or
-/// two, and one that leaves takes longer to end and to start again.
-const START_TOLD_WITHIN: Duration = Duration::from_secs(3);
-
 /// What a backend server says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LifeReport {
@@ -87,7 +83,6 @@
         }
         self.make_room();
         let id = report.life.clone();
-        let untold_leaving = self.untold_leaving(now, &id);
         let is_of_the_past = id.born_unix_ms < self.last_born_unix_ms;
         let life = self.lives.entry(id.clone()).or_default();
         let is_late = life.is_newer_than(&report);
@@ -95,7 +90,6 @@
         if is_leaving {
             life.leaving_since.get_or_insert(now);
         }
-        life.leaving_since = life.leaving_since.or(untold_leaving);
         if is_late && !is_leaving {
             return Ok(false);
         }
@@ -130,17 +124,6 @@
         is_known
     }
 
-    /// Since when a life leaves that was known by its id alone when it said so.
-    ///
-    /// A node that has just started learns a life from a health check, which tells no start; the
-    /// next report does. Taken for another life it would be served again although it leaves.
-    fn untold_leaving(&self, now: Duration, life: &BackendLife) -> Option<Duration> {
-        life.born_unix_ms?;
-        let untold = BackendLife::untold(life.instance.clone());
-        let since = self.lives.get(&untold)?.leaving_since?;
-        (now < since + START_TOLD_WITHIN).then_some(since)
-    }
-
     /// Whether a life has said that it leaves.
     pub fn is_leaving(&self, life: &BackendLife) -> bool {
         let life = match life.born_unix_ms {
--- a/crates/kumquatquay-core/tests/routed/backend_lives.rs
+++ b/crates/kumquatquay-core/tests/routed/backend_lives.rs
@@ -271,38 +271,3 @@
     assert!(lives.may_run(at_ms(2_000), Some(&life), DRAIN));
     assert!(!lives.may_run(at_ms(2_100), Some(&life), DRAIN));
 }
-
-/// A node starts anew and learns the id of its backend server from a health check, then from an answer that
-/// it leaves, then its start from a report that was sent before. It is one life, and it leaves.
-#[test]
-fn a_leaving_holds_when_the_start_of_its_life_is_told() {
-    let mut lives = BackendLives::default();
-    lives
-        .on_report(at_ms(0), report("a", 0, LifeState::Serving))
-        .unwrap();
-    lives.on_leave(at_ms(100), &BackendLife::untold("a"));
-    let told = BackendLife {
-        born_unix_ms: Some(7),
-        ..BackendLife::untold("a")
-    };
-    let late = LifeReport {
-        life: told.clone(),
-        ..report("a", 9, LifeState::Serving)
-    };
-    lives.on_report(at_ms(1_400), late).unwrap();
-    assert!(lives.is_leaving(&told));
-    assert_eq!(lives.current().unwrap().state, LifeState::Draining);
-    assert!(!lives.may_run(at_ms(2_100), Some(&told), DRAIN));
-    // Long after, a start that is told is that of the next life.
-    let mut lives = BackendLives::default();
-    lives
-        .on_report(at_ms(0), report("a", 0, LifeState::Serving))
-        .unwrap();
-    lives.on_leave(at_ms(100), &BackendLife::untold("a"));
-    let next = LifeReport {
-        life: told.clone(),
-        ..report("a", 1, LifeState::Serving)
-    };
-    lives.on_report(at_ms(9_000), next).unwrap();
-    assert!(!lives.is_leaving(&told));
-}
