Borrow the life of an answer; one call for a run that never left; one floor for slots

From reading the change again. Behaviour is as before.

- Each answer copied the name of its life to look whether it names a limit.
It is borrowed from the call now.
- Ending a run that never reached its backend server took two calls of the gate, at three places; not_handed_over ends it as well.
- The floor of a limited server's slots stood in the report and in the table of targets; the report alone has it now.

--- a/crates/kumquatquay-core/src/routed/host_gate.rs
+++ b/crates/kumquatquay-core/src/routed/host_gate.rs
@@ -326,8 +326,9 @@
         has_token
     }
 
-    /// A call that was let run never reached the backend server.
+    /// A call that was let run has ended without reaching the backend server.
     pub fn not_handed_over(&mut self, now: Duration) {
+        self.ended(None);
         self.server_limit.give_back(now);
     }
 
--- a/crates/kumquatquay-core/src/routed/target_table.rs
+++ b/crates/kumquatquay-core/src/routed/target_table.rs
@@ -76,9 +76,8 @@
 /// to find out whether it is well again.
 const TRIAL_INTERVAL_COUNT: u32 = 500;
 
-/// Slots and calls a second that a limited backend server is taken to have at least; what is
-/// divided by them must stay finite.
-const LEAST_SLOTS: f64 = 0.01;
+/// Calls a second that a limited backend server is taken to take at least; what is divided by them
+/// must stay finite.
 const LEAST_PER_S: f64 = 0.01;
 
 /// Candidates that are compared, of each kind.
@@ -487,7 +486,7 @@
             limit_count,
             ..self.report
         };
-        report.slots().max(LEAST_SLOTS)
+        report.slots()
     }
 
     /// Time until its rate limit lets one more call begin, as far as is known.
--- a/crates/kumquatquay-wire/src/routed/gate_report.rs
+++ b/crates/kumquatquay-wire/src/routed/gate_report.rs
@@ -81,14 +81,15 @@
         let slots = f64::from(self.limit_count.max(1));
         let by_rate = self.rate.filter(|_| self.work_us > 0);
         by_rate.map_or(slots, |rate| {
-            slots.min(rate.limit_per_s() * self.work().as_secs_f64())
+            let begun = rate.limit_per_s() * self.work().as_secs_f64();
+            slots.min(begun).max(LEAST_SLOTS)
         })
     }
 
     /// Calls at the gate over those that it lets run.
     pub fn fill_ratio(&self) -> f64 {
         let calls_count = self.running_count + self.waiting_count;
-        f64::from(calls_count) / self.slots().max(LEAST_SLOTS)
+        f64::from(calls_count) / self.slots()
     }
 }
 
--- a/crates/kumquatquayd/src/routed/run_here.rs
+++ b/crates/kumquatquayd/src/routed/run_here.rs
@@ -146,8 +146,9 @@
             work,
         });
         let mut gate = self.node.gate.borrow_mut();
-        gate.ended(run);
-        if !self.has_reached_backend {
+        if self.has_reached_backend {
+            gate.ended(run);
+        } else {
             gate.not_handed_over(self.node.now());
         }
         drop(gate);
@@ -168,9 +169,7 @@
         };
         if ticket.send(()).is_err() {
             // Its caller left while it waited.
-            let mut gate = node.gate.borrow_mut();
-            gate.ended(None);
-            gate.not_handed_over(now);
+            node.gate.borrow_mut().not_handed_over(now);
         }
     }
 }
@@ -246,10 +245,8 @@
         let withdrawn = self.node.gate.borrow_mut().withdraw(self.key);
         // A grant that nobody took would hold its place for good.
         if withdrawn.is_none() && self.granted.try_recv().is_ok() {
-            let mut gate = self.node.gate.borrow_mut();
-            gate.ended(None);
-            gate.not_handed_over(self.node.now());
-            drop(gate);
+            let now = self.node.now();
+            self.node.gate.borrow_mut().not_handed_over(now);
             admit_waiting(self.node);
         }
     }
--- a/crates/kumquatquayd/src/routed/server_notices.rs
+++ b/crates/kumquatquayd/src/routed/server_notices.rs
@@ -1,6 +1,6 @@
 //! What the backend server of this host says of itself in its answers.
 
-use std::time::Duration;
+use std::{borrow::Cow, time::Duration};
 
 use kumquatquay_core::routed::{AdvertisedLimit, LimitChange};
 use kumquatquay_wire::{
@@ -29,12 +29,13 @@
 }
 
 /// The life that answers a call: the one that was meant, or else the one that is there.
-fn life_of(node: &RoutedNode, call: &CallHead<'_>) -> Option<BackendLife> {
+fn life_of<'a>(node: &RoutedNode, call: &'a CallHead<'_>) -> Option<Cow<'a, BackendLife>> {
     if let Some(life) = &call.life {
-        return Some(life.clone().into_owned());
+        return Some(Cow::Borrowed(life));
     }
     let lives = node.lives.borrow();
-    lives.current().map(|current| current.life.clone())
+    let current = lives.current();
+    current.map(|current| Cow::Owned(current.life.clone()))
 }
 
 /// A leaving that an answer tells is the same as one that a report tells: all hosts are told, and
