Tell beside repeated runs which requests match no run, and why runs were repeated

The lines that a gate writes on repeats couldn't tell calls of repeated runs that pass for first arrivals from a budget that is earned too soon: they count marked calls alone. They now hold the requests from this host that came beside a repeated run and match no run, and how many repeats were admitted by an estimate of a route's calls, or since no call had been seen. No decision changes.

--- a/crates/kumquatquay-core/src/routed/call_tracer.rs
+++ b/crates/kumquatquay-core/src/routed/call_tracer.rs
@@ -192,6 +192,13 @@
         near.any(|(_, id)| self.in_progress[id].is_repeat)
     }
 
+    /// Whether a call with this deadline may have been made by a repeated run in progress, though it
+    /// matches no run.
+    pub fn is_unattributed_beside_repeat(&self, deadline: Duration) -> bool {
+        let has_repeat = self.in_progress.values().any(|run| run.is_repeat);
+        has_repeat && self.run_with_deadline(deadline).is_none()
+    }
+
     /// Whether the backend server may have made a call: one began while it ran something.
     pub fn may_have_made_calls(&self) -> bool {
         self.has_call_in_run
--- a/crates/kumquatquayd/src/routed/admission.rs
+++ b/crates/kumquatquayd/src/routed/admission.rs
@@ -235,6 +235,9 @@
     let mut tracer = node.call_tracer.borrow_mut();
     let is_of_repeat = tracer.matches_repeat(caller_deadline);
     call.is_of_repeated_run.set(is_of_repeat);
+    if tracer.is_unattributed_beside_repeat(caller_deadline) {
+        node.repeat_log.record_unattributed(node.now());
+    }
     if !is_internal {
         tracer.request_started(route, caller_deadline);
         return;
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -23,9 +23,16 @@
 use tokio::sync::{Notify, oneshot, watch};
 
 use super::{
-    arrivals::RepeatLog, backend_pool::BackendPool, call_workers::CallWorkers,
-    held_requests::HeldRequests, interface::Dialect, link::Links, node_metrics::NodeMetrics,
-    quotas::Quotas, route_demand_log::RouteDemandLog, settings::RoutedSettings,
+    arrivals::{NoCallsEvidence, RepeatLog},
+    backend_pool::BackendPool,
+    call_workers::CallWorkers,
+    held_requests::HeldRequests,
+    interface::Dialect,
+    link::Links,
+    node_metrics::NodeMetrics,
+    quotas::Quotas,
+    route_demand_log::RouteDemandLog,
+    settings::RoutedSettings,
     store_restore::StoreRestore,
 };
 use crate::{
@@ -438,24 +445,25 @@
         }
     }
 
-    /// Whether runs of a route at the backend server of this host make calls, or may, since too
-    /// little is known of them.
-    pub(crate) fn may_make_calls(&self, route: &str) -> bool {
+    /// Why runs of a route at the backend server of this host are taken to make no calls; `None` if
+    /// they make calls, or may, since too little is known of them.
+    pub(super) fn no_calls_evidence(&self, route: &str) -> Option<NoCallsEvidence> {
         let tracer = self.call_tracer.borrow();
         if !tracer.may_have_made_calls() {
-            return false;
+            return Some(NoCallsEvidence::NoneSeen);
         }
         // Estimates leave out calls on routes that outside callers use too.
         let edges = tracer.edges(self.now(), route);
         if edges.is_some_and(|edges| !edges.is_empty()) {
-            return true;
+            return None;
         }
         drop(tracer);
         let estimate = self.route_estimate(route);
         let own = &self.settings.service;
         let mut demands = estimate.demands.iter();
         let makes_calls = demands.any(|demand| demand.service != *own || demand.calls > 1.0);
-        makes_calls || !estimate.is_settled
+        let is_ruled_out = !makes_calls && estimate.is_settled;
+        is_ruled_out.then_some(NoCallsEvidence::Estimate)
     }
 
     /// Demand of one run of a route on the backend server of this host.
--- a/crates/kumquatquayd/src/routed/repeat_admission.rs
+++ b/crates/kumquatquayd/src/routed/repeat_admission.rs
@@ -27,7 +27,19 @@
         retries.budget_mut().on_first_arrival(now);
         return true;
     }
-    retries.try_repeat(now, node.priority_rank(call.request_priority))
+    let is_admitted = retries.try_repeat(now, node.priority_rank(call.request_priority));
+    drop(retries);
+    if is_admitted {
+        record_admitted(node, call.route);
+    }
+    is_admitted
+}
+
+/// Records why the runs of a route that is repeated are taken to make no calls.
+fn record_admitted(node: &RoutedNode, route: &str) {
+    if let Some(evidence) = node.no_calls_evidence(route) {
+        node.repeat_log.record_admitted(evidence);
+    }
 }
 
 /// Whether a repeat of a call may run here.
@@ -38,7 +50,7 @@
 pub(super) fn admits_repeat(node: &RoutedNode, call: &CallHead<'_>) -> bool {
     let rank = node.priority_rank(call.request_priority);
     let has_room = node.gate_retries.borrow_mut().has_room(node.now(), rank);
-    has_room && !node.may_make_calls(call.route)
+    has_room && node.no_calls_evidence(call.route).is_some()
 }
 
 /// The answer to the sender of a call whose last attempt at this gate ended so.
@@ -75,7 +87,7 @@
     if check_runnable(node, timed).is_err() || now > timed.latest_start(node) {
         return false;
     }
-    if !node.is_on(Mechanism::GateRetries) || node.may_make_calls(timed.call.route) {
+    if !node.is_on(Mechanism::GateRetries) || node.no_calls_evidence(timed.call.route).is_none() {
         return false;
     }
     let services_count = node.load_balancer.borrow().services_count();
@@ -86,5 +98,10 @@
         rank: node.priority_rank(timed.call.request_priority),
     };
     let mut retries = node.gate_retries.borrow_mut();
-    retries.try_retry(now, call) && node.gate.borrow_mut().try_forward_again(now)
+    let is_admitted = retries.try_retry(now, call) && node.gate.borrow_mut().try_forward_again(now);
+    drop(retries);
+    if is_admitted {
+        record_admitted(node, timed.call.route);
+    }
+    is_admitted
 }
