Divide the extra of the retry budget by the data centres that are there

A gate takes the extra divided by the data centres that its settings name, and by the gates in its own. Where the settings name fewer than have nodes, each data centre takes more than its part: in the soak, whose settings name none, twice the extra was spent.

The number is now the larger of those that the settings name and that have nodes.

--- a/crates/kumquatquayd/src/routed/members.rs
+++ b/crates/kumquatquayd/src/routed/members.rs
@@ -1,6 +1,6 @@
 //! Runs the membership of the core: its timers, effects, register and announcements.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use kumquatquay_core::{
     Announcement, BackendInput, Input,
@@ -115,7 +115,9 @@
             && member.data_centre == settings.data_centre
             && member.service.as_ref() == Some(&settings.service)
     });
-    node.set_gates_count(gates.count());
+    let data_centres = members.iter().map(|member| &member.data_centre);
+    let data_centres: BTreeSet<_> = data_centres.collect();
+    node.set_budget_parts(gates.count(), data_centres.len());
     let own = settings.listen.control;
     let readers = StoreReaders::select(own, &settings.data_centre, members.iter());
     if node.store_readers.replace(readers) != readers {
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -146,6 +146,8 @@
     /// Largest count of hosts in this data centre with a backend server of this host's service, this
     /// one included.
     gates_count: Cell<usize>,
+    /// Largest count of data centres that the settings name or that have nodes; at least 1.
+    data_centres_count: Cell<usize>,
     /// Largest estimate of the number of nodes in the register, by the pages that were read; 0
     /// before the first page.
     pub(crate) register_estimate_count: Cell<usize>,
@@ -208,6 +210,7 @@
             Some(bound) => store_poller.with_proof_bound(bound),
             None => store_poller,
         };
+        let data_centres_count = settings.data_centres_count.get();
         let held_answers = HeldAnswers::new(settings.limits.memory_bytes);
         // A longer answer would break the link that carries it.
         let answer_limit_bytes = held_answers.answer_limit_bytes().min(BODY_LIMIT_BYTES);
@@ -262,6 +265,7 @@
             held_answers: Cell::new(held_answers),
             nodes_count: Cell::new(1),
             gates_count: Cell::new(1),
+            data_centres_count: Cell::new(data_centres_count),
             register_estimate_count: Cell::new(0),
             store_readers: Cell::default(),
             local_readers: RefCell::default(),
@@ -371,15 +375,17 @@
     }
 
     /// Sets the part of this gate in the extra of the retry budget, by the largest number of gates
-    /// of its service that this node has known in its data centre.
+    /// of its service that this node has known in its data centre, and of data centres.
     ///
-    /// It is split by data centres first, whose number doesn't change: a data centre that is cut
+    /// It is split by data centres first, whose number the settings tell: a data centre that is cut
     /// off sees its own gates alone, and may not take the part of the others.
-    pub(crate) fn set_gates_count(&self, gates_count: usize) {
+    pub(crate) fn set_budget_parts(&self, gates_count: usize, data_centres_count: usize) {
         let gates_count = gates_count.max(self.gates_count.get());
         self.gates_count.set(gates_count);
+        let data_centres_count = data_centres_count.max(self.data_centres_count.get());
+        self.data_centres_count.set(data_centres_count);
         let extra_count = self.settings.retry_budget.extra_count * BUDGET_USE_RATIO;
-        let parts_count = gates_count * self.settings.data_centres_count.get();
+        let parts_count = gates_count * data_centres_count;
         let mut retries = self.gate_retries.borrow_mut();
         let budget = retries.budget_mut();
         budget.set_extra_count(extra_count / parts_count as f64);
--- a/crates/kumquatquayd/src/routed/settings.rs
+++ b/crates/kumquatquayd/src/routed/settings.rs
@@ -12,7 +12,7 @@
     pub host: String,
     /// Data centre of the host.
     pub data_centre: DataCentreName,
-    /// Number of data centres of the deployment.
+    /// Number of data centres that the settings name; there may be more.
     pub data_centres_count: NonZeroUsize,
     /// Service of the backend server on this host.
     pub service: ServiceName,
