Cut repeated runs at their longest limit where the mean has grown meanwhile

A run that was admitted as a repeat while its mean was short got no time at all if the mean had grown past what is repeated when it was forwarded. Read in the code; seen in no run. The limit and the question whether a route is too long for it are two functions now.

--- a/crates/kumquatquay-core/src/routed/repeated_runs.rs
+++ b/crates/kumquatquay-core/src/routed/repeated_runs.rs
@@ -11,7 +11,7 @@
 /// Time that a repeated run is given, as a multiple of the mean run time of its route.
 const LIMIT_FACTOR: u32 = 5;
 
-/// Multiple of the mean run time without which too many runs would be cut.
+/// Multiple of the mean run time that a repeated run is given at least; with less, too many would be cut.
 const MIN_FACTOR: u32 = 3;
 
 /// How long after the start of a repeated run its calls are expected at least. The run itself lasts for
@@ -52,11 +52,14 @@
         self
     }
 
-    /// Time that a run is given at most if it is repeated and its route has this mean run time; `None`
-    /// if it might need more than repeated runs are given.
-    pub fn limit(run_time: Duration) -> Option<Duration> {
-        let may_need_more = run_time * MIN_FACTOR > MAX_LIMIT;
-        (!may_need_more).then(|| (run_time * LIMIT_FACTOR).clamp(MIN_LIMIT, MAX_LIMIT))
+    /// Time that a run is given at most if it is repeated and its route has this mean run time.
+    pub fn limit(run_time: Duration) -> Duration {
+        (run_time * LIMIT_FACTOR).clamp(MIN_LIMIT, MAX_LIMIT)
+    }
+
+    /// Whether runs with this mean run time often need more than a repeated run is given.
+    pub fn is_too_long(run_time: Duration) -> bool {
+        run_time * MIN_FACTOR > MAX_LIMIT
     }
 
     /// A repeated run starts, with this limit.
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -172,7 +172,7 @@
     /// An earlier attempt of the call may have arrived at a backend server.
     #[display("resent")]
     Resent,
-    /// The run that made the call was a repeat itself.
+    /// A run that was a repeat itself may have made the call.
     #[display("of_repeated_run")]
     OfRepeatedRun,
 }
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -126,11 +126,8 @@
     }
 }
 
-/// Counts a request that may be a call of the backend server of this host; whether it may be one of a
-/// repeated run.
-///
-/// If that run was a repeat, the call is one too, wherever it arrives: runs that were taken to make no
-/// calls may make some after all.
+/// Records a request, which may be a call of the backend server of this host; whether it may be one of
+/// a repeated run, and so a repeat where it arrives.
 fn on_received(node: &RoutedNode, metadata: &RequestMetadata) -> bool {
     node.call_free_routes.borrow_mut().on_request();
     let mut repeated_runs = node.repeated_runs.borrow_mut();
--- a/crates/kumquatquayd/src/routed/local_run.rs
+++ b/crates/kumquatquayd/src/routed/local_run.rs
@@ -157,7 +157,7 @@
 ) -> ForwardResult {
     let mut time_left = timed.deadline.saturating_sub(node.now());
     if arrival.is_repeat() {
-        time_left = time_left.min(repeat_limit(node, timed.call.route).unwrap_or_default());
+        time_left = time_left.min(repeat_limit(node, timed.call.route));
     }
     let Some(request) = build_request(node, timed, time_left) else {
         return ForwardResult::Ended(LinkAnswer::not_run(NotRunReason::Unsent));
--- a/crates/kumquatquayd/src/routed/repeat_admission.rs
+++ b/crates/kumquatquayd/src/routed/repeat_admission.rs
@@ -32,18 +32,17 @@
     retries.try_repeat(now, node.priority_rank(call.request_priority))
 }
 
-/// Time that a repeated run of a route is given at most; `None` if it isn't repeated, since it might
-/// need more.
-pub(super) fn repeat_limit(node: &RoutedNode, route: &str) -> Option<Duration> {
-    let run_time = node.gate.borrow().run_times().estimate(route);
-    RepeatedRuns::limit(run_time)
+/// Time that a repeated run of a route is given at most.
+pub(super) fn repeat_limit(node: &RoutedNode, route: &str) -> Duration {
+    RepeatedRuns::limit(node.gate.borrow().run_times().estimate(route))
 }
 
 /// Whether runs of a route may be repeated, if there is a token.
 fn is_repeatable(node: &RoutedNode, route: &str) -> bool {
+    let run_time = node.gate.borrow().run_times().estimate(route);
     let obstacle = if node.may_make_calls(route) {
         "may_make_calls"
-    } else if repeat_limit(node, route).is_none() {
+    } else if RepeatedRuns::is_too_long(run_time) {
         "long_run"
     } else {
         return true;
