--- a/crates/kumquatquayd/src/routed/admission.rs
+++ b/crates/kumquatquayd/src/routed/admission.rs
@@ -11,10 +11,10 @@
 use super::{
     caller_identity::IdentityRefusal,
     entry::retry_after,
-    forwarding::OutgoingCall,
     held_requests::{HoldResult, flow_key, hold},
     http_io::{BufferedBody, local_answer},
     node::{RoutedNode, StopPhase},
+    outgoing_call::OutgoingCall,
     request_log::log_request,
 };
 
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -14,13 +14,14 @@
 use super::{
     admission::{Admission, PendingRequest, admit, refuse_temporarily},
     caller_identity::{Identified, IdentityRefusal, identify, identify_without_waiting},
-    forwarding::{OutgoingCall, Progress, forward},
+    forwarding::forward,
     http_io::{
         BufferedBody, CallerAddress, fields_from_headers, headers_from_fields, local_answer,
     },
     interface::RequestMetadata,
     link_answer::{LinkAnswer, MayHaveRun},
     node::{RoutedNode, StopPhase},
+    outgoing_call::{OutgoingCall, Progress},
     quotas::{QuotaRefusal, UnspentToken, return_token, take_token},
     request_log::{
         log_over_quota, log_request_end, log_request_rate_limited, log_unidentified, not_run_label,
--- a/crates/kumquatquayd/src/routed/forwarding.rs
+++ b/crates/kumquatquayd/src/routed/forwarding.rs
@@ -1,21 +1,18 @@
 //! Forwards a call from its entry to a backend server, with retries and hedging.
 
-use std::{borrow::Cow, cell::Cell, net::SocketAddr, pin::pin, rc::Rc, sync::Arc, time::Duration};
+use std::{borrow::Cow, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
-use kumquatquay_core::routed::{EndpointResult, Mechanism, PickedEndpoint, RouteEntry};
-use kumquatquay_wire::{
-    BackendLife, ServiceName,
-    routed::{
-        CallHead, LinkOutcome, NotRunReason, Payload, Priority, Repeat, RepeatCause, RouteVersion,
-        UnknownReason, WorkspaceSettings,
-    },
+use kumquatquay_core::routed::{Mechanism, PickedEndpoint};
+use kumquatquay_wire::routed::{
+    CallHead, LinkOutcome, NotRunReason, Repeat, RepeatCause, UnknownReason,
 };
 
 use super::{
-    link::{link_silence, send_call},
-    link_answer::{LinkAnswer, MayHaveRun},
-    local_run::run_locally,
+    attempt::{AttemptGuard, attempt},
+    link::link_silence,
+    link_answer::LinkAnswer,
     node::RoutedNode,
+    outgoing_call::{OutgoingCall, Progress},
 };
 
 /// Refusals after which the nodes that refused a call are not tried again. A refusal by a node
@@ -40,53 +37,6 @@
 const HANG_FACTOR: u32 = 10;
 const MIN_HANG_TIME: Duration = Duration::from_millis(200);
 
-/// A call that was received at the entry of this host and is forwarded to a backend server.
-#[derive(Debug)]
-pub(crate) struct OutgoingCall {
-    pub(crate) caller: Option<SocketAddr>,
-    pub(crate) route: Arc<RouteEntry>,
-    pub(crate) service: ServiceName,
-    pub(crate) version: RouteVersion,
-    /// Workspace to which the caller's key belongs.
-    pub(crate) workspace: Option<Arc<WorkspaceSettings>>,
-    /// Priority of the root request that the call belongs to. Until the run that made the call is
-    /// known, it is computed as if the call were a root request.
-    pub(crate) request_priority: Cell<Priority>,
-    /// Whether a repeated run of the backend server of this host may have made the call.
-    pub(crate) may_be_of_repeated_run: bool,
-    pub(crate) attempt_id: String,
-    pub(crate) deadline: Duration,
-    pub(crate) method: String,
-    pub(crate) target: String,
-    pub(crate) payload: Payload,
-    /// Progress so far. It is kept here so that it can be logged if the deadline passes before
-    /// [`forward`] returns.
-    pub(crate) progress: Cell<Progress>,
-    /// Whether a backend server may have received the call.
-    pub(crate) may_have_run: MayHaveRun,
-}
-
-impl OutgoingCall {
-    /// Priority of this call alone, without that of its root request.
-    fn priority(&self) -> Priority {
-        let workspace = self.workspace.as_ref();
-        let priority = workspace.and_then(|workspace| workspace.priority);
-        priority.unwrap_or(self.route.settings.priority)
-    }
-}
-
-/// Attempts and refusals of a call so far.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Progress {
-    /// Attempts that a backend server rejected or failed, or whose outcome is unknown. A hedged
-    /// attempt counts when it starts.
-    pub(crate) sends_count: u32,
-    /// Nodes that refused it, and searches that found only rate-limited endpoints.
-    pub(crate) refusals_count: usize,
-    /// Control address of the node to which it was sent last.
-    pub(crate) last_node: Option<SocketAddr>,
-}
-
 /// Forwards a call, with retries, until it is answered or has finally failed.
 pub(crate) async fn forward(node: &Rc<RoutedNode>, call: &OutgoingCall) -> LinkAnswer {
     let mut attempts = CallAttempts::default();
@@ -378,148 +328,3 @@
         &mut *random,
     )
 }
-
-/// Reports to the load balancer when an attempt is dropped before it has an answer.
-struct AttemptGuard<'a> {
-    node: &'a RoutedNode,
-    control: SocketAddr,
-    is_pending: Cell<bool>,
-    /// Whether a hedged attempt was started because this one hung.
-    is_hedged: Cell<bool>,
-}
-
-impl<'a> AttemptGuard<'a> {
-    fn new(node: &'a RoutedNode, endpoint: &PickedEndpoint) -> Self {
-        Self {
-            node,
-            control: endpoint.control,
-            is_pending: Cell::new(true),
-            is_hedged: Cell::new(false),
-        }
-    }
-}
-
-impl Drop for AttemptGuard<'_> {
-    fn drop(&mut self) {
-        if !self.is_pending.get() {
-            return;
-        }
-        let ended = if self.is_hedged.get() {
-            EndpointResult::Failed
-        } else {
-            EndpointResult::Cancelled
-        };
-        let now = self.node.now();
-        let mut targets = self.node.load_balancer.borrow_mut();
-        targets.on_ended(now, self.control, ended, None);
-    }
-}
-
-async fn attempt(
-    node: &Rc<RoutedNode>,
-    call: &OutgoingCall,
-    endpoint: &PickedEndpoint,
-    head: CallHead<'_>,
-    guard: &AttemptGuard<'_>,
-) -> LinkAnswer {
-    let answer = send(node, call, endpoint, head).await;
-    guard.is_pending.set(false);
-    apply_reports(node, call, endpoint.control, &answer);
-    if let Some(life) = &endpoint.life {
-        apply_notices(node, endpoint, life, &answer);
-    }
-    let ended = endpoint_result(&answer.outcome);
-    let mut targets = node.load_balancer.borrow_mut();
-    targets.on_ended(node.now(), endpoint.control, ended, answer.report);
-    answer
-}
-
-/// Passes the rate limit and the shutdown notice of a backend server on to the load balancer.
-fn apply_notices(
-    node: &RoutedNode,
-    endpoint: &PickedEndpoint,
-    life: &BackendLife,
-    answer: &LinkAnswer,
-) {
-    if let (LinkOutcome::Answered { .. }, Some(report)) = (&answer.outcome, answer.report) {
-        let mut targets = node.load_balancer.borrow_mut();
-        targets.on_rate_limit(node.now(), life, report.rate);
-    }
-    if answer.is_leaving && node.load_balancer.borrow_mut().on_leaving(node.now(), life) {
-        node.metrics.count("server_leaving", "told");
-        log::info!(event = "server_leaving", life:% = life, from = "answer",
-            node:% = endpoint.control;
-            "backend server announced its shutdown; no further calls are sent to it");
-    }
-}
-
-/// Sends a call to an endpoint, which may be on this host.
-async fn send(
-    node: &Rc<RoutedNode>,
-    call: &OutgoingCall,
-    endpoint: &PickedEndpoint,
-    head: CallHead<'_>,
-) -> LinkAnswer {
-    if endpoint.peer != node.links_address() {
-        return send_call(node, endpoint.peer, head, &call.payload, &call.may_have_run).await;
-    }
-    let confirmed = async {
-        call.may_have_run.set();
-        true
-    };
-    let never = std::future::pending();
-    let mut answer = run_locally(node, &head, &call.payload, confirmed, never).await;
-    answer.report = Some(node.gate_report());
-    answer.route_estimate = Some(node.route_estimate(head.route));
-    answer
-}
-
-/// Applies the reports that came with an answer: load of the gate, demand of the route and
-/// pressure on further services.
-fn apply_reports(node: &RoutedNode, call: &OutgoingCall, gate: SocketAddr, answer: &LinkAnswer) {
-    let now = node.now();
-    let mut entry_admission = node.entry_admission.borrow_mut();
-    if let Some(report) = answer.report {
-        entry_admission.on_gate(now, &call.service, gate, &report);
-    }
-    if let Some(update) = &answer.route_estimate {
-        let route = &call.route.settings.name;
-        if entry_admission.on_route_update(now, route, &call.service, gate, update.clone()) {
-            node.route_demand_log
-                .log_if_changed(now, route, &call.service, update);
-        } else {
-            node.metrics.count("news", "senseless");
-            if node.metrics.take_log_permit(now) {
-                log::warn!(event = "news_senseless", route = route.as_str(),
-                    service = call.service.as_str(), gate:% = gate;
-                    "ignored implausible route information from another node");
-            }
-        }
-    }
-    for pressure in &answer.pressures {
-        // For the service of the call, the gate's own report above is more accurate.
-        if pressure.service != call.service {
-            entry_admission.on_pressure(now, pressure);
-        }
-    }
-}
-
-fn endpoint_result(outcome: &LinkOutcome) -> EndpointResult {
-    match outcome {
-        // Also for error answers: the gate reports the share of failed runs, without runs that
-        // failed because a call they made was lost.
-        LinkOutcome::Answered { .. } => EndpointResult::Answered,
-        LinkOutcome::NotRun(NotRunReason::Full | NotRunReason::Failing) => EndpointResult::GateFull,
-        LinkOutcome::NotRun(NotRunReason::Limited) => EndpointResult::RateLimited,
-        LinkOutcome::NotRun(NotRunReason::Late | NotRunReason::OverBudget) => {
-            EndpointResult::Cancelled
-        }
-        LinkOutcome::NotRun(NotRunReason::TurnedAway | NotRunReason::Quarantined) => {
-            EndpointResult::Failed
-        }
-        LinkOutcome::NotRun(NotRunReason::Closed) => EndpointResult::Unavailable,
-        LinkOutcome::NotRun(NotRunReason::Unsent)
-        | LinkOutcome::Unknown(UnknownReason::LinkLost) => EndpointResult::Unreachable,
-        LinkOutcome::Unknown(_) => EndpointResult::Failed,
-    }
-}
--- a/crates/kumquatquayd/src/routed/held_requests.rs
+++ b/crates/kumquatquayd/src/routed/held_requests.rs
@@ -11,8 +11,8 @@
 
 use super::{
     admission::{ClaimantShortage, PendingRequest, admission_probability},
-    forwarding::OutgoingCall,
     node::{RoutedNode, StopPhase},
+    outgoing_call::OutgoingCall,
 };
 
 /// Interval at which held requests are checked for release.
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -10,6 +10,7 @@
 
 mod admission;
 mod arrivals;
+mod attempt;
 mod backend_pool;
 mod backend_run;
 mod buffer_pool;
@@ -35,6 +36,7 @@
 mod metrics_text;
 mod node;
 mod node_metrics;
+mod outgoing_call;
 mod pipelining;
 mod quotas;
 mod repeat_admission;
--- a/crates/kumquatquayd/src/routed/request_log.rs
+++ b/crates/kumquatquayd/src/routed/request_log.rs
@@ -8,8 +8,8 @@
 };
 
 use super::{
-    caller_identity::IdentityRefusal, forwarding::OutgoingCall, interface::RequestMetadata,
-    link_answer::LinkAnswer, node::RoutedNode, quotas::QuotaRefusal,
+    caller_identity::IdentityRefusal, interface::RequestMetadata, link_answer::LinkAnswer,
+    node::RoutedNode, outgoing_call::OutgoingCall, quotas::QuotaRefusal,
 };
 
 pub(crate) fn not_run_label(reason: NotRunReason) -> &'static str {
