Expect calls of repeated runs after a node was suspended

Found on reading: a node that was stopped for more than 10 s forgot the limits of the runs that it had repeated before, and took their calls, which it receives as it goes on, for first arrivals. Limits are forgotten a period after the node has gone on.

--- a/crates/kumquatquay-core/src/routed/repeated_runs.rs
+++ b/crates/kumquatquay-core/src/routed/repeated_runs.rs
@@ -15,7 +15,7 @@
 const MIN_FACTOR: u32 = 3;
 
 /// How long after the start of a repeated run its calls are expected at least. The run itself lasts for
-/// [`MAX_LIMIT`] at most; the rest is for hosts that were suspended.
+/// [`MAX_LIMIT`] at most; the rest is for calls that are received late.
 const EXPIRY: Duration = Duration::from_secs(5);
 
 /// Backend servers round the time that is left to whole milliseconds.
@@ -80,8 +80,8 @@
         if passed < EXPIRY {
             return;
         }
-        let limit = self.limit.take();
-        self.previous_limit = limit.filter(|_| passed < EXPIRY * 2);
+        // However long the period was: a suspended node then receives what was sent meanwhile.
+        self.previous_limit = self.limit.take();
         self.period_started = now;
     }
 }
--- a/crates/kumquatquay-core/tests/routed/repeated_runs.rs
+++ b/crates/kumquatquay-core/tests/routed/repeated_runs.rs
@@ -71,6 +71,16 @@
     assert!(runs.may_have_made(at_ms(90_001), Some(ms(50))));
 }
 
+/// A node that was suspended for long receives the calls that were made meanwhile when it goes on.
+#[test]
+fn a_suspended_node_expects_calls_when_it_goes_on() {
+    let mut runs = RepeatedRuns::new();
+    runs.on_start(at_ms(1_000), ms(100));
+    assert!(runs.may_have_made(at_ms(61_000), Some(ms(50))));
+    assert!(runs.may_have_made(at_ms(65_999), Some(ms(50))));
+    assert!(!runs.may_have_made(at_ms(66_000), Some(ms(50))));
+}
+
 /// A node that was killed leaves repeated runs behind, whose calls come to its next life.
 #[test]
 fn a_new_life_expects_calls_of_the_last_one() {
