Log runs whose connection broke, with the fingerprint of their request

A node logged that its backend server was gone, and nothing of the requests that ran then. The line run_broken and the counter run{why=broken} tell, at the node beside the server, which request ran, on which route, for how long and beside how many others. The fingerprint is the one of the quarantine, over service, method, path, query, workspace and body, so that a request that comes again under another id shows as the same. No decision changes.

--- a/crates/kumquatquay-core/src/lib.rs
+++ b/crates/kumquatquay-core/src/lib.rs
@@ -60,4 +60,5 @@
     Severity, StartAttempt,
 };
 pub use policy::Policy;
+pub use quarantine::RequestIdentity;
 pub use state_dump::{DataCentreDump, MemberDump, MembershipDump, StateDump};
--- a/crates/kumquatquay-core/src/quarantine/fingerprint.rs
+++ b/crates/kumquatquay-core/src/quarantine/fingerprint.rs
@@ -2,7 +2,7 @@
 
 use std::sync::LazyLock;
 
-use kumquatquay_wire::Fingerprint;
+use kumquatquay_wire::{BodyDigest, Fingerprint};
 
 use crate::CallArrived;
 
@@ -13,31 +13,64 @@
 static DERIVED_KEY: LazyLock<[u8; 32]> =
     LazyLock::new(|| blake3::derive_key(DERIVATION_CONTEXT, &[]));
 
-/// Fingerprint of a request, the same for a resend with a new trace id.
-///
-/// It covers the service, the method, the path, the query, the caller and the digest of the
-/// body. The `Idempotency-Key` is hashed only if the host has not read the whole body; otherwise
-/// a caller that resends a crashing body under a new key would not be recognised.
+/// What identifies a request across resends, which bring a new trace id.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestIdentity<'a> {
+    /// Service that is called.
+    pub service: &'a str,
+    /// HTTP method.
+    pub method: &'a str,
+    /// Path, without the query.
+    pub path: &'a str,
+    /// Query, without the question mark; empty if there is none.
+    pub query: &'a str,
+    /// Caller to whom the request belongs; empty if it is unknown.
+    pub caller: &'a str,
+    /// Digest of the whole body; `None` if the host has not read it whole, or if it is empty.
+    pub body_digest: Option<&'a BodyDigest>,
+    /// Key of the operation.
+    ///
+    /// It is hashed only without a digest; otherwise a caller that resends a crashing body under a
+    /// new key would not be recognised.
+    pub idempotency_key: Option<&'a str>,
+}
+
+impl RequestIdentity<'_> {
+    /// Hash of the identity, the same for each resend.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let mut hasher = blake3::Hasher::new_keyed(&DERIVED_KEY);
+        let texts = [
+            self.service,
+            self.method,
+            self.path,
+            self.query,
+            self.caller,
+        ];
+        for text in texts {
+            hasher.update(&(text.len() as u64).to_le_bytes());
+            hasher.update(text.as_bytes());
+        }
+        match (self.body_digest, self.idempotency_key) {
+            (Some(digest), _) => hasher.update(digest),
+            (None, Some(key)) => hasher.update(key.as_bytes()),
+            (None, None) => &mut hasher,
+        };
+        let hash = hasher.finalize();
+        let bytes = hash.as_bytes()[..8].try_into();
+        Fingerprint::from_le_bytes(bytes.expect("a BLAKE3 hash has 32 bytes"))
+    }
+}
+
+/// Fingerprint of a call that has arrived.
 pub(crate) fn fingerprint_of(arrived: &CallArrived, caller: &str) -> Fingerprint {
-    let mut hasher = blake3::Hasher::new_keyed(&DERIVED_KEY);
-    let query = arrived.query.as_deref().unwrap_or_default();
-    let texts = [
-        &arrived.service,
-        &arrived.method,
-        &arrived.path,
-        query,
+    let identity = RequestIdentity {
+        service: &arrived.service,
+        method: &arrived.method,
+        path: &arrived.path,
+        query: arrived.query.as_deref().unwrap_or_default(),
         caller,
-    ];
-    for text in texts {
-        hasher.update(&(text.len() as u64).to_le_bytes());
-        hasher.update(text.as_bytes());
-    }
-    match (&arrived.body_digest, &arrived.idempotency_key) {
-        (Some(digest), _) => hasher.update(digest),
-        (None, Some(key)) => hasher.update(key.as_bytes()),
-        (None, None) => &mut hasher,
+        body_digest: arrived.body_digest.as_ref(),
+        idempotency_key: arrived.idempotency_key.as_deref(),
     };
-    let hash = hasher.finalize();
-    let bytes = hash.as_bytes()[..8].try_into();
-    Fingerprint::from_le_bytes(bytes.expect("a BLAKE3 hash has 32 bytes"))
+    identity.fingerprint()
 }
--- a/crates/kumquatquay-core/src/quarantine/mod.rs
+++ b/crates/kumquatquay-core/src/quarantine/mod.rs
@@ -12,6 +12,7 @@
     on_attempt_ended, on_backend_died, on_connection_broken, on_rumour, on_tick, on_work_ended,
     on_work_ran, records_to_gossip, release,
 };
+pub use fingerprint::RequestIdentity;
 pub(crate) use fingerprint::fingerprint_of;
 pub(crate) use in_flight_request::InFlightRequest;
 pub(crate) use quarantine_table::QuarantineTable;
--- a/crates/kumquatquayd/src/routed/local_run.rs
+++ b/crates/kumquatquayd/src/routed/local_run.rs
@@ -11,6 +11,7 @@
     arrivals::Arrival,
     backend_pool::{BackendAnswer, SendError},
     backend_run::BackendRun,
+    call_fingerprint::fingerprint_at_gate,
     gate_slot::{RunSlot, TimedCall, wait_for_confirmed_slot},
     http_io::{BufferedBody, fields_from_headers, headers_from_fields},
     interface::ForwardedMetadata,
@@ -169,7 +170,7 @@
     run.has_result = sent.is_ok();
     let result = match sent {
         Ok(Ok(answer)) => classify_answer(node, timed, slot.started_at, answer),
-        Ok(Err(error)) => ForwardResult::Ended(on_send_error(node, error)),
+        Ok(Err(error)) => ForwardResult::Ended(on_send_error(node, timed, slot, error)),
         Err(_) => ForwardResult::Ended(LinkAnswer::unknown(UnknownReason::NoAnswer)),
     };
     run.is_success = matches!(&result, ForwardResult::Ended(answer) if answer.is_success());
@@ -264,13 +265,37 @@
     })
 }
 
-fn on_send_error(node: &RoutedNode, error: SendError) -> LinkAnswer {
+fn on_send_error(
+    node: &RoutedNode,
+    timed: &TimedCall<'_>,
+    slot: &RunSlot,
+    error: SendError,
+) -> LinkAnswer {
     match error {
         SendError::ConnectionRefused => {
             announce_backend_death(node, "connection refused");
             LinkAnswer::not_run(NotRunReason::Closed)
         }
         SendError::Unsent => LinkAnswer::not_run(NotRunReason::TurnedAway),
-        SendError::ConnectionBroken => LinkAnswer::unknown(UnknownReason::BackendBroke),
+        SendError::ConnectionBroken => {
+            log_broken_run(node, timed, slot.started_at);
+            LinkAnswer::unknown(UnknownReason::BackendBroke)
+        }
     }
 }
+
+/// Logs a run whose connection broke. The fingerprint shows which of them were the same request.
+fn log_broken_run(node: &RoutedNode, timed: &TimedCall<'_>, started_at: Duration) {
+    node.metrics.count("run", "broken");
+    let now = node.now();
+    if !node.metrics.take_log_permit(now) {
+        return;
+    }
+    let call = timed.call;
+    let fingerprint = fingerprint_at_gate(call, &timed.payload.body);
+    log::warn!(event = "run_broken", request = call.attempt, route = call.route,
+        service = call.service, fingerprint:% = format_args!("{fingerprint:016x}"),
+        ran_ms = now.saturating_sub(started_at).as_millis() as u64,
+        running = node.gate_report().running_count;
+        "the backend server broke the connection of a run");
+}
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -14,6 +14,7 @@
 mod backend_pool;
 mod backend_run;
 mod buffer_pool;
+mod call_fingerprint;
 mod call_workers;
 mod caller_connection;
 mod caller_identity;
