--- a/crates/kumquatquay-core/src/configuration/controller.rs
+++ b/crates/kumquatquay-core/src/configuration/controller.rs
@@ -93,7 +93,7 @@
         OperatorCommand::QuarantineRelease {
             service,
             fingerprint,
-        } => quarantine::release(board, now, &service, fingerprint),
+        } => quarantine::release(board, now, &service, fingerprint, out),
         OperatorCommand::IntentList => intents(board),
         OperatorCommand::IntentHistory { service } => history(board, service.as_ref()),
         OperatorCommand::Plan {
--- a/crates/kumquatquay-core/src/gate/controller.rs
+++ b/crates/kumquatquay-core/src/gate/controller.rs
@@ -48,6 +48,7 @@
         }
         BackendInput::HealthReported { is_healthy } => board.gate.is_reported_ill = !is_healthy,
         BackendInput::Died => on_died(board, now, out),
+        BackendInput::Unresponsive => on_unresponsive(board, out),
     }
 }
 
@@ -57,6 +58,10 @@
     let in_flight = unanswered.map(|(work, running)| in_flight(*work, running));
     let in_flight: Vec<_> = in_flight.collect();
     quarantine::on_backend_died(board, now, &in_flight, out);
+    on_unresponsive(board, out);
+}
+
+fn on_unresponsive(board: &mut Blackboard, out: &mut Vec<Output>) {
     board.gate.limit.reset();
     refuse_all(board, out);
 }
@@ -125,7 +130,7 @@
                 .gate
                 .limit
                 .on_latency(others_at_start_count, own_latency);
-            quarantine::on_work_ran(board, now, id, context.fingerprint);
+            quarantine::on_work_ran(board, now, id, context.fingerprint, out);
         }
         WorkResult::Answered { .. } | WorkResult::NotSent => {
             board.gate.limit.on_backend_refused(others_count);
--- a/crates/kumquatquay-core/src/input/backend_input.rs
+++ b/crates/kumquatquay-core/src/input/backend_input.rs
@@ -17,6 +17,9 @@
     },
     /// It died: its process has ended or its listening socket is closed.
     Died,
+    /// It gives no answers. No calls are sent to it, as if it had died, but no request is suspected of
+    /// it: its host may be paused.
+    Unresponsive,
 }
 
 /// Announcement of a backend server, sent as JSON to `POST /announcements`.
--- a/crates/kumquatquay-core/src/input/mod.rs
+++ b/crates/kumquatquay-core/src/input/mod.rs
@@ -5,6 +5,7 @@
 mod call_input;
 mod log_input;
 mod operator_input;
+mod run_input;
 mod work_input;
 
 pub use backend_input::{Announcement, BackendInput};
@@ -15,12 +16,13 @@
 };
 pub use log_input::{LogInput, LogRecord};
 pub use operator_input::OperatorInput;
+pub use run_input::RunInput;
 pub use work_input::{WorkInput, WorkResult};
 
 use std::{net::SocketAddr, time::Duration};
 
 use derive_more::From;
-use kumquatquay_wire::Datagram;
+use kumquatquay_wire::{Datagram, QuarantineRecord};
 
 /// An event that the host reports to its node.
 #[derive(Clone, Debug, From)]
@@ -41,8 +43,13 @@
     Call(CallInput),
     /// An event of work for the backend server of this host.
     Work(WorkInput),
+    /// The end of a run of a call on a route.
+    Run(RunInput),
     /// An event of the backend server of this host.
     Backend(BackendInput),
+    /// A record that the host found in the platform's store.
+    #[from(skip)]
+    Quarantine(QuarantineRecord),
     /// Control addresses of other nodes that the host found in a register.
     #[from(skip)]
     Seeds(Vec<SocketAddr>),
--- a/crates/kumquatquay-core/src/lib.rs
+++ b/crates/kumquatquay-core/src/lib.rs
@@ -49,8 +49,8 @@
 pub use ids::{AppendId, AttemptId, CallId, OperatorRequestId, ReadId, WorkId};
 pub use input::{
     Announcement, AnswerHead, AttemptEnded, AttemptResult, BackendInput, BulkInput, CallArrived,
-    CallInput, CallOrigin, Input, IssueOperation, LogInput, LogRecord, OperatorInput, StoredAnswer,
-    WorkInput, WorkResult,
+    CallInput, CallOrigin, Input, IssueOperation, LogInput, LogRecord, OperatorInput, RunInput,
+    StoredAnswer, WorkInput, WorkResult,
 };
 pub use node::Node;
 pub use node_settings::NodeSettings;
@@ -60,5 +60,5 @@
     Severity, StartAttempt,
 };
 pub use policy::Policy;
-pub use quarantine::RequestIdentity;
+pub use quarantine::{RequestIdentity, RunVerdict};
 pub use state_dump::{DataCentreDump, MemberDump, MembershipDump, StateDump};
--- a/crates/kumquatquay-core/src/membership/controller.rs
+++ b/crates/kumquatquay-core/src/membership/controller.rs
@@ -61,7 +61,7 @@
         BackendInput::Announced(announcement) => {
             board.membership.announcement = Some(announcement);
         }
-        BackendInput::Died => board.membership.announcement = None,
+        BackendInput::Died | BackendInput::Unresponsive => board.membership.announcement = None,
         BackendInput::HealthReported { .. } => return,
     }
     draining::update_own_state(board, now);
@@ -243,7 +243,7 @@
         Rumour::Member(record) => merge::on_record(board, now, record, out),
         Rumour::Status(status) => merge::on_status(board, now, &status, out),
         Rumour::Level(level) => overload::on_level_rumour(board, now, level),
-        Rumour::Quarantine(record) => quarantine::on_rumour(board, now, record),
+        Rumour::Quarantine(record) => quarantine::on_rumour(board, now, record, out),
         Rumour::Configuration(version) => {
             configuration::on_peer_version(board, now, from, version, out);
         }
--- a/crates/kumquatquay-core/src/membership/transmit_counts.rs
+++ b/crates/kumquatquay-core/src/membership/transmit_counts.rs
@@ -50,11 +50,10 @@
         {
             rumours.push(Rumour::Configuration(version));
         }
-        for record in quarantine::records_to_gossip(board, now) {
-            if self.is_record_due(now.monotonic, &record) {
-                rumours.push(Rumour::Quarantine(record));
-            }
-        }
+        let mut records = quarantine::records_to_gossip(board, now);
+        records.retain(|record| self.is_record_due(now.monotonic, record));
+        shuffle_weak(&mut records, board);
+        rumours.extend(records.into_iter().map(Rumour::Quarantine));
         let mut levels = overload::levels_to_gossip(board, now);
         levels.shuffle(&mut board.random);
         rumours.extend(levels.into_iter().map(Rumour::Level));
@@ -92,3 +91,17 @@
         true
     }
 }
+
+/// Orders records with weak evidence at random, behind those with strong evidence.
+///
+/// A crash with many requests in flight leaves more records than fit into a datagram. In a fixed order
+/// the last of them, among them those that were cleared, would not be sent in any round.
+fn shuffle_weak(records: &mut [QuarantineRecord], board: &mut Blackboard) {
+    records.sort_by_key(|record| !has_strong_evidence(record));
+    let strong_count = records.partition_point(has_strong_evidence);
+    records[strong_count..].shuffle(&mut board.random);
+}
+
+fn has_strong_evidence(record: &QuarantineRecord) -> bool {
+    record.is_quarantined() || record.is_isolated()
+}
--- a/crates/kumquatquay-core/src/node.rs
+++ b/crates/kumquatquay-core/src/node.rs
@@ -2,13 +2,15 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use kumquatquay_wire::{MemberRecord, TableDigest};
-
-use kumquatquay_wire::{Class, ConfigurationVersion};
+use kumquatquay_wire::{
+    Class, ConfigurationVersion, Fingerprint, MemberRecord, QuarantineRecord, ServiceName,
+    TableDigest,
+};
 
 use crate::{
-    Blackboard, Counter, Counters, Input, LogInput, Moment, NodeSettings, Output, StateDump, call,
-    configuration, gate, membership, operations, overload, quarantine,
+    Blackboard, Counter, Counters, Input, LogInput, Moment, NodeSettings, Output, RunVerdict,
+    StateDump, WorkId, call, configuration, gate, membership, operations, overload,
+    quarantine::{self, Verdict},
 };
 
 /// State machine of one node.
@@ -70,6 +72,8 @@
             Input::Stopping { grace } => membership::on_stopping(board, now, grace, out),
             Input::Call(input) => call::on_input(board, now, input, out),
             Input::Work(input) => gate::on_input(board, now, input, out),
+            Input::Run(input) => quarantine::on_run_ended(board, now, input, out),
+            Input::Quarantine(record) => quarantine::on_rumour(board, now, record, out),
             Input::Backend(input) => {
                 gate::on_backend(board, now, &input, out);
                 membership::on_backend(board, now, input, out);
@@ -113,6 +117,40 @@
         }
     }
 
+    // Calls on routes
+
+    /// Whether a run of a call on a route may begin at the backend server of this host; if so, it
+    /// is in flight until a [`RunInput`](crate::RunInput) tells how it ended.
+    pub fn begin_run(&mut self, now: Moment, work: WorkId, fingerprint: Fingerprint) -> RunVerdict {
+        quarantine::begin_run(&mut self.board, now, work, fingerprint)
+    }
+
+    /// Whether no request is suspected of a crash, so that none needs a fingerprint.
+    pub fn has_no_suspects(&self) -> bool {
+        self.board.quarantine.is_empty()
+    }
+
+    /// Whether calls with a fingerprint to a service are refused.
+    pub fn is_quarantined(&self, now: Moment, service: &ServiceName, of: Fingerprint) -> bool {
+        let verdict = quarantine::check(&self.board, now, service, of);
+        matches!(verdict, Verdict::Refuse(_))
+    }
+
+    /// Whether calls with a fingerprint to a service may have crashed a backend server.
+    pub fn is_suspect(&self, now: Moment, service: &ServiceName, of: Fingerprint) -> bool {
+        quarantine::is_active(&self.board, now, service, of)
+    }
+
+    /// Whether the entry of a call on a route may send it again after a run of it broke.
+    pub fn may_send_again(&self, now: Moment, service: &ServiceName, of: Fingerprint) -> bool {
+        quarantine::may_send_again(&self.board, now, service, of)
+    }
+
+    /// Records of the service of this host that should outlast a restart of all nodes.
+    pub fn records_to_keep(&self, now: Moment) -> Vec<QuarantineRecord> {
+        quarantine::records_to_keep(&self.board, now)
+    }
+
     /// Event counters since the node's start.
     pub fn counters(&self) -> &Counters {
         &self.board.counters
--- /dev/null
+++ b/crates/kumquatquay-core/src/quarantine/admission.rs
@@ -0,0 +1,221 @@
+//! Decides which requests may run.
+
+use std::{net::SocketAddr, time::Duration};
+
+use kumquatquay_wire::{Fingerprint, Outcome, QuarantineRecord, ServiceName};
+
+use super::{
+    in_flight_request::InFlightRequest, own_service::own_service, quarantine_entry::QuarantineEntry,
+};
+use crate::{Blackboard, Counter, Moment, Refusal, RefusalReason, WorkId};
+
+/// `Retry-After` of a suspect that can't run at the moment.
+const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What may be done with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// It may run: it is not suspected of a crash.
+    Admit,
+    /// A suspect with strong evidence against it: it may run at the [`isolation_endpoint`] only,
+    /// one at a time, and is not retried automatically.
+    Isolate,
+    /// It must not run.
+    Refuse(Refusal),
+}
+
+/// Whether a request to a service may run, by what this node knows of its fingerprint.
+pub(crate) fn check(
+    board: &Blackboard,
+    now: Moment,
+    service: &ServiceName,
+    fingerprint: Fingerprint,
+) -> Verdict {
+    let table = &board.quarantine;
+    let verdict = if table
+        .broken_calls
+        .is_suspect(now.monotonic, service, fingerprint)
+    {
+        Verdict::Isolate
+    } else {
+        Verdict::Admit
+    };
+    let Some(entry) = table.get(service, fingerprint) else {
+        return verdict;
+    };
+    if entry.is_quarantined(now.monotonic) {
+        let count = entry.crashes_count();
+        return Verdict::Refuse(quarantine_refusal(count, entry.remaining(now.monotonic)));
+    }
+    if entry.is_isolated(now.monotonic) {
+        return Verdict::Isolate;
+    }
+    verdict
+}
+
+/// Whether this node may retry a call automatically.
+pub(crate) fn may_retry(
+    board: &Blackboard,
+    now: Moment,
+    service: &ServiceName,
+    fingerprint: Fingerprint,
+) -> bool {
+    let table = &board.quarantine;
+    !is_active(board, now, service, fingerprint)
+        && table
+            .broken_calls
+            .allows_retry(now.monotonic, service, fingerprint)
+}
+
+fn quarantine_refusal(crashes_count: usize, remaining: Duration) -> Refusal {
+    Refusal {
+        reason: RefusalReason::Quarantined,
+        outcome: Outcome::NotRun,
+        retry_after: Some(remaining),
+        detail: format!(
+            "{crashes_count} backend servers died while they ran this request; it is refused \
+             until the quarantine lapses or an operator releases it"
+        ),
+    }
+}
+
+fn temporary_refusal(detail: &str) -> Refusal {
+    Refusal {
+        reason: RefusalReason::Quarantined,
+        outcome: Outcome::NotRun,
+        retry_after: Some(SUSPECT_RETRY_AFTER),
+        detail: String::from(detail),
+    }
+}
+
+/// Peer address of the one backend server of a service that runs suspects.
+///
+/// It is picked by rendezvous hashing: all nodes with the same view of the members pick the
+/// same one, so that two suspects, or one suspect that was sent twice, can't run at two backend
+/// servers at the same time. When it dies, the one with the next highest hash takes over.
+pub(crate) fn isolation_endpoint(board: &Blackboard, service: &ServiceName) -> Option<SocketAddr> {
+    let candidates = board.members.candidates(service).iter();
+    let picked = candidates.max_by_key(|candidate| {
+        let name = format!("{service} {} {}", candidate.control, candidate.incarnation);
+        let hash = blake3::hash(name.as_bytes());
+        (*hash.as_bytes(), candidate.control)
+    });
+    picked.map(|candidate| candidate.peer)
+}
+
+/// Whether the gate may run a piece of work now.
+///
+/// A suspect that is admitted counts as running until [`on_work_ran`] or [`on_work_ended`].
+pub(crate) fn admit_work(
+    board: &mut Blackboard,
+    now: Moment,
+    work: WorkId,
+    fingerprint: Fingerprint,
+) -> Verdict {
+    let verdict = check_work(board, now, fingerprint);
+    match verdict {
+        Verdict::Isolate => {
+            board.quarantine.running_suspects.insert(work, fingerprint);
+        }
+        Verdict::Refuse(_) => board.counters.increment(Counter::QuarantineRefusals),
+        Verdict::Admit => {}
+    }
+    verdict
+}
+
+fn check_work(board: &mut Blackboard, now: Moment, fingerprint: Fingerprint) -> Verdict {
+    let Some(service) = own_service(board) else {
+        return Verdict::Admit;
+    };
+    let verdict = check(board, now, &service, fingerprint);
+    if verdict != Verdict::Isolate {
+        return verdict;
+    }
+    if !board.quarantine.running_suspects.is_empty() {
+        return Verdict::Refuse(temporary_refusal(
+            "another suspected request runs; ask again",
+        ));
+    }
+    let target = isolation_endpoint(board, &service);
+    if target.is_some_and(|target| target != board.settings.peer) {
+        let detail = "suspected of a crash; it may run at another backend server only";
+        return Verdict::Refuse(temporary_refusal(detail));
+    }
+    Verdict::Isolate
+}
+
+/// Whether a run of a call on a route may begin at the backend server of this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunVerdict {
+    /// It may begin, and counts as in flight until a [`RunInput`](crate::RunInput) tells its end.
+    Run,
+    /// It may not begin here while another suspect runs.
+    Busy,
+    /// It is quarantined.
+    Refuse,
+}
+
+/// Whether a run of a call on a route may begin; if so, it counts as in flight.
+///
+/// A suspect with strong evidence against it runs alone among suspects at each gate. It isn't sent to
+/// one gate of the service alone: the entry picks by load, and just after a death the nodes
+/// disagree about the members.
+pub(crate) fn begin_run(
+    board: &mut Blackboard,
+    now: Moment,
+    work: WorkId,
+    fingerprint: Fingerprint,
+) -> RunVerdict {
+    let verdict = match own_service(board) {
+        Some(service) => check(board, now, &service, fingerprint),
+        None => Verdict::Admit,
+    };
+    match verdict {
+        Verdict::Refuse(_) => {
+            board.counters.increment(Counter::QuarantineRefusals);
+            return RunVerdict::Refuse;
+        }
+        Verdict::Isolate if !board.quarantine.running_suspects.is_empty() => {
+            board.counters.increment(Counter::QuarantineRefusals);
+            return RunVerdict::Busy;
+        }
+        Verdict::Isolate => {
+            board.quarantine.running_suspects.insert(work, fingerprint);
+        }
+        Verdict::Admit => {}
+    }
+    let request = InFlightRequest {
+        work,
+        fingerprint,
+        started: now.monotonic,
+    };
+    board.quarantine.running.insert(work, request);
+    RunVerdict::Run
+}
+
+/// Whether crashes of a fingerprint count at present.
+pub(crate) fn is_active(
+    board: &Blackboard,
+    now: Moment,
+    service: &ServiceName,
+    fingerprint: Fingerprint,
+) -> bool {
+    let entry = board.quarantine.get(service, fingerprint);
+    entry.is_some_and(|entry| entry.is_active(now.monotonic))
+}
+
+/// Whether the entry of a call on a route may send it again after a run of it broke.
+///
+/// One crash is weak evidence where many requests were in flight, and the others of them should be served. After
+/// the second crash of a fingerprint its next run is left to its caller, who learns that it failed.
+pub(crate) fn may_send_again(
+    board: &Blackboard,
+    now: Moment,
+    service: &ServiceName,
+    fingerprint: Fingerprint,
+) -> bool {
+    let entry = board.quarantine.get(service, fingerprint);
+    let active = entry.filter(|entry| entry.is_active(now.monotonic));
+    let crashes_count = active.map_or(0, QuarantineEntry::crashes_count);
+    crashes_count < QuarantineRecord::CLEAR_CRASHES_COUNT
+}
--- /dev/null
+++ b/crates/kumquatquay-core/src/quarantine/attribution.rs
@@ -0,0 +1,212 @@
+//! Attributes deaths of the backend server of this host to the requests that it was running.
+
+use std::time::Duration;
+
+use kumquatquay_wire::{Crash, Fingerprint, Outcome, ServiceName};
+
+use super::{
+    broken_calls::ConnectionBreak,
+    in_flight_request::{InFlightRequest, fingerprints_latest_first},
+    notices::notify_service,
+    own_service::own_service,
+    records::clear_suspect,
+};
+use crate::{AttemptResult, Blackboard, Counter, Moment, Note, Output, RunInput, Severity, WorkId};
+
+/// HTTP status of a node's answer if its backend server broke the connection.
+///
+/// A time-out has another status: it is no sign of a crash.
+const CONNECTION_BROKEN_STATUS: u16 = 502;
+
+/// How long work counts as in flight after its connection broke.
+///
+/// The connections of a backend server that dies break before its node detects the death;
+/// without this retention its requests would look finished by then.
+const BROKEN_WORK_RETENTION: Duration = Duration::from_secs(3);
+
+/// Most work with a broken connection that is remembered.
+const BROKEN_WORK_LIMIT_COUNT: usize = 1_024;
+
+/// Most suspects that one crash adds.
+///
+/// With more requests in flight, the crash is weak evidence against each of them.
+const SUSPECTS_LIMIT_COUNT: usize = 256;
+
+/// Records how an attempt of a call of this node ended.
+///
+/// This node treats a request as a suspect as soon as a backend server has broken its
+/// connection. By the time the death is detected, a retry or a quick resend could already have
+/// reached another backend server.
+pub(crate) fn on_attempt_ended(
+    board: &mut Blackboard,
+    now: Moment,
+    service: &ServiceName,
+    fingerprint: Fingerprint,
+    result: &AttemptResult,
+    outcome: Outcome,
+) {
+    let broken_calls = &mut board.quarantine.broken_calls;
+    match (result, outcome) {
+        (AttemptResult::Answered(head), Outcome::Unknown)
+            if head.status == CONNECTION_BROKEN_STATUS =>
+        {
+            broken_calls.add(
+                now.monotonic,
+                service,
+                fingerprint,
+                ConnectionBreak::Backend,
+            );
+        }
+        (AttemptResult::Broken, _) => {
+            broken_calls.add(now.monotonic, service, fingerprint, ConnectionBreak::Host);
+        }
+        (AttemptResult::Answered(_), Outcome::Ran) => broken_calls.remove(service, fingerprint),
+        _ => {}
+    }
+}
+
+/// Records that the backend server of this host answered work that it ran.
+///
+/// This clears a suspect, but not a quarantined fingerprint: the work may have started before
+/// the quarantine, and clearing it would let other requests with the fingerprint run again.
+pub(crate) fn on_work_ran(
+    board: &mut Blackboard,
+    now: Moment,
+    work: WorkId,
+    fingerprint: Fingerprint,
+    out: &mut Vec<Output>,
+) {
+    let table = &mut board.quarantine;
+    table.running_suspects.remove(&work);
+    table.recent_runs.add(now.monotonic, fingerprint);
+    let Some(service) = own_service(board) else {
+        return;
+    };
+    clear_suspect(board, now, &service, fingerprint, out);
+}
+
+/// Records that the connection of a piece of work broke while it ran.
+pub(crate) fn on_connection_broken(board: &mut Blackboard, now: Moment, request: InFlightRequest) {
+    if board.quarantine.counted_work.contains(&request.work) {
+        return;
+    }
+    let broken_work = &mut board.quarantine.broken_work;
+    broken_work.push_back((now.monotonic, request));
+    if broken_work.len() > BROKEN_WORK_LIMIT_COUNT {
+        broken_work.pop_front();
+    }
+}
+
+/// Records that the backend server no longer runs a piece of work.
+pub(crate) fn on_work_ended(board: &mut Blackboard, work: WorkId) {
+    board.quarantine.counted_work.remove(&work);
+    board.quarantine.running_suspects.remove(&work);
+}
+
+/// Records that the backend server of this host died with requests in flight.
+///
+/// Each of them becomes a suspect, or is quarantined if it was a suspect already; the other
+/// nodes of the service are notified.
+pub(crate) fn on_backend_died(
+    board: &mut Blackboard,
+    now: Moment,
+    in_flight: &[InFlightRequest],
+    out: &mut Vec<Output>,
+) {
+    let table = &mut board.quarantine;
+    let in_flight: Vec<InFlightRequest> =
+        table.running.values().chain(in_flight).copied().collect();
+    let is_new = |request: &&InFlightRequest| !table.counted_work.contains(&request.work);
+    let new: Vec<InFlightRequest> = in_flight.iter().filter(is_new).copied().collect();
+    if new.is_empty() && !in_flight.is_empty() {
+        return;
+    }
+    board.counters.increment(Counter::BackendDeaths);
+    let table = &mut board.quarantine;
+    table
+        .counted_work
+        .extend(new.iter().map(|request| request.work));
+    table.running_suspects.clear();
+    let broken_work = std::mem::take(&mut table.broken_work);
+    let recent = broken_work
+        .into_iter()
+        .filter(|(broken_at, _)| now.monotonic <= *broken_at + BROKEN_WORK_RETENTION)
+        .map(|(_, request)| request);
+    let in_flight: Vec<InFlightRequest> = new.into_iter().chain(recent).collect();
+    let Some(service) = own_service(board) else {
+        return;
+    };
+    let in_flight = fingerprints_latest_first(in_flight);
+    let in_flight_count = in_flight.len();
+    let recent_runs = &board.quarantine.recent_runs;
+    // A request that crashes each backend server that runs it has never run to its end.
+    let mut suspects: Vec<Fingerprint> = in_flight
+        .into_iter()
+        .filter(|fingerprint| !recent_runs.contains(now.monotonic, *fingerprint))
+        .collect();
+    let detail = format!(
+        "{in_flight_count} different requests were in flight, {} of them are suspects",
+        suspects.len()
+    );
+    out.push(Output::Note(Note::warn("backend_server_died", detail)));
+    if suspects.is_empty() {
+        return;
+    }
+    let crash = new_crash(board, suspects.len());
+    suspects.truncate(SUSPECTS_LIMIT_COUNT);
+    for fingerprint in &suspects {
+        let entry = board.quarantine.get_or_insert(&service, *fingerprint);
+        entry.add_crash(now.monotonic, crash);
+        if entry.is_quarantined(now.monotonic) {
+            log_quarantined(&service, *fingerprint, out);
+        }
+    }
+    notify_service(board, now, &service, &suspects, out);
+}
+
+fn new_crash(board: &mut Blackboard, suspects_count: usize) -> Crash {
+    board.quarantine.deaths_count += 1;
+    let settings = &board.settings;
+    let name = format!(
+        "{} {} {}",
+        settings.control, settings.incarnation, board.quarantine.deaths_count
+    );
+    Crash {
+        id: settings
+            .key
+            .keyed_hash("backend server death", name.as_bytes()),
+        score_milli: (1_000 / suspects_count) as u16,
+        is_cleared: false,
+    }
+}
+
+fn log_quarantined(service: &str, fingerprint: Fingerprint, out: &mut Vec<Output>) {
+    let detail =
+        format!("requests {fingerprint:016x} to {service} are refused after at least two crashes");
+    out.push(Output::Note(Note::new(
+        Severity::Error,
+        "quarantined",
+        detail,
+    )));
+}
+
+/// Records how a run of a call on a route ended.
+pub(crate) fn on_run_ended(
+    board: &mut Blackboard,
+    now: Moment,
+    input: RunInput,
+    out: &mut Vec<Output>,
+) {
+    let work = match input {
+        RunInput::Answered { work } | RunInput::Broken { work } | RunInput::NotRun { work } => work,
+    };
+    let Some(request) = board.quarantine.running.remove(&work) else {
+        return;
+    };
+    match input {
+        RunInput::Answered { .. } => on_work_ran(board, now, work, request.fingerprint, out),
+        RunInput::Broken { .. } => on_connection_broken(board, now, request),
+        RunInput::NotRun { .. } => {}
+    }
+    on_work_ended(board, work);
+}
--- a/crates/kumquatquay-core/src/quarantine/broken_calls.rs
+++ b/crates/kumquatquay-core/src/quarantine/broken_calls.rs
@@ -13,6 +13,10 @@
 /// Most fingerprints in the table.
 const FINGERPRINTS_LIMIT_COUNT: usize = 1_024;
 
+/// Fingerprints of a service with broken calls up to which each of them is a suspect. With more, their
+/// backend server has died under many requests, which says little of each.
+const FEW_FINGERPRINTS_COUNT: usize = 2;
+
 /// Which connection of a call broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectionBreak {
@@ -62,7 +66,8 @@
         }
     }
 
-    /// Whether a backend server broke the connection of a call with the fingerprint.
+    /// Whether a backend server broke the connection of a call with the fingerprint, and of few
+    /// others.
     pub(crate) fn is_suspect(
         &self,
         now: Duration,
@@ -71,6 +76,15 @@
     ) -> bool {
         let broken = self.get(now, service, fingerprint);
         broken.is_some_and(|broken| broken.backend_count > 0)
+            && self.count_of(now, service) <= FEW_FINGERPRINTS_COUNT
+    }
+
+    /// Fingerprints of a service with calls whose connection a backend server broke.
+    fn count_of(&self, now: Duration, service: &str) -> usize {
+        let broken = self.broken.iter().filter(|((name, _), broken)| {
+            name == service && broken.backend_count > 0 && broken.expires > now
+        });
+        broken.count()
     }
 
     /// Whether this node may retry a call automatically: not after a backend server broke its
--- a/crates/kumquatquay-core/src/quarantine/mod.rs
+++ b/crates/kumquatquay-core/src/quarantine/mod.rs
@@ -1,18 +1,29 @@
 //! Quarantine of requests that crash backend servers.
 
+mod admission;
+mod attribution;
 mod broken_calls;
-mod controller;
 mod fingerprint;
 mod in_flight_request;
+mod notices;
+mod own_service;
 mod quarantine_entry;
 mod quarantine_table;
+mod recent_runs;
+mod records;
 
-pub(crate) use controller::{
-    Verdict, active_records, admit_work, check, isolation_endpoint, list, may_retry,
-    on_attempt_ended, on_backend_died, on_connection_broken, on_rumour, on_tick, on_work_ended,
-    on_work_ran, records_to_gossip, release,
+pub use admission::RunVerdict;
+pub(crate) use admission::{
+    Verdict, admit_work, begin_run, check, is_active, isolation_endpoint, may_retry, may_send_again,
+};
+pub(crate) use attribution::{
+    on_attempt_ended, on_backend_died, on_connection_broken, on_run_ended, on_work_ended,
+    on_work_ran,
 };
 pub use fingerprint::RequestIdentity;
 pub(crate) use fingerprint::fingerprint_of;
 pub(crate) use in_flight_request::InFlightRequest;
 pub(crate) use quarantine_table::QuarantineTable;
+pub(crate) use records::{
+    active_records, list, on_rumour, on_tick, records_to_gossip, records_to_keep, release,
+};
--- a/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
+++ b/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
@@ -5,7 +5,9 @@
 use kumquatquay_wire::{Crash, Fingerprint, QuarantineRecord, ServiceName};
 
 /// How long a suspicion lasts after its latest crash.
-pub(crate) const SUSPICION_DURATION: Duration = Duration::from_secs(10 * 60);
+///
+/// Servers may crash many minutes apart; a success clears a suspect long before.
+pub(crate) const SUSPICION_DURATION: Duration = Duration::from_secs(60 * 60);
 
 /// How long a quarantine lasts after its latest crash.
 pub(crate) const QUARANTINE_DURATION: Duration = Duration::from_secs(60 * 60);
@@ -47,6 +49,27 @@
         !self.is_expired(now) && self.record.is_suspect()
     }
 
+    /// Whether it is a suspect with strong evidence against it.
+    pub(crate) fn is_isolated(&self, now: Duration) -> bool {
+        !self.is_expired(now) && self.record.is_isolated()
+    }
+
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        self.record.fingerprint
+    }
+
+    pub(crate) fn is_of(&self, service: &str) -> bool {
+        self.record.service == service
+    }
+
+    /// Whether it matters after a restart of all nodes: there is strong evidence, or there was and a record
+    /// of it may be kept.
+    pub(crate) fn is_worth_keeping(&self, now: Duration) -> bool {
+        let is_cleared = self.record.crashes_count() == 0;
+        !self.is_expired(now)
+            && (is_cleared || self.record.is_isolated() || self.record.is_quarantined())
+    }
+
     pub(crate) fn is_quarantined(&self, now: Duration) -> bool {
         !self.is_expired(now) && self.record.is_quarantined()
     }
--- a/crates/kumquatquay-core/src/quarantine/quarantine_table.rs
+++ b/crates/kumquatquay-core/src/quarantine/quarantine_table.rs
@@ -8,8 +8,8 @@
 use kumquatquay_wire::{Fingerprint, ServiceName};
 
 use super::{
-    broken_calls::BrokenCalls, in_flight_request::InFlightRequest,
-    quarantine_entry::QuarantineEntry,
+    broken_calls::BrokenCalls, in_flight_request::InFlightRequest, notices::PeerGates,
+    quarantine_entry::QuarantineEntry, recent_runs::RecentRuns,
 };
 use crate::WorkId;
 
@@ -20,6 +20,12 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct QuarantineTable {
     entries: BTreeMap<(ServiceName, Fingerprint), QuarantineEntry>,
+    /// Runs of calls on routes that are in flight at the backend server of this host.
+    pub(crate) running: BTreeMap<WorkId, InFlightRequest>,
+    /// Fingerprints that ran to an answer there lately.
+    pub(crate) recent_runs: RecentRuns,
+    /// Other gates of the service of this host.
+    pub(super) peer_gates: PeerGates,
     /// Suspects that the backend server of this host is running.
     pub(crate) running_suspects: BTreeMap<WorkId, Fingerprint>,
     /// Work whose connection broke recently, with the time on the monotonic clock.
@@ -71,6 +77,10 @@
         }
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &QuarantineEntry> {
         self.entries.values()
     }
--- a/crates/kumquatquay-wire/src/control/quarantine_record.rs
+++ b/crates/kumquatquay-wire/src/control/quarantine_record.rs
@@ -9,7 +9,7 @@
 pub struct Crash {
     /// Id of the crash: a hash of the node, its incarnation and a number.
     pub id: u64,
-    /// Score in thousandths: 1000 divided by the number of requests that were in flight.
+    /// Score in thousandths: 1000 divided by the number of suspects that were in flight.
     pub score_milli: u16,
     /// Whether it no longer counts: a request with the fingerprint ran successfully
     /// afterwards, or an operator released it.
@@ -35,7 +35,17 @@
 
 impl QuarantineRecord {
     /// Number of crashes from which on requests with the fingerprint are refused.
-    pub const CRASHES_TO_QUARANTINE_COUNT: usize = 2;
+    pub const CRASHES_TO_QUARANTINE_COUNT: usize = 3;
+
+    /// Number of crashes from which on they are refused if the score is at least
+    /// [`QuarantineRecord::CLEAR_SCORE_MILLI`].
+    pub const CLEAR_CRASHES_COUNT: usize = 2;
+
+    /// Score of a fingerprint that was the only suspect at one crash, or one of two at two.
+    pub const CLEAR_SCORE_MILLI: u32 = 1_000;
+
+    /// Score from which on one crash is strong evidence: one of two suspects.
+    pub const STRONG_SCORE_MILLI: u32 = 500;
 
     /// Maximum number of crashes in a record.
     pub const CRASHES_LIMIT_COUNT: usize = 8;
@@ -46,14 +56,28 @@
         counting.count()
     }
 
-    /// Whether requests with the fingerprint run one at a time.
+    /// Whether there are crashes that count, but too few for a quarantine.
     pub fn is_suspect(&self) -> bool {
         self.crashes_count() > 0 && !self.is_quarantined()
     }
 
+    /// Whether it is a suspect with strong evidence against it, so that its requests run one at a
+    /// time.
+    ///
+    /// With many requests in flight a crash says little of each of them. If all of them ran one at a
+    /// time, the crash of one backend server would hold up a hundred unrelated requests.
+    pub fn is_isolated(&self) -> bool {
+        let has_strong_evidence = self.crashes_count() >= Self::CLEAR_CRASHES_COUNT
+            || self.score_milli() >= Self::STRONG_SCORE_MILLI;
+        self.is_suspect() && has_strong_evidence
+    }
+
     /// Whether requests with the fingerprint are refused.
     pub fn is_quarantined(&self) -> bool {
-        self.crashes_count() >= Self::CRASHES_TO_QUARANTINE_COUNT
+        let crashes_count = self.crashes_count();
+        let is_clear = crashes_count >= Self::CLEAR_CRASHES_COUNT
+            && self.score_milli() >= Self::CLEAR_SCORE_MILLI;
+        is_clear || crashes_count >= Self::CRASHES_TO_QUARANTINE_COUNT
     }
 
     /// Returns the sum of the scores of the crashes that aren't cleared, in thousandths.
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -261,6 +261,9 @@
     /// It is a repeat, and the retry budget of the gate is used up.
     #[display("over_budget")]
     OverBudget,
+    /// It may have crashed a backend server, and another such call runs at this gate.
+    #[display("isolated")]
+    Isolated,
 }
 
 /// Why it isn't known whether a call has run.
--- a/crates/kumquatquayd/src/engine/engine.rs
+++ b/crates/kumquatquayd/src/engine/engine.rs
@@ -9,10 +9,10 @@
 };
 
 use kumquatquay_core::{
-    CallId, Clock, Counter, Counters, Input, Moment, Node, Note, OperationIssued, Output, Severity,
-    StateDump, WorkId,
+    CallId, Clock, Counter, Counters, Input, Moment, Node, Note, OperationIssued, Output,
+    RunVerdict, Severity, StateDump, WorkId,
 };
-use kumquatquay_wire::{MemberRecord, OperatorReply};
+use kumquatquay_wire::{Fingerprint, MemberRecord, OperatorReply, QuarantineRecord, ServiceName};
 use tokio::sync::{
     mpsc::{self, UnboundedReceiver, UnboundedSender},
     oneshot, watch,
@@ -257,6 +257,43 @@
         self.lock().node.members_changed_at()
     }
 
+    // Calls on routes
+
+    /// [`Node::begin_run`].
+    pub(crate) fn begin_run(&self, work: WorkId, fingerprint: Fingerprint) -> RunVerdict {
+        let now = self.now();
+        self.lock().node.begin_run(now, work, fingerprint)
+    }
+
+    /// [`Node::has_no_suspects`].
+    pub(crate) fn has_no_suspects(&self) -> bool {
+        self.lock().node.has_no_suspects()
+    }
+
+    /// [`Node::is_quarantined`].
+    pub(crate) fn is_quarantined(&self, service: &ServiceName, of: Fingerprint) -> bool {
+        let now = self.now();
+        self.lock().node.is_quarantined(now, service, of)
+    }
+
+    /// [`Node::is_suspect`].
+    pub(crate) fn is_suspect(&self, service: &ServiceName, of: Fingerprint) -> bool {
+        let now = self.now();
+        self.lock().node.is_suspect(now, service, of)
+    }
+
+    /// [`Node::may_send_again`].
+    pub(crate) fn may_send_again(&self, service: &ServiceName, of: Fingerprint) -> bool {
+        let now = self.now();
+        self.lock().node.may_send_again(now, service, of)
+    }
+
+    /// [`Node::records_to_keep`].
+    pub(crate) fn records_to_keep(&self) -> Vec<QuarantineRecord> {
+        let now = self.now();
+        self.lock().node.records_to_keep(now)
+    }
+
     /// Reads the clock that the node is fed from.
     pub(crate) fn now(&self) -> Moment {
         self.clock.now()
--- a/crates/kumquatquayd/src/routed/attempt.rs
+++ b/crates/kumquatquayd/src/routed/attempt.rs
@@ -146,15 +146,17 @@
         LinkOutcome::Answered { .. } => EndpointResult::Answered,
         LinkOutcome::NotRun(NotRunReason::Full | NotRunReason::Failing) => EndpointResult::GateFull,
         LinkOutcome::NotRun(NotRunReason::Limited) => EndpointResult::RateLimited,
-        LinkOutcome::NotRun(NotRunReason::Late | NotRunReason::OverBudget) => {
-            EndpointResult::Cancelled
-        }
-        LinkOutcome::NotRun(NotRunReason::TurnedAway | NotRunReason::Quarantined) => {
-            EndpointResult::Failed
-        }
+        LinkOutcome::NotRun(
+            NotRunReason::Late
+            | NotRunReason::OverBudget
+            | NotRunReason::Quarantined
+            | NotRunReason::Isolated,
+        ) => EndpointResult::Cancelled,
         LinkOutcome::NotRun(NotRunReason::Closed) => EndpointResult::Unavailable,
         LinkOutcome::NotRun(NotRunReason::Unsent)
         | LinkOutcome::Unknown(UnknownReason::LinkLost) => EndpointResult::Unreachable,
-        LinkOutcome::Unknown(_) => EndpointResult::Failed,
+        LinkOutcome::NotRun(NotRunReason::TurnedAway) | LinkOutcome::Unknown(_) => {
+            EndpointResult::Failed
+        }
     }
 }
--- a/crates/kumquatquayd/src/routed/backend_pool.rs
+++ b/crates/kumquatquayd/src/routed/backend_pool.rs
@@ -123,6 +123,12 @@
         self.idle.borrow_mut().retain(is_usable);
     }
 
+    /// Whether an idle connection is open, which the end of the backend server would have closed.
+    pub(crate) fn has_open_idle_connection(&self) -> bool {
+        let idle = self.idle.borrow();
+        idle.iter().any(|connection| !connection.sender.is_closed())
+    }
+
     /// Sends a request and waits for the complete answer.
     ///
     /// If the future is dropped before that, the connection is closed, which tells the backend
--- /dev/null
+++ b/crates/kumquatquayd/src/routed/crash_guard.rs
@@ -0,0 +1,139 @@
+//! Keeps requests that crash backend servers from the one of this host.
+
+use std::{rc::Rc, time::Duration};
+
+use kumquatquay_core::{RunInput, RunVerdict, WorkId};
+use kumquatquay_wire::routed::{CallHead, LinkOutcome, NotRunReason, Repeat, UnknownReason};
+
+use super::{
+    call_fingerprint::fingerprint_at_gate, gate_slot::TimedCall, link_answer::LinkAnswer,
+    node::RoutedNode, outgoing_call::OutgoingCall,
+};
+
+/// Runs of one call that may break before its entry stops to send it again.
+const BROKEN_RUNS_LIMIT_COUNT: u32 = 2;
+
+/// `Retry-After` of a request that is quarantined: it is refused for an hour, or until an operator
+/// releases it.
+pub(super) const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
+
+// At the gate
+
+/// A call that is in flight at the backend server of this host, for the quarantine.
+///
+/// Dropped without an end, it counts as broken: nobody waits for the answer any more, but the backend
+/// server may still run the call and crash.
+pub(super) struct GuardedRun<'a> {
+    node: &'a RoutedNode,
+    work: WorkId,
+    has_ended: bool,
+}
+
+impl<'a> GuardedRun<'a> {
+    /// Begins a run.
+    ///
+    /// # Errors
+    ///
+    /// [`NotRunReason::Quarantined`], or [`NotRunReason::Isolated`] while another suspect runs.
+    pub(super) fn begin(node: &'a RoutedNode, timed: &TimedCall<'_>) -> Result<Self, NotRunReason> {
+        let work = node.engine.next_id();
+        let fingerprint = fingerprint_at_gate(timed.call, &timed.payload.body);
+        let refused = match node.engine.begin_run(work, fingerprint) {
+            RunVerdict::Run => None,
+            RunVerdict::Busy => Some(NotRunReason::Isolated),
+            RunVerdict::Refuse => Some(NotRunReason::Quarantined),
+        };
+        if let Some(reason) = refused {
+            node.metrics.count("quarantine", "refused_at_gate");
+            return Err(reason);
+        }
+        Ok(Self {
+            node,
+            work,
+            has_ended: false,
+        })
+    }
+
+    /// Ends the run with its outcome.
+    pub(super) fn end(mut self, outcome: &LinkOutcome) {
+        let work = self.work;
+        let input = match outcome {
+            LinkOutcome::Answered { .. } => RunInput::Answered { work },
+            LinkOutcome::NotRun(_) => RunInput::NotRun { work },
+            LinkOutcome::Unknown(_) => return,
+        };
+        self.has_ended = true;
+        self.node.engine.handle(input);
+    }
+}
+
+impl Drop for GuardedRun<'_> {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            let work = self.work;
+            self.node.engine.handle(RunInput::Broken { work });
+        }
+    }
+}
+
+/// Whether a call that arrives at the gate of this host is refused, before it waits for a slot.
+pub(super) fn is_refused_on_arrival(node: &RoutedNode, call: &CallHead<'_>, body: &[u8]) -> bool {
+    if node.engine.has_no_suspects() {
+        return false;
+    }
+    let fingerprint = fingerprint_at_gate(call, body);
+    let is_refused = node
+        .engine
+        .is_quarantined(&String::from(call.service), fingerprint);
+    if is_refused {
+        node.metrics.count("quarantine", "refused_at_gate");
+    }
+    is_refused
+}
+
+// At the entry
+
+/// Whether this node knows that a call is quarantined.
+pub(super) fn is_quarantined(node: &RoutedNode, call: &OutgoingCall) -> bool {
+    !node.engine.has_no_suspects()
+        && node
+            .engine
+            .is_quarantined(&call.service, call.fingerprint())
+}
+
+/// Whether a call may be sent again after an attempt whose outcome is unknown.
+pub(super) fn may_send_again(
+    node: &RoutedNode,
+    call: &OutgoingCall,
+    reason: UnknownReason,
+    broken_runs_count: u32,
+) -> bool {
+    if call.route.settings.repeat == Repeat::AtMostOnce {
+        return false;
+    }
+    let has_broken = reason == UnknownReason::BackendBroke;
+    let is_suspect = has_broken && broken_runs_count >= BROKEN_RUNS_LIMIT_COUNT
+        || !node.engine.has_no_suspects()
+            && !node
+                .engine
+                .may_send_again(&call.service, call.fingerprint());
+    if is_suspect {
+        node.metrics.count("quarantine", "not_sent_again");
+    }
+    !is_suspect
+}
+
+/// Whether a hedged attempt of a call may be started while another one runs.
+pub(super) fn may_hedge(node: &RoutedNode, call: &OutgoingCall) -> bool {
+    node.engine.has_no_suspects() || !node.engine.is_suspect(&call.service, call.fingerprint())
+}
+
+/// Refusal of a call that is quarantined.
+pub(super) fn quarantined() -> LinkAnswer {
+    LinkAnswer::not_run(NotRunReason::Quarantined)
+}
+
+/// Notes that a connection to the backend server broke, so that it is checked whether the server lives.
+pub(super) fn on_broken_run(node: &Rc<RoutedNode>) {
+    node.run_broken.notify_one();
+}
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -1,6 +1,11 @@
 //! Serves the entry listener: requests of callers and calls of the backend server on this host.
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, OnceCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, request::Parts};
@@ -14,6 +19,7 @@
 use super::{
     admission::{Admission, PendingRequest, admit, refuse_temporarily},
     caller_identity::{Identified, IdentityRefusal, identify, identify_without_waiting},
+    crash_guard::{QUARANTINE_RETRY_AFTER, is_quarantined, quarantined},
     forwarding::forward,
     http_io::{
         BufferedBody, CallerAddress, fields_from_headers, headers_from_fields, local_answer,
@@ -240,6 +246,10 @@
             let status = StatusCode::SERVICE_UNAVAILABLE;
             return RequestAdmission::Refused(local_answer(status, retry, "no destination\n"));
         };
+        if is_quarantined(node, &call) {
+            let refusal = build_response(node, &call, quarantined(), request.received_at);
+            return RequestAdmission::Refused(refusal);
+        }
         let time_left = request.metadata.time_left;
         let pending = PendingRequest {
             call: &call,
@@ -296,6 +306,7 @@
         may_be_of_repeated_run: request.may_be_of_repeated_run,
         progress: Cell::new(Progress::default()),
         may_have_run: MayHaveRun::default(),
+        known_fingerprint: OnceCell::new(),
     })
 }
 
@@ -350,8 +361,17 @@
         LinkOutcome::NotRun(reason) => {
             node.metrics.count("refused", not_run_label(*reason));
             log_request_end(node, call, &answer, "refused", received_at);
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            if *reason == NotRunReason::Quarantined {
+                let retry = Some(QUARANTINE_RETRY_AFTER);
+                return local_answer(
+                    status,
+                    retry,
+                    "it crashes the backend servers that run it\n",
+                );
+            }
             let retry = Some(retry_after(node, &call.route.settings));
-            local_answer(StatusCode::SERVICE_UNAVAILABLE, retry, "no room\n")
+            local_answer(status, retry, "no room\n")
         }
         LinkOutcome::Unknown(UnknownReason::NoAnswer) => {
             node.metrics
--- a/crates/kumquatquayd/src/routed/forwarding.rs
+++ b/crates/kumquatquayd/src/routed/forwarding.rs
@@ -9,6 +9,7 @@
 
 use super::{
     attempt::{AttemptGuard, attempt},
+    crash_guard::{is_quarantined, may_hedge, may_send_again, quarantined},
     link::link_silence,
     link_answer::LinkAnswer,
     node::RoutedNode,
@@ -44,6 +45,9 @@
         if node.now() + MIN_ATTEMPT_TIME > call.deadline {
             return attempts.finish(LinkAnswer::not_run(NotRunReason::Late));
         }
+        if is_quarantined(node, call) {
+            return attempts.finish(quarantined());
+        }
         let Some(endpoint) = pick_endpoint(node, call, &attempts.tried_nodes) else {
             let reason = attempts.no_endpoint_reason(node, call);
             if attempts.can_pick_again(node, call) {
@@ -74,6 +78,8 @@
     progress: Progress,
     /// Gates that refused it as a repeat.
     over_budget_count: usize,
+    /// Attempts whose run broke.
+    broken_runs_count: u32,
     /// Why it is unknown whether an earlier attempt ran.
     unknown_reason: Option<UnknownReason>,
     /// The error answer of a backend server that ran the call.
@@ -116,6 +122,10 @@
                     RetryDecision::Finish
                 }
             }
+            LinkOutcome::NotRun(NotRunReason::Quarantined) => {
+                self.clear_may_have_run(call);
+                RetryDecision::Finish
+            }
             LinkOutcome::NotRun(reason) => {
                 self.accepts_failing |= *reason == NotRunReason::Failing;
                 self.progress.refusals_count += 1;
@@ -125,7 +135,8 @@
             LinkOutcome::Unknown(reason) => {
                 self.progress.sends_count += 1;
                 self.unknown_reason = Some(*reason);
-                if call.route.settings.repeat == Repeat::AtMostOnce {
+                self.broken_runs_count += u32::from(*reason == UnknownReason::BackendBroke);
+                if !may_send_again(node, call, *reason, self.broken_runs_count) {
                     return RetryDecision::Finish;
                 }
                 self.retry_if_attempts_are_left(node, call)
@@ -238,7 +249,7 @@
     /// attempts left.
     fn pick_hedge(&mut self, node: &RoutedNode, call: &OutgoingCall) -> Option<PickedEndpoint> {
         let is_idempotent = call.route.settings.repeat == Repeat::Idempotent;
-        if !is_idempotent || !node.is_on(Mechanism::HedgedAttempts) {
+        if !is_idempotent || !node.is_on(Mechanism::HedgedAttempts) || !may_hedge(node, call) {
             return None;
         }
         if self.progress.sends_count + 1 >= call.route.settings.attempts_count {
--- a/crates/kumquatquayd/src/routed/gate_slot.rs
+++ b/crates/kumquatquayd/src/routed/gate_slot.rs
@@ -7,7 +7,7 @@
 use tokio::sync::oneshot;
 
 use super::{
-    members::announce_backend_death,
+    backend_death::on_backend_unresponsive,
     node::{RoutedNode, RunPermit},
     repeat_admission::admits_repeat,
 };
@@ -51,7 +51,7 @@
         let is_silent = node.backend_liveness.borrow().is_silent(now, run_time);
         if is_silent && node.is_on(Mechanism::SilentBackend) {
             // Running calls are not cancelled: their answers may still come.
-            announce_backend_death(&node, "it does not answer calls");
+            on_backend_unresponsive(&node);
         }
         node.level_controller.borrow_mut().tick(now, state);
     }
--- a/crates/kumquatquayd/src/routed/local_run.rs
+++ b/crates/kumquatquayd/src/routed/local_run.rs
@@ -9,14 +9,16 @@
 
 use super::{
     arrivals::Arrival,
+    backend_death::on_backend_died,
     backend_pool::{BackendAnswer, SendError},
     backend_run::BackendRun,
     call_fingerprint::fingerprint_at_gate,
+    crash_guard::{GuardedRun, is_refused_on_arrival, on_broken_run, quarantined},
     gate_slot::{RunSlot, TimedCall, wait_for_confirmed_slot},
     http_io::{BufferedBody, fields_from_headers, headers_from_fields},
     interface::ForwardedMetadata,
     link_answer::LinkAnswer,
-    members::{announce_backend, announce_backend_death},
+    members::announce_backend,
     node::RoutedNode,
     repeat_admission::{
         admit_first_attempt, after_attempts, count_over_budget, repeat_limit, should_forward_again,
@@ -44,6 +46,9 @@
     cancelled: impl Future<Output = ()>,
 ) -> LinkAnswer {
     let now = node.now();
+    if is_refused_on_arrival(node, call, &payload.body) {
+        return quarantined();
+    }
     on_known_limit(node, call);
     let deadline = now + Duration::from_millis(call.remaining_ms);
     let sender_level = f64::from(call.level_permille) / 1_000.0;
@@ -100,7 +105,12 @@
     timed: &TimedCall<'_>,
     mut slot: RunSlot,
 ) -> LinkAnswer {
+    let run = match GuardedRun::begin(node, timed) {
+        Ok(run) => run,
+        Err(reason) => return LinkAnswer::not_run(reason),
+    };
     if !admit_first_attempt(node, timed.call) {
+        run.end(&LinkOutcome::NotRun(NotRunReason::OverBudget));
         count_over_budget(node, timed.call);
         return LinkAnswer::not_run(NotRunReason::OverBudget);
     }
@@ -116,6 +126,7 @@
         if let ForwardResult::Ended(answer) = result {
             // Quick failures would make a failing server look like the fastest one.
             slot.records_run_time = answer.is_success();
+            run.end(&answer.outcome);
             return after_attempts(node, answer, arrival);
         }
         if !should_forward_again(node, timed, attempts_count) {
@@ -123,6 +134,7 @@
         }
         node.metrics.count("repeat", "at_gate");
     }
+    run.end(&LinkOutcome::NotRun(NotRunReason::TurnedAway));
     LinkAnswer::not_run(NotRunReason::TurnedAway)
 }
 
@@ -266,19 +278,20 @@
 }
 
 fn on_send_error(
-    node: &RoutedNode,
+    node: &Rc<RoutedNode>,
     timed: &TimedCall<'_>,
     slot: &RunSlot,
     error: SendError,
 ) -> LinkAnswer {
     match error {
         SendError::ConnectionRefused => {
-            announce_backend_death(node, "connection refused");
+            on_backend_died(node, "connection refused");
             LinkAnswer::not_run(NotRunReason::Closed)
         }
         SendError::Unsent => LinkAnswer::not_run(NotRunReason::TurnedAway),
         SendError::ConnectionBroken => {
             log_broken_run(node, timed, slot.started_at);
+            on_broken_run(node);
             LinkAnswer::unknown(UnknownReason::BackendBroke)
         }
     }
--- a/crates/kumquatquayd/src/routed/members.rs
+++ b/crates/kumquatquayd/src/routed/members.rs
@@ -14,7 +14,6 @@
 use tokio::{net::UdpSocket, sync::mpsc::UnboundedReceiver};
 
 use super::{
-    gate_slot::withdraw_waiting,
     interface::{PlatformStore, RegisterPage, StoreError},
     node::RoutedNode,
 };
@@ -63,16 +62,6 @@
     node.engine.handle(BackendInput::Announced(announcement));
 }
 
-/// Announces to the membership that the backend server of this host is dead, until it reports
-/// again.
-pub(crate) fn announce_backend_death(node: &RoutedNode, why: &str) {
-    if node.lives.borrow_mut().on_dead() {
-        log::warn!(event = "backend_dead"; "the backend server is considered dead: {why}");
-        node.engine.handle(BackendInput::Died);
-        withdraw_waiting(node);
-    }
-}
-
 /// Updates the load balancer when the members change.
 pub(crate) async fn follow_members(node: Rc<RoutedNode>) {
     let mut seen = None;
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -11,6 +11,7 @@
 mod admission;
 mod arrivals;
 mod attempt;
+mod backend_death;
 mod backend_pool;
 mod backend_run;
 mod buffer_pool;
@@ -20,6 +21,7 @@
 mod caller_identity;
 mod configuration_exchange;
 mod count_guard;
+mod crash_guard;
 mod entry;
 mod forwarding;
 mod freshness;
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -15,9 +15,12 @@
     MachineSlowdown, Mechanism, Mechanisms, PollerFleet, QueueOrder, RepeatedRuns, RetryBudget,
     RouteCallers, RouteTable, RunFailures, StorePoller, StoreReaders, UnknownKeys,
 };
-use kumquatquay_wire::routed::{
-    BODY_LIMIT_BYTES, GateReport, Priority, RouteConfiguration, RouteEstimate, RouteVersion,
-    ServiceDemand, SyncState,
+use kumquatquay_wire::{
+    BackendLife,
+    routed::{
+        BODY_LIMIT_BYTES, GateReport, Priority, RouteConfiguration, RouteEstimate, RouteVersion,
+        ServiceDemand, SyncState,
+    },
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::sync::{Notify, oneshot, watch};
@@ -95,6 +98,10 @@
     /// Notified when a call waits for the rate limit of the backend server.
     pub(crate) limit_wait_started: Notify,
     pub(crate) lives: RefCell<BackendLives>,
+    /// Life of that server which last reported, unless it is known to have died.
+    pub(super) last_life: RefCell<Option<BackendLife>>,
+    /// Notified when a run's connection to it broke.
+    pub(super) run_broken: Notify,
     /// Whether the backend server of this host answers at all.
     pub(crate) backend_liveness: RefCell<BackendLiveness>,
     /// Slowdown of the machine that the backend server of this host reports.
@@ -239,6 +246,8 @@
             gate: RefCell::new(gate),
             limit_wait_started: Notify::new(),
             lives: RefCell::default(),
+            last_life: RefCell::default(),
+            run_broken: Notify::new(),
             backend_liveness: RefCell::default(),
             machine_slowdown: RefCell::default(),
             run_failures: RefCell::default(),
--- a/crates/kumquatquayd/src/routed/outgoing_call.rs
+++ b/crates/kumquatquayd/src/routed/outgoing_call.rs
@@ -1,14 +1,19 @@
 //! A call on its way from the entry of this host, and its progress.
 
-use std::{cell::Cell, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, OnceCell},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use kumquatquay_core::routed::RouteEntry;
 use kumquatquay_wire::{
-    ServiceName,
+    Fingerprint, ServiceName,
     routed::{Payload, Priority, RouteVersion, WorkspaceSettings},
 };
 
-use super::link_answer::MayHaveRun;
+use super::{call_fingerprint::fingerprint_at_entry, link_answer::MayHaveRun};
 
 /// A call that was received at the entry of this host and is forwarded to a backend server.
 #[derive(Debug)]
@@ -34,9 +39,17 @@
     pub(crate) progress: Cell<Progress>,
     /// Whether a backend server may have received the call.
     pub(crate) may_have_run: MayHaveRun,
+    /// Computed when it is first needed, which is only while some request is a suspect.
+    pub(super) known_fingerprint: OnceCell<Fingerprint>,
 }
 
 impl OutgoingCall {
+    /// Identifies the call when its caller sends it again.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        let known = &self.known_fingerprint;
+        *known.get_or_init(|| fingerprint_at_entry(self))
+    }
+
     /// Priority of this call alone, without that of its root request.
     pub(super) fn priority(&self) -> Priority {
         let workspace = self.workspace.as_ref();
--- a/crates/kumquatquayd/src/routed/reports.rs
+++ b/crates/kumquatquayd/src/routed/reports.rs
@@ -9,6 +9,7 @@
 use kumquatquay_core::routed::LifeReport;
 
 use super::{
+    backend_death::on_reported_life,
     gate_slot::admit_waiting,
     http_io::{BufferedBody, local_answer},
     interface::BackendReport,
@@ -88,6 +89,7 @@
 
 /// Updates gate and membership after the backend server of this host or its state has changed.
 pub(crate) fn on_backend_changed(node: &RoutedNode) {
+    on_reported_life(node);
     update_gate_limit(node);
     announce_backend(node);
     admit_waiting(node);
--- a/crates/kumquatquayd/src/routed/request_log.rs
+++ b/crates/kumquatquayd/src/routed/request_log.rs
@@ -22,6 +22,7 @@
         NotRunReason::Failing => "failing",
         NotRunReason::Limited => "limited",
         NotRunReason::Quarantined => "quarantined",
+        NotRunReason::Isolated => "isolated",
         NotRunReason::OverBudget => "over_budget",
     }
 }
--- a/crates/kumquatquayd/src/routed/start.rs
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -9,6 +9,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 
 use super::{
+    backend_death::check_after_broken_runs,
     gate_slot::{admit_within_rate_limit, update_level_periodically},
     held_requests::release_held,
     http_io::{accept_connections, bind_listener, serve_connection},
@@ -90,6 +91,7 @@
     tasks.spawn_local(update_level_periodically(Rc::clone(&node)));
     tasks.spawn_local(admit_within_rate_limit(Rc::clone(&node)));
     tasks.spawn_local(release_held(Rc::clone(&node)));
+    tasks.spawn_local(check_after_broken_runs(Rc::clone(&node)));
     tasks.spawn_local(check_backend_at_start(Rc::clone(&node)));
     tasks.spawn_local(fetch_configuration_from_peers(Rc::clone(&node)));
     log_start(&node);
