Keep the records of requests that crash backend servers in the platform's store

All nodes of a service may be killed at once. What they knew of a crashing request went with them, and it ran on their servers again: 24 sends with a restart of all nodes in between ran it at least twice more than allowed (the test waits for a record in the store, and never saw one).

The node whose server crashed writes the record as soon as the evidence is strong; the other gates of the service write it too once it is quarantined, spread over some seconds, since that node may be gone or not be served. A suspect that is cleared is removed. Each node reads all records once at its start; the two nodes of a data centre that read the store for others go on to read, so that a data centre which is cut off from the others learns of their crashes. A restored store gets the records again.

--- a/crates/kumquatquay-core/src/lib.rs
+++ b/crates/kumquatquay-core/src/lib.rs
@@ -60,5 +60,5 @@
     Severity, StartAttempt,
 };
 pub use policy::Policy;
-pub use quarantine::{RequestIdentity, RunVerdict};
+pub use quarantine::{KeepStep, KeptRecords, RecordToKeep, RequestIdentity, RunVerdict};
 pub use state_dump::{DataCentreDump, MemberDump, MembershipDump, StateDump};
--- a/crates/kumquatquay-core/src/node.rs
+++ b/crates/kumquatquay-core/src/node.rs
@@ -3,13 +3,12 @@
 use std::{net::SocketAddr, time::Duration};
 
 use kumquatquay_wire::{
-    Class, ConfigurationVersion, Fingerprint, MemberRecord, QuarantineRecord, ServiceName,
-    TableDigest,
+    Class, ConfigurationVersion, Fingerprint, MemberRecord, ServiceName, TableDigest,
 };
 
 use crate::{
-    Blackboard, Counter, Counters, Input, LogInput, Moment, NodeSettings, Output, RunVerdict,
-    StateDump, WorkId, call, configuration, gate, membership, operations, overload,
+    Blackboard, Counter, Counters, Input, LogInput, Moment, NodeSettings, Output, RecordToKeep,
+    RunVerdict, StateDump, WorkId, call, configuration, gate, membership, operations, overload,
     quarantine::{self, Verdict},
 };
 
@@ -147,7 +146,7 @@
     }
 
     /// Records of the service of this host that should outlast a restart of all nodes.
-    pub fn records_to_keep(&self, now: Moment) -> Vec<QuarantineRecord> {
+    pub fn records_to_keep(&self, now: Moment) -> Vec<RecordToKeep> {
         quarantine::records_to_keep(&self.board, now)
     }
 
--- a/crates/kumquatquay-core/src/quarantine/mod.rs
+++ b/crates/kumquatquay-core/src/quarantine/mod.rs
@@ -5,6 +5,7 @@
 mod broken_calls;
 mod fingerprint;
 mod in_flight_request;
+mod kept_records;
 mod notices;
 mod own_service;
 mod quarantine_entry;
@@ -23,6 +24,7 @@
 pub use fingerprint::RequestIdentity;
 pub(crate) use fingerprint::fingerprint_of;
 pub(crate) use in_flight_request::InFlightRequest;
+pub use kept_records::{KeepStep, KeptRecords, RecordToKeep};
 pub(crate) use quarantine_table::QuarantineTable;
 pub(crate) use records::{
     active_records, list, on_rumour, on_tick, records_to_gossip, records_to_keep, release,
--- a/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
+++ b/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
@@ -26,6 +26,7 @@
     record: QuarantineRecord,
     /// When the record expires, on the monotonic clock.
     expires: Duration,
+    has_own_crash: bool,
 }
 
 impl QuarantineEntry {
@@ -38,6 +39,7 @@
                 remaining_ms: 0,
             },
             expires: Duration::ZERO,
+            has_own_crash: false,
         }
     }
 
@@ -62,12 +64,14 @@
         self.record.service == service
     }
 
-    /// Whether it matters after a restart of all nodes: there is strong evidence, or there was and a record
-    /// of it may be kept.
+    /// Whether there is strong evidence against it.
     pub(crate) fn is_worth_keeping(&self, now: Duration) -> bool {
-        let is_cleared = self.record.crashes_count() == 0;
-        !self.is_expired(now)
-            && (is_cleared || self.record.is_isolated() || self.record.is_quarantined())
+        self.is_isolated(now) || self.is_quarantined(now)
+    }
+
+    /// Whether this node detected one of the crashes.
+    pub(crate) fn has_own_crash(&self) -> bool {
+        self.has_own_crash
     }
 
     pub(crate) fn is_quarantined(&self, now: Duration) -> bool {
@@ -109,6 +113,7 @@
     /// Adds a crash that this node detected.
     pub(crate) fn add_crash(&mut self, now: Duration, crash: Crash) {
         self.merge_crash(crash);
+        self.has_own_crash = true;
         self.expires = self.expires.max(now + self.duration());
     }
 
--- a/crates/kumquatquay-core/src/quarantine/records.rs
+++ b/crates/kumquatquay-core/src/quarantine/records.rs
@@ -4,7 +4,7 @@
 
 use kumquatquay_wire::{Fingerprint, OperatorReply, QuarantineRecord, ServiceName};
 
-use super::{notices, own_service::own_service};
+use super::{kept_records::RecordToKeep, notices, own_service::own_service};
 use crate::{Blackboard, Moment, Output};
 
 /// How often expired entries are removed.
@@ -70,15 +70,19 @@
 }
 
 /// Records of the service of this host that should outlast a restart of all nodes: those of
-/// quarantined requests and of suspects with strong evidence against them, and those that were cleared.
-pub(crate) fn records_to_keep(board: &Blackboard, now: Moment) -> Vec<QuarantineRecord> {
+/// quarantined requests and of suspects with strong evidence against them.
+pub(crate) fn records_to_keep(board: &Blackboard, now: Moment) -> Vec<RecordToKeep> {
     let Some(service) = &board.quarantine.service else {
         return Vec::new();
     };
     let entries = board.quarantine.iter();
     let entries =
         entries.filter(|entry| entry.is_of(service) && entry.is_worth_keeping(now.monotonic));
-    entries.map(|entry| entry.record(now.monotonic)).collect()
+    let to_keep = entries.map(|entry| RecordToKeep {
+        record: entry.record(now.monotonic),
+        is_own: entry.has_own_crash(),
+    });
+    to_keep.collect()
 }
 
 /// Lists suspects and quarantined requests.
--- a/crates/kumquatquayd/src/engine/engine.rs
+++ b/crates/kumquatquayd/src/engine/engine.rs
@@ -10,9 +10,9 @@
 
 use kumquatquay_core::{
     CallId, Clock, Counter, Counters, Input, Moment, Node, Note, OperationIssued, Output,
-    RunVerdict, Severity, StateDump, WorkId,
+    RecordToKeep, RunVerdict, Severity, StateDump, WorkId,
 };
-use kumquatquay_wire::{Fingerprint, MemberRecord, OperatorReply, QuarantineRecord, ServiceName};
+use kumquatquay_wire::{Fingerprint, MemberRecord, OperatorReply, ServiceName};
 use tokio::sync::{
     mpsc::{self, UnboundedReceiver, UnboundedSender},
     oneshot, watch,
@@ -289,7 +289,7 @@
     }
 
     /// [`Node::records_to_keep`].
-    pub(crate) fn records_to_keep(&self) -> Vec<QuarantineRecord> {
+    pub(crate) fn records_to_keep(&self) -> Vec<RecordToKeep> {
         let now = self.now();
         self.lock().node.records_to_keep(now)
     }
--- a/crates/kumquatquayd/src/routed/backend_death.rs
+++ b/crates/kumquatquayd/src/routed/backend_death.rs
@@ -61,6 +61,7 @@
         node.last_life.take();
     }
     node.engine.handle(input);
+    node.crash_recorded.notify_one();
     withdraw_waiting(node);
 }
 
@@ -79,6 +80,7 @@
         log::warn!(event = "backend_replaced";
             "another life of the backend server reports, and the one before did not leave");
         node.engine.handle(BackendInput::Died);
+        node.crash_recorded.notify_one();
     }
 }
 
--- a/crates/kumquatquayd/src/routed/interface.rs
+++ b/crates/kumquatquayd/src/routed/interface.rs
@@ -8,7 +8,7 @@
     AdvertisedRateLimit, BackendLoad, LifeReport, PresentedKey, RegisterPosition,
 };
 use kumquatquay_wire::{
-    BackendLife, InstanceId,
+    BackendLife, Fingerprint, InstanceId, QuarantineRecord, ServiceName,
     routed::{RouteConfiguration, RouteVersion, StoreEra},
 };
 
@@ -122,6 +122,13 @@
     pub register_page: Arc<dyn Fn(RegisterPosition) -> StoreFuture<RegisterPage>>,
     /// Writes this node's control address into the register at a position.
     pub register_node: Arc<dyn Fn(SocketAddr, RegisterPosition) -> StoreFuture<()>>,
+    /// Reads records of requests that crash backend servers, newer than the last ones read through
+    /// this value. The store may hold the read for up to the given time until there is one.
+    pub read_quarantine: Arc<dyn Fn(Duration) -> StoreFuture<QuarantineRead>>,
+    /// Writes such a record, in place of the one kept before.
+    pub write_quarantine: Arc<dyn Fn(StoredQuarantine) -> StoreFuture<()>>,
+    /// Removes the record of a fingerprint at a service.
+    pub remove_quarantine: Arc<dyn Fn(ServiceName, Fingerprint) -> StoreFuture<()>>,
     /// Eras that the store's answers have carried so far; refusals count as answers.
     pub eras: Arc<dyn Fn() -> ObservedEras>,
 }
@@ -181,6 +188,24 @@
     }
 }
 
+/// Record of a request that crashes backend servers, as the store keeps it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredQuarantine {
+    /// The record; its `remaining_ms` doesn't count.
+    pub record: QuarantineRecord,
+    /// When it expires, in milliseconds since 1970.
+    pub expires_unix_ms: u64,
+}
+
+/// Result of a read of records of requests that crash backend servers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct QuarantineRead {
+    /// Records, the newest of each fingerprint last; those that were removed are left out.
+    pub records: Vec<StoredQuarantine>,
+    /// Records that can't be read.
+    pub malformed_count: u64,
+}
+
 /// Error of a call to the store.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
 pub enum StoreError {
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -41,6 +41,7 @@
 mod node_metrics;
 mod outgoing_call;
 mod pipelining;
+mod quarantine_keeping;
 mod quotas;
 mod repeat_admission;
 mod reports;
@@ -56,7 +57,8 @@
 
 pub use interface::{
     AnswerMetadata, BackendReport, ConfigurationRead, Dialect, ForwardedMetadata, ObservedEras,
-    PlatformStore, RegisterPage, RequestMetadata, StoreError, StoreFuture,
+    PlatformStore, QuarantineRead, RegisterPage, RequestMetadata, StoreError, StoreFuture,
+    StoredQuarantine,
 };
 pub use settings::{
     ListenAddresses, ResourceLimits, RetryBudgetSettings, RoutedSettings, TimeBounds,
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -9,11 +9,15 @@
     time::Duration,
 };
 
-use kumquatquay_core::routed::{
-    BackendLiveness, BackendLives, CallEdge, CallFreeRoutes, CallGraph, CallTracer, EntryAdmission,
-    FairShares, FreshnessProof, GateRetries, HeldAnswers, HostGate, LevelController, LoadBalancer,
-    MachineSlowdown, Mechanism, Mechanisms, PollerFleet, QueueOrder, RepeatedRuns, RetryBudget,
-    RouteCallers, RouteTable, RunFailures, StorePoller, StoreReaders, UnknownKeys,
+use kumquatquay_core::{
+    KeptRecords,
+    routed::{
+        BackendLiveness, BackendLives, CallEdge, CallFreeRoutes, CallGraph, CallTracer,
+        EntryAdmission, FairShares, FreshnessProof, GateRetries, HeldAnswers, HostGate,
+        LevelController, LoadBalancer, MachineSlowdown, Mechanism, Mechanisms, PollerFleet,
+        QueueOrder, RepeatedRuns, RetryBudget, RouteCallers, RouteTable, RunFailures, StorePoller,
+        StoreReaders, UnknownKeys,
+    },
 };
 use kumquatquay_wire::{
     BackendLife,
@@ -102,6 +106,10 @@
     pub(super) last_life: RefCell<Option<BackendLife>>,
     /// Notified when a run's connection to it broke.
     pub(super) run_broken: Notify,
+    /// Notified when that server has died under some requests.
+    pub(super) crash_recorded: Notify,
+    /// Records of such requests that the store keeps.
+    pub(super) kept_records: RefCell<KeptRecords>,
     /// Whether the backend server of this host answers at all.
     pub(crate) backend_liveness: RefCell<BackendLiveness>,
     /// Slowdown of the machine that the backend server of this host reports.
@@ -248,6 +256,8 @@
             lives: RefCell::default(),
             last_life: RefCell::default(),
             run_broken: Notify::new(),
+            crash_recorded: Notify::new(),
+            kept_records: RefCell::default(),
             backend_liveness: RefCell::default(),
             machine_slowdown: RefCell::default(),
             run_failures: RefCell::default(),
--- a/crates/kumquatquayd/src/routed/start.rs
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -22,6 +22,7 @@
     },
     node::{RoutedNode, StopPhase},
     pipelining::serve_caller,
+    quarantine_keeping::keep_quarantine,
     quotas::run_quota_loans,
     reports::{serve_metrics, serve_readiness, serve_report},
     settings::RoutedSettings,
@@ -84,6 +85,7 @@
     tasks.spawn(run_effects(engine, effects, control_udp, key));
     tasks.spawn_local(follow_members(Rc::clone(&node)));
     tasks.spawn_local(poll_store(Rc::clone(&node), store.clone()));
+    tasks.spawn_local(keep_quarantine(Rc::clone(&node), store.clone()));
     tasks.spawn_local(join_through_register(Rc::clone(&node), store));
     tasks.spawn_local(reintroduce_to_gone_members(Rc::clone(&node)));
     tasks.spawn_local(watch_links(Rc::clone(&node)));
