List and release crashing requests at nodes of routes, and read kept records for others alone

Operators of nodes that carry calls on routes had no way to see or release a quarantine: only the other half listens for them. Gauges: suspected_requests and quarantined_requests.

Only records with more than one crash are kept.

--- a/crates/kumquatquay-core/src/node.rs
+++ b/crates/kumquatquay-core/src/node.rs
@@ -145,6 +145,11 @@
         quarantine::may_send_again(&self.board, now, service, of)
     }
 
+    /// Numbers of fingerprints that are suspects, and that are quarantined.
+    pub fn quarantine_counts(&self, now: Moment) -> (usize, usize) {
+        quarantine::counts(&self.board, now)
+    }
+
     /// Records of the service of this host that should outlast a restart of all nodes.
     pub fn records_to_keep(&self, now: Moment) -> Vec<RecordToKeep> {
         quarantine::records_to_keep(&self.board, now)
--- a/crates/kumquatquay-core/src/quarantine/kept_records.rs
+++ b/crates/kumquatquay-core/src/quarantine/kept_records.rs
@@ -48,8 +48,8 @@
 
     /// The next step that leaves the store with the records that this node has now.
     ///
-    /// A record is written by the node whose backend server crashed; the others of the service write it
-    /// too once it is quarantined, since that node may be gone, or the store did not serve it.
+    /// A record is written by the nodes whose backend servers crashed; the others of the service write
+    /// it too once it is quarantined, since those may be gone, or the store did not serve them.
     pub fn next_step(&self, current: &[RecordToKeep]) -> Option<KeepStep> {
         let outdated = current.iter().find(|candidate| self.lacks(candidate));
         if let Some(candidate) = outdated {
--- a/crates/kumquatquay-core/src/quarantine/mod.rs
+++ b/crates/kumquatquay-core/src/quarantine/mod.rs
@@ -27,5 +27,5 @@
 pub use kept_records::{KeepStep, KeptRecords, RecordToKeep};
 pub(crate) use quarantine_table::QuarantineTable;
 pub(crate) use records::{
-    active_records, list, on_rumour, on_tick, records_to_gossip, records_to_keep, release,
+    active_records, counts, list, on_rumour, on_tick, records_to_gossip, records_to_keep, release,
 };
--- a/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
+++ b/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
@@ -64,9 +64,10 @@
         self.record.service == service
     }
 
-    /// Whether there is strong evidence against it.
+    /// Whether it should outlast a restart of all nodes: not after one crash, which proves little and
+    /// costs one backend server more if it is forgotten.
     pub(crate) fn is_worth_keeping(&self, now: Duration) -> bool {
-        self.is_isolated(now) || self.is_quarantined(now)
+        !self.is_expired(now) && self.crashes_count() >= QuarantineRecord::CLEAR_CRASHES_COUNT
     }
 
     /// Whether this node detected one of the crashes.
--- a/crates/kumquatquay-core/src/quarantine/recent_runs.rs
+++ b/crates/kumquatquay-core/src/quarantine/recent_runs.rs
@@ -1,6 +1,6 @@
 //! Fingerprints of requests that ran to an answer lately at the backend server of this host.
 
-use std::{collections::HashSet, time::Duration};
+use std::{collections::BTreeSet, time::Duration};
 
 use kumquatquay_wire::Fingerprint;
 
@@ -19,8 +19,8 @@
 /// it would be suspected of each crash.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RecentRuns {
-    newer: HashSet<Fingerprint>,
-    older: HashSet<Fingerprint>,
+    newer: BTreeSet<Fingerprint>,
+    older: BTreeSet<Fingerprint>,
     /// When the newer generation began, on the monotonic clock.
     newer_since: Duration,
 }
--- a/crates/kumquatquay-core/src/quarantine/records.rs
+++ b/crates/kumquatquay-core/src/quarantine/records.rs
@@ -69,8 +69,8 @@
     }
 }
 
-/// Records of the service of this host that should outlast a restart of all nodes: those of
-/// quarantined requests and of suspects with strong evidence against them.
+/// Records of the service of this host that should outlast a restart of all nodes: those with more
+/// than one crash.
 pub(crate) fn records_to_keep(board: &Blackboard, now: Moment) -> Vec<RecordToKeep> {
     let Some(service) = &board.quarantine.service else {
         return Vec::new();
@@ -85,6 +85,16 @@
     to_keep.collect()
 }
 
+/// Numbers of suspects and of quarantined fingerprints.
+pub(crate) fn counts(board: &Blackboard, now: Moment) -> (usize, usize) {
+    let now = now.monotonic;
+    let entries = || board.quarantine.iter();
+    (
+        entries().filter(|entry| entry.is_suspect(now)).count(),
+        entries().filter(|entry| entry.is_quarantined(now)).count(),
+    )
+}
+
 /// Lists suspects and quarantined requests.
 pub(crate) fn list(board: &Blackboard, now: Moment) -> OperatorReply {
     OperatorReply::Quarantine {
--- a/crates/kumquatquayd/src/engine/engine.rs
+++ b/crates/kumquatquayd/src/engine/engine.rs
@@ -288,6 +288,12 @@
         self.lock().node.may_send_again(now, service, of)
     }
 
+    /// [`Node::quarantine_counts`].
+    pub(crate) fn quarantine_counts(&self) -> (usize, usize) {
+        let now = self.now();
+        self.lock().node.quarantine_counts(now)
+    }
+
     /// [`Node::records_to_keep`].
     pub(crate) fn records_to_keep(&self) -> Vec<RecordToKeep> {
         let now = self.now();
--- a/crates/kumquatquayd/src/lib.rs
+++ b/crates/kumquatquayd/src/lib.rs
@@ -23,6 +23,7 @@
 mod json_log;
 mod line_queue;
 mod metrics;
+mod operator_commands;
 mod platform;
 mod reach;
 pub mod routed;
--- a/crates/kumquatquayd/src/routed/metrics_text.rs
+++ b/crates/kumquatquayd/src/routed/metrics_text.rs
@@ -28,6 +28,7 @@
     let is_store_behind = node.proof.borrow().is_store_behind();
     let proof_age = node.proof_age().unwrap_or_default();
     let quota_nodes_count = nodes_count(node).unwrap_or_default();
+    let (suspects_count, quarantined_count) = node.engine.quarantine_counts();
     let gauges = [
         ("in_flight", node.in_flight_count.get() as u64),
         ("held_answer_bytes", node.held_answers.get().bytes() as u64),
@@ -52,6 +53,8 @@
         ("store_unheard_ms", time_since_answer.as_millis() as u64),
         ("proof_age_ms", proof_age.as_millis() as u64),
         ("quota_nodes", quota_nodes_count as u64),
+        ("suspected_requests", suspects_count as u64),
+        ("quarantined_requests", quarantined_count as u64),
         ("links", node.links.borrow().len() as u64),
     ];
     for (name, value) in gauges {
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -39,6 +39,7 @@
 mod metrics_text;
 mod node;
 mod node_metrics;
+mod operator;
 mod outgoing_call;
 mod pipelining;
 mod quarantine_keeping;
--- a/crates/kumquatquayd/src/routed/quarantine_keeping.rs
+++ b/crates/kumquatquayd/src/routed/quarantine_keeping.rs
@@ -21,40 +21,49 @@
 const OTHER_WRITE_PROBABILITY: f64 = 0.2;
 
 /// How long the store may hold a read until there is a record.
-const READ_HOLD: Duration = Duration::from_secs(20);
+const READ_HOLD: Duration = Duration::from_secs(25);
 
-/// Pause after a read that failed, and before a node that is no reader checks again whether it is one.
-const READ_PAUSE: Duration = Duration::from_millis(500);
+/// Pause before the first read. It shows meanwhile which nodes read the store for others.
+const START_PAUSE: Duration = Duration::from_millis(300);
+
+/// The same when the deployment starts for the first time, and the store keeps no records yet.
+const FIRST_START_PAUSE: Duration = Duration::from_secs(3);
 
-/// Longest part that is added to a pause, so that nodes which start together don't read together.
-const MAX_JITTER: Duration = Duration::from_millis(500);
+/// Pause after a read, doubled with each one that fails, up to a limit.
+const READ_PAUSE: Duration = Duration::from_millis(500);
+const MAX_READ_PAUSE: Duration = Duration::from_secs(4);
 
-/// Reads the records that the store keeps; then writes those of this node, and if this node reads the
-/// store for others, goes on to read.
+/// Writes the records of this node and, if it reads the store for others, reads those that the store
+/// keeps. What it reads reaches the others by gossip.
 pub(crate) async fn keep_quarantine(node: Rc<RoutedNode>, store: PlatformStore) {
-    while read(&node, &store, Duration::ZERO).await.is_err() {
-        pause(&node).await;
-    }
     tokio::join!(write_on(&node, &store), read_on(&node, &store));
 }
 
-/// A data centre that is cut off from the others learns from the store which requests crashed backend
-/// servers there.
+/// Reads the records that the store keeps. After all nodes were killed nobody else knows them, and a data
+/// centre that is cut off from the others learns here of their crashes.
 async fn read_on(node: &Rc<RoutedNode>, store: &PlatformStore) {
+    let start_pause = if node.settings.is_first_start {
+        FIRST_START_PAUSE
+    } else {
+        START_PAUSE
+    };
+    tokio::time::sleep(start_pause).await;
+    let mut hold = Duration::ZERO;
+    let mut pause = READ_PAUSE;
     loop {
-        pause(node).await;
         if node.store_readers.get().is_reader {
-            // A failure is logged; the next read comes after a pause.
-            let _ = read(node, store, READ_HOLD).await;
+            match read(node, store, hold).await {
+                Ok(()) => {
+                    hold = READ_HOLD;
+                    pause = READ_PAUSE;
+                }
+                Err(_) => pause = MAX_READ_PAUSE.min(pause * 2),
+            }
         }
+        tokio::time::sleep(pause).await;
     }
 }
 
-async fn pause(node: &RoutedNode) {
-    let jitter = node.random.borrow_mut().random::<f64>();
-    tokio::time::sleep(READ_PAUSE + MAX_JITTER.mul_f64(jitter)).await;
-}
-
 async fn read(node: &RoutedNode, store: &PlatformStore, hold: Duration) -> Result<(), StoreError> {
     let read = (store.read_quarantine)(hold).await;
     match read {
--- a/crates/kumquatquayd/src/routed/settings.rs
+++ b/crates/kumquatquayd/src/routed/settings.rs
@@ -51,6 +51,8 @@
     pub reports: SocketAddr,
     /// Metrics in text form; `None` for no such listener.
     pub metrics: Option<SocketAddr>,
+    /// Commands of operators who are on this host; `None` for no such listener.
+    pub operator: Option<SocketAddr>,
 }
 
 /// Resources of the host that a node may use.
--- a/crates/kumquatquayd/src/routed/start.rs
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -6,7 +6,7 @@
 use kumquatquay_core::{Input, Node, NodeSettings, routed::Mechanism};
 use kumquatquay_wire::MeshKey;
 use rand::Rng;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use super::{
     backend_death::check_after_broken_runs,
@@ -21,6 +21,7 @@
         follow_members, join_through_register, reintroduce_to_gone_members, run_effects, run_ticks,
     },
     node::{RoutedNode, StopPhase},
+    operator::serve_operator,
     pipelining::serve_caller,
     quarantine_keeping::keep_quarantine,
     quotas::run_quota_loans,
@@ -172,6 +173,9 @@
     if let Some(metrics) = addresses.metrics {
         serve_metrics_at(node, bind_listener("metrics", metrics).await?);
     }
+    if let Some(operator) = addresses.operator {
+        serve_operators_at(node, bind_listener("operators", operator).await?);
+    }
     Ok(())
 }
 
@@ -186,6 +190,27 @@
     ));
 }
 
+/// Serves operators who are on this host. Others are turned away, since a release needs no token.
+fn serve_operators_at(node: &Rc<RoutedNode>, listener: TcpListener) {
+    node.tasks.spawn_local(accept_connections(
+        Rc::clone(node),
+        listener,
+        |node, stream| {
+            if !is_from_this_host(&stream) {
+                node.metrics.count("operator", "not_from_this_host");
+                return;
+            }
+            let tasks = node.tasks.clone();
+            tasks.spawn_local(serve_connection(node, stream, serve_operator));
+        },
+    ));
+}
+
+fn is_from_this_host(stream: &TcpStream) -> bool {
+    let addresses = stream.peer_addr().ok().zip(stream.local_addr().ok());
+    addresses.is_some_and(|(peer, own)| peer.ip().is_loopback() || peer.ip() == own.ip())
+}
+
 /// Shuts the node down: callers are asked to use other nodes, then connections close, and the
 /// node ends when no work is in progress, at the latest at the end of the grace period.
 async fn shut_down(node: &Rc<RoutedNode>) {
--- a/crates/kumquatquayd/src/serve/operator.rs
+++ b/crates/kumquatquayd/src/serve/operator.rs
@@ -1,31 +1,16 @@
 //! The listener for operators.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use http::{Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use kumquatquay_core::OperatorInput;
-use kumquatquay_wire::{OperatorCommand, OperatorReply};
 use subtle::ConstantTimeEq;
 
 use super::server_context::ServerContext;
-use crate::http::{RelayBody, header_text, plain_response};
-
-/// Where commands are sent.
-const COMMAND_PATH: &str = "/operator";
-
-/// Where the state dump is read.
-const STATE_PATH: &str = "/state";
-
-/// The longest command, in bytes.
-const COMMAND_LIMIT_BYTES: usize = 1024 * 1024;
-
-/// How long a command may take; confirming waits for the log.
-const COMMAND_TIMEOUT: Duration = Duration::from_secs(60);
-
-/// Who sends commands where no operators are set.
-const LOCAL_OPERATOR: &str = "local";
+use crate::{
+    http::{RelayBody, header_text, plain_response},
+    operator_commands::{COMMAND_PATH, LOCAL_OPERATOR, STATE_PATH, carry_out, read_command, state},
+};
 
 /// Serves one request of an operator.
 pub(crate) async fn serve(
@@ -37,8 +22,8 @@
         return plain_response(StatusCode::UNAUTHORIZED, "text/plain", text);
     };
     match (request.method(), request.uri().path()) {
-        (&Method::GET, STATE_PATH) => state(&context),
-        (&Method::POST, COMMAND_PATH) => command(&context, operator, request).await,
+        (&Method::GET, STATE_PATH) => state_response(&context),
+        (&Method::POST, COMMAND_PATH) => command_response(&context, operator, request).await,
         _ => {
             let text = "GET /state and POST /operator are served here\n";
             plain_response(StatusCode::NOT_FOUND, "text/plain", text)
@@ -60,47 +45,22 @@
     Some(account.name.clone())
 }
 
-fn state(context: &ServerContext) -> Response<RelayBody> {
-    let dump = context.engine.state_dump();
-    match serde_json::to_vec_pretty(&dump) {
-        Ok(text) => plain_response(StatusCode::OK, "application/json", text),
-        Err(error) => {
-            let text = format!("the state can't be written: {error}\n");
-            plain_response(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", text)
-        }
+fn state_response(context: &ServerContext) -> Response<RelayBody> {
+    match state(&context.engine) {
+        Ok(dump) => plain_response(StatusCode::OK, "application/json", dump),
+        Err(reason) => plain_response(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", reason),
     }
 }
 
-async fn command(
+async fn command_response(
     context: &ServerContext,
     operator: String,
     request: Request<Incoming>,
 ) -> Response<RelayBody> {
-    let command = match read_command(request).await {
+    let command = match read_command(request.into_body()).await {
         Ok(command) => command,
-        Err(text) => return plain_response(StatusCode::BAD_REQUEST, "text/plain", text),
-    };
-    let (id, receiver) = context.engine.begin_operator();
-    context.engine.handle(OperatorInput {
-        request: id,
-        operator,
-        command,
-    });
-    let reply = match tokio::time::timeout(COMMAND_TIMEOUT, receiver).await {
-        Ok(Ok(reply)) => reply,
-        Ok(Err(_)) | Err(_) => OperatorReply::Refused {
-            message: String::from("the node gave no answer in time; ask for the status"),
-        },
+        Err(reason) => return plain_response(StatusCode::BAD_REQUEST, "text/plain", reason),
     };
-    let text = serde_json::to_vec(&reply).expect("a reply always encodes");
-    plain_response(StatusCode::OK, "application/json", text)
-}
-
-async fn read_command(request: Request<Incoming>) -> Result<OperatorCommand, String> {
-    let body = Limited::new(request.into_body(), COMMAND_LIMIT_BYTES);
-    let body = body
-        .collect()
-        .await
-        .map_err(|error| format!("the command can't be read: {error}\n"))?;
-    serde_json::from_slice(&body.to_bytes()).map_err(|error| format!("not a command: {error}\n"))
+    let reply = carry_out(&context.engine, operator, command).await;
+    plain_response(StatusCode::OK, "application/json", reply)
 }
