Suspect what was in flight when a server fell silent, not what broke until its next life

A server that closes each new connection, and has answered nothing since a run broke, is treated as silent: no calls are sent to it, what was in flight then is set aside, and is suspected once another life reports, however long that takes. If the same life reports, nothing is. Links that are reset from outside therefore make no suspects.

--- a/crates/kumquatquay-core/src/gate/controller.rs
+++ b/crates/kumquatquay-core/src/gate/controller.rs
@@ -39,6 +39,7 @@
 ) {
     match input {
         BackendInput::Announced(announcement) => {
+            quarantine::on_backend_announced(board);
             board.gate.connections_count = announcement.connections_count as usize;
             board
                 .gate
@@ -48,24 +49,35 @@
         }
         BackendInput::HealthReported { is_healthy } => board.gate.is_reported_ill = !is_healthy,
         BackendInput::Died => on_died(board, now, out),
-        BackendInput::Unresponsive => on_unresponsive(board, out),
+        BackendInput::Unresponsive => on_unresponsive(board, now, out),
     }
 }
 
 fn on_died(board: &mut Blackboard, now: Moment, out: &mut Vec<Output>) {
-    let running = board.gate.running.iter();
-    let unanswered = running.filter(|(_, running)| !running.is_answered);
-    let in_flight = unanswered.map(|(work, running)| in_flight(*work, running));
-    let in_flight: Vec<_> = in_flight.collect();
+    let in_flight = unanswered(board);
     quarantine::on_backend_died(board, now, &in_flight, out);
-    on_unresponsive(board, out);
+    on_ended(board, out);
+}
+
+fn on_unresponsive(board: &mut Blackboard, now: Moment, out: &mut Vec<Output>) {
+    let in_flight = unanswered(board);
+    quarantine::on_backend_silent(board, now, &in_flight);
+    on_ended(board, out);
 }
 
-fn on_unresponsive(board: &mut Blackboard, out: &mut Vec<Output>) {
+fn on_ended(board: &mut Blackboard, out: &mut Vec<Output>) {
     board.gate.limit.reset();
     refuse_all(board, out);
 }
 
+/// Work that runs and has no answer.
+fn unanswered(board: &Blackboard) -> Vec<InFlightRequest> {
+    let running = board.gate.running.iter();
+    let unanswered = running.filter(|(_, running)| !running.is_answered);
+    let in_flight = unanswered.map(|(work, running)| in_flight(*work, running));
+    in_flight.collect()
+}
+
 fn in_flight(work: WorkId, running: &RunningWork) -> InFlightRequest {
     InFlightRequest {
         work,
--- a/crates/kumquatquay-core/src/quarantine/attribution.rs
+++ b/crates/kumquatquay-core/src/quarantine/attribution.rs
@@ -87,7 +87,8 @@
 
 /// Records that the connection of a piece of work broke while it ran.
 pub(crate) fn on_connection_broken(board: &mut Blackboard, now: Moment, request: InFlightRequest) {
-    if board.quarantine.counted_work.contains(&request.work) {
+    let table = &board.quarantine;
+    if table.counted_work.contains(&request.work) || table.in_flight_at_silence.is_some() {
         return;
     }
     let broken_work = &mut board.quarantine.broken_work;
@@ -113,42 +114,14 @@
     in_flight: &[InFlightRequest],
     out: &mut Vec<Output>,
 ) {
-    let table = &mut board.quarantine;
-    let in_flight: Vec<InFlightRequest> =
-        table.running.values().chain(in_flight).copied().collect();
-    let is_new = |request: &&InFlightRequest| !table.counted_work.contains(&request.work);
-    let new: Vec<InFlightRequest> = in_flight.iter().filter(is_new).copied().collect();
-    if new.is_empty() && !in_flight.is_empty() {
+    let Some(in_flight) = take_in_flight(board, now, in_flight) else {
         return;
-    }
+    };
     board.counters.increment(Counter::BackendDeaths);
-    let table = &mut board.quarantine;
-    table
-        .counted_work
-        .extend(new.iter().map(|request| request.work));
-    table.running_suspects.clear();
-    let broken_work = std::mem::take(&mut table.broken_work);
-    let recent = broken_work
-        .into_iter()
-        .filter(|(broken_at, _)| now.monotonic <= *broken_at + BROKEN_WORK_RETENTION)
-        .map(|(_, request)| request);
-    let in_flight: Vec<InFlightRequest> = new.into_iter().chain(recent).collect();
     let Some(service) = own_service(board) else {
         return;
     };
-    let in_flight = fingerprints_latest_first(in_flight);
-    let in_flight_count = in_flight.len();
-    let recent_runs = &board.quarantine.recent_runs;
-    // A request that crashes each backend server that runs it has never run to its end.
-    let mut suspects: Vec<Fingerprint> = in_flight
-        .into_iter()
-        .filter(|fingerprint| !recent_runs.contains(now.monotonic, *fingerprint))
-        .collect();
-    let detail = format!(
-        "{in_flight_count} different requests were in flight, {} of them are suspects",
-        suspects.len()
-    );
-    out.push(Output::Note(Note::warn("backend_server_died", detail)));
+    let mut suspects = suspects_of(board, now, in_flight, out);
     if suspects.is_empty() {
         return;
     }
@@ -164,6 +137,78 @@
     notify_service(board, now, &service, &suspects, out);
 }
 
+/// Records that the backend server of this host gives no answers any more.
+///
+/// Nothing is suspected of it until another life reports. What is sent to its address meanwhile breaks
+/// as well, but has never reached a backend server.
+pub(crate) fn on_backend_silent(
+    board: &mut Blackboard,
+    now: Moment,
+    in_flight: &[InFlightRequest],
+) {
+    if board.quarantine.in_flight_at_silence.is_none() {
+        board.quarantine.in_flight_at_silence = take_in_flight(board, now, in_flight);
+    }
+}
+
+/// Records that the backend server of this host reports.
+pub(crate) fn on_backend_announced(board: &mut Blackboard) {
+    board.quarantine.in_flight_at_silence = None;
+}
+
+/// What was in flight at a death, or when the backend server fell silent before; `None` if all of it was
+/// counted at an earlier death.
+fn take_in_flight(
+    board: &mut Blackboard,
+    now: Moment,
+    in_flight: &[InFlightRequest],
+) -> Option<Vec<InFlightRequest>> {
+    let table = &mut board.quarantine;
+    if let Some(in_flight) = table.in_flight_at_silence.take() {
+        return Some(in_flight);
+    }
+    let in_flight: Vec<InFlightRequest> =
+        table.running.values().chain(in_flight).copied().collect();
+    let is_new = |request: &&InFlightRequest| !table.counted_work.contains(&request.work);
+    let new: Vec<InFlightRequest> = in_flight.iter().filter(is_new).copied().collect();
+    if new.is_empty() && !in_flight.is_empty() {
+        return None;
+    }
+    table
+        .counted_work
+        .extend(new.iter().map(|request| request.work));
+    table.running_suspects.clear();
+    let broken_work = std::mem::take(&mut table.broken_work);
+    let recent = broken_work
+        .into_iter()
+        .filter(|(broken_at, _)| now.monotonic <= *broken_at + BROKEN_WORK_RETENTION)
+        .map(|(_, request)| request);
+    Some(new.into_iter().chain(recent).collect())
+}
+
+/// Fingerprints that may be to blame for a death, the one that started last first.
+///
+/// A request that crashes each backend server that runs it has never run to its end.
+fn suspects_of(
+    board: &Blackboard,
+    now: Moment,
+    in_flight: Vec<InFlightRequest>,
+    out: &mut Vec<Output>,
+) -> Vec<Fingerprint> {
+    let mut suspects = fingerprints_latest_first(in_flight);
+    let in_flight_count = suspects.len();
+    let recent_runs = &board.quarantine.recent_runs;
+    suspects.retain(|fingerprint| !recent_runs.contains(now.monotonic, *fingerprint));
+    if in_flight_count > 0 {
+        let detail = format!(
+            "{in_flight_count} different requests were in flight, {} of them are suspects",
+            suspects.len()
+        );
+        out.push(Output::Note(Note::warn("backend_server_died", detail)));
+    }
+    suspects
+}
+
 fn new_crash(board: &mut Blackboard, suspects_count: usize) -> Crash {
     board.quarantine.deaths_count += 1;
     let settings = &board.settings;
--- a/crates/kumquatquay-core/src/quarantine/mod.rs
+++ b/crates/kumquatquay-core/src/quarantine/mod.rs
@@ -18,8 +18,8 @@
     Verdict, admit_work, begin_run, check, is_active, isolation_endpoint, may_retry, may_send_again,
 };
 pub(crate) use attribution::{
-    on_attempt_ended, on_backend_died, on_connection_broken, on_run_ended, on_work_ended,
-    on_work_ran,
+    on_attempt_ended, on_backend_announced, on_backend_died, on_backend_silent,
+    on_connection_broken, on_run_ended, on_work_ended, on_work_ran,
 };
 pub use fingerprint::RequestIdentity;
 pub(crate) use fingerprint::fingerprint_of;
--- a/crates/kumquatquay-core/src/quarantine/quarantine_table.rs
+++ b/crates/kumquatquay-core/src/quarantine/quarantine_table.rs
@@ -30,6 +30,9 @@
     pub(crate) running_suspects: BTreeMap<WorkId, Fingerprint>,
     /// Work whose connection broke recently, with the time on the monotonic clock.
     pub(crate) broken_work: VecDeque<(Duration, InFlightRequest)>,
+    /// What was in flight when the backend server stopped to answer. It is suspected if another life
+    /// reports: what is sent meanwhile breaks as well, and never reaches a backend server.
+    pub(crate) in_flight_at_silence: Option<Vec<InFlightRequest>>,
     /// Work in flight at a death that has been counted. It ends only later; counting it again
     /// at the next death, or at a second report of the same one, would quarantine unrelated
     /// requests.
--- a/crates/kumquatquay-core/tests/crashing_runs.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs.rs
@@ -321,6 +321,28 @@
         assert!(gates.are_run(CRASHING));
     }
 
+    /// Something in front of a dead server accepts connections and closes them until the next life reports:
+    /// all that was tried there meanwhile was suspected.
+    what_breaks_while_a_server_is_silent_is_not_suspected: |gates| {
+        for gate in [0, 1, 2, 3, 0, 1] {
+            let works = gates.begin_all(gate, &[CRASHING]);
+            gates.mesh.run(CRASH_AFTER);
+            works.iter().for_each(|work| gates.end(gate, RunInput::Broken { work: *work }));
+            gates.mesh.handle(gates.controls[gate], BackendInput::Unresponsive.into());
+            for innocent in innocents(0, 30) {
+                let works = gates.begin_all(gate, &[innocent]);
+                works.iter().for_each(|work| gates.end(gate, RunInput::Broken { work: *work }));
+            }
+            gates.mesh.run(Duration::from_secs(10));
+            gates.mesh.handle(gates.controls[gate], BackendInput::Died.into());
+            gates.revive(gate);
+        }
+        assert!(gates.are_refused(CRASHING));
+        for innocent in innocents(0, 30) {
+            assert_eq!(gates.begin_all(2, &[innocent, innocent]).len(), 2);
+        }
+    }
+
     /// Of two suspects one ran well: its suspicion stayed at the gates where it did not run.
     a_success_clears_a_suspect_at_all_gates: |gates| {
         let innocent = FIRST_INNOCENT;
--- a/crates/kumquatquayd/src/routed/backend_death.rs
+++ b/crates/kumquatquayd/src/routed/backend_death.rs
@@ -18,6 +18,19 @@
 /// Timeout of a check. The backend server is on this host, and accepts or refuses at once.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// How long a new connection has to stay open. What listens in place of a backend server that has died
+/// closes it at once.
+const OPEN_TIME: Duration = Duration::from_millis(20);
+
+/// What a check of the backend server shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CheckResult {
+    Accepts,
+    Refuses,
+    /// It accepts a connection and closes it.
+    Closes,
+}
+
 /// Checks after each broken run whether the backend server lives.
 ///
 /// A request that crashes it comes again within a second. Without the check the death would be noticed
@@ -25,31 +38,51 @@
 pub(crate) async fn check_after_broken_runs(node: Rc<RoutedNode>) {
     loop {
         node.run_broken.notified().await;
+        let broken_at = node.now();
         tokio::time::sleep(CHECK_PAUSE).await;
         if node.lives.borrow().current().is_none() || node.backend.has_open_idle_connection() {
             continue;
         }
-        let connect = TcpStream::connect(node.settings.backend);
-        let checked = tokio::time::timeout(CHECK_TIMEOUT, connect).await;
         node.metrics.count("backend_check", "after_broken_run");
-        if let Ok(Err(error)) = checked
-            && error.kind() == io::ErrorKind::ConnectionRefused
-        {
-            on_backend_died(&node, "connection refused after a broken run");
+        let result = check(&node).await;
+        // An overloaded backend server closes new connections too, but answers on others.
+        let has_answered = node.last_answer_at.get() >= broken_at;
+        match result {
+            CheckResult::Refuses => on_backend_died(&node, "connection refused after a broken run"),
+            CheckResult::Closes if !has_answered => {
+                on_backend_unresponsive(&node, "it closes all connections");
+            }
+            CheckResult::Closes | CheckResult::Accepts => {}
         }
         tokio::time::sleep(NEXT_CHECK_PAUSE).await;
     }
 }
 
+async fn check(node: &RoutedNode) -> CheckResult {
+    let connect = TcpStream::connect(node.settings.backend);
+    match tokio::time::timeout(CHECK_TIMEOUT, connect).await {
+        Ok(Ok(stream)) if is_closed_soon(&stream).await => CheckResult::Closes,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => CheckResult::Refuses,
+        Ok(Ok(_) | Err(_)) | Err(_) => CheckResult::Accepts,
+    }
+}
+
+/// Whether a connection on which nothing was sent becomes readable: only its end makes it so.
+async fn is_closed_soon(stream: &TcpStream) -> bool {
+    let readable = tokio::time::timeout(OPEN_TIME, stream.readable()).await;
+    readable.is_ok()
+}
+
 /// Announces to the membership that the backend server of this host has died, until it reports again.
 /// What ran there is suspected of it.
 pub(crate) fn on_backend_died(node: &RoutedNode, why: &str) {
     end_life(node, BackendInput::Died, why);
 }
 
-/// Announces that the backend server gives no answers, until it reports again.
-pub(crate) fn on_backend_unresponsive(node: &RoutedNode) {
-    end_life(node, BackendInput::Unresponsive, "it does not answer calls");
+/// Announces that the backend server gives no answers, until it reports again. What ran there is suspected
+/// once another life reports.
+pub(crate) fn on_backend_unresponsive(node: &RoutedNode, why: &str) {
+    end_life(node, BackendInput::Unresponsive, why);
 }
 
 fn end_life(node: &RoutedNode, input: BackendInput, why: &str) {
--- a/crates/kumquatquayd/src/routed/crash_guard.rs
+++ b/crates/kumquatquayd/src/routed/crash_guard.rs
@@ -63,6 +63,7 @@
             LinkOutcome::Unknown(_) => return,
         };
         self.has_ended = true;
+        self.node.last_answer_at.set(self.node.now());
         self.node.engine.handle(input);
     }
 }
--- a/crates/kumquatquayd/src/routed/gate_slot.rs
+++ b/crates/kumquatquayd/src/routed/gate_slot.rs
@@ -51,7 +51,7 @@
         let is_silent = node.backend_liveness.borrow().is_silent(now, run_time);
         if is_silent && node.is_on(Mechanism::SilentBackend) {
             // Running calls are not cancelled: their answers may still come.
-            on_backend_unresponsive(&node);
+            on_backend_unresponsive(&node, "it does not answer calls");
         }
         node.level_controller.borrow_mut().tick(now, state);
     }
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -104,6 +104,8 @@
     pub(crate) lives: RefCell<BackendLives>,
     /// Life of that server which last reported, unless it is known to have died.
     pub(super) last_life: RefCell<Option<BackendLife>>,
+    /// When that server last answered a call, as time since the start of the node.
+    pub(super) last_answer_at: Cell<Duration>,
     /// Notified when a run's connection to it broke.
     pub(super) run_broken: Notify,
     /// Notified when that server has died under some requests.
@@ -255,6 +257,7 @@
             limit_wait_started: Notify::new(),
             lives: RefCell::default(),
             last_life: RefCell::default(),
+            last_answer_at: Cell::default(),
             run_broken: Notify::new(),
             crash_recorded: Notify::new(),
             kept_records: RefCell::default(),
