Collect the gates of the service only when the members have changed, and measure what the quarantine adds to a run

Each tick of 50 ms walked over all gates of the service while nothing is suspected: 2,000 look-ups a second with a hundred gates. The benchmark decision has a part for the fingerprint, begin and end of a run.

--- a/crates/kumquatquay-core/benches/decision.rs
+++ b/crates/kumquatquay-core/benches/decision.rs
@@ -16,7 +16,8 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use kumquatquay_core::{
     Announcement, AnswerHead, AttemptEnded, AttemptResult, BackendInput, CallArrived, CallInput,
-    CallOrigin, Input, Moment, Node, NodeSettings, Output, WorkInput, WorkResult,
+    CallOrigin, Input, Moment, Node, NodeSettings, Output, RequestIdentity, RunInput, WorkInput,
+    WorkResult,
 };
 use kumquatquay_wire::{
     ControlBody, Datagram, MemberRecord, MemberState, MeshKey, RequestContext, Rumour,
@@ -257,11 +258,49 @@
     }
 }
 
+/// Time that the quarantine adds to a run of a call on a route: its fingerprint, and its begin and end at
+/// the gate.
+fn guarded_run(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("run on a route");
+    for body_bytes in [0, 1_000, 40_000] {
+        let body = vec![b'x'; body_bytes];
+        let mut node = Node::new(settings_of_gate());
+        let mut work = 0;
+        let id = BenchmarkId::from_parameter(body_bytes);
+        group.bench_with_input(id, &body, |bencher, body| {
+            bencher.iter(|| {
+                work += 1;
+                let digest = (!body.is_empty()).then(|| *blake3::hash(body).as_bytes());
+                let identity = RequestIdentity {
+                    service: "archive",
+                    method: "POST",
+                    path: "/survey/pit-seven/2026",
+                    query: "",
+                    caller: "",
+                    body_digest: digest.as_ref(),
+                    idempotency_key: None,
+                };
+                let fingerprint = identity.fingerprint() ^ (work % 4_000);
+                let now = moment(Duration::from_micros(work));
+                black_box(node.begin_run(now, work, fingerprint));
+                node.handle(now, RunInput::Answered { work }.into())
+            });
+        });
+    }
+    group.finish();
+}
+
+fn settings_of_gate() -> NodeSettings {
+    let key = MeshKey::from_secret("secret");
+    NodeSettings::new("hall-a", address(1, 7_000), address(1, 7_001), key).without_log()
+}
+
 criterion_group!(
     benches,
     against_members,
     against_services,
     against_in_flight,
-    tick
+    tick,
+    guarded_run
 );
 criterion_main!(benches);
--- a/crates/kumquatquay-core/src/quarantine/notices.rs
+++ b/crates/kumquatquay-core/src/quarantine/notices.rs
@@ -28,6 +28,8 @@
     informed: BTreeMap<SocketAddr, Option<Incarnation>>,
     /// When records were last sent again, on the monotonic clock.
     resent_at: Duration,
+    /// When the members had last changed as the gates were collected.
+    members_changed_at: Option<Duration>,
 }
 
 /// Sends the records of some fingerprints to the other gates of a service at once.
@@ -53,7 +55,7 @@
         return;
     };
     remember_gates(board, &service);
-    let fingerprints: Vec<Fingerprint> = strong_evidence(board, now, &service);
+    let fingerprints = strong_evidence(board, now, &service);
     if fingerprints.is_empty() {
         board.quarantine.peer_gates.forget_informed();
         return;
@@ -106,7 +108,12 @@
 
 fn remember_gates(board: &mut Blackboard, service: &ServiceName) {
     let own = board.settings.control;
-    let informed = &mut board.quarantine.peer_gates.informed;
+    let changed_at = Some(board.members.last_changed_at());
+    let gates = &mut board.quarantine.peer_gates;
+    if std::mem::replace(&mut gates.members_changed_at, changed_at) == changed_at {
+        return;
+    }
+    let informed = &mut gates.informed;
     for candidate in board.members.candidates(service) {
         let is_known = informed.contains_key(&candidate.control);
         if candidate.control != own && !is_known && informed.len() < GATES_LIMIT_COUNT {
