Share the blame among the requests with the most crashes behind them, and isolate ties

At a death the suspects with two or more crashes behind them now share the blame alone. One of them by itself is quarantined as before; several stay isolated, where each runs alone among suspects, so that the next crash tells them apart or a success clears the innocent. The fifth crash quarantines in any case.

--- a/crates/kumquatquay-core/src/quarantine/attribution.rs
+++ b/crates/kumquatquay-core/src/quarantine/attribution.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
-use kumquatquay_wire::{Crash, Fingerprint, Outcome, ServiceName};
+use kumquatquay_wire::{Crash, Fingerprint, Outcome, QuarantineRecord, ServiceName};
 
 use super::{
     broken_calls::ConnectionBreak,
     in_flight_request::{InFlightRequest, fingerprints_latest_first},
     notices::notify_service,
     own_service::own_service,
+    quarantine_entry::QuarantineEntry,
     records::clear_suspect,
 };
 use crate::{AttemptResult, Blackboard, Counter, Moment, Note, Output, RunInput, Severity, WorkId};
@@ -126,9 +127,16 @@
         return;
     }
     let crash = new_crash(board, suspects.len());
+    let repeated = RepeatedSuspects::among(board, now, &service, &suspects);
     suspects.truncate(SUSPECTS_LIMIT_COUNT);
     for fingerprint in &suspects {
         let entry = board.quarantine.get_or_insert(&service, *fingerprint);
+        let score_milli = repeated.score_milli(entry.crashes_count());
+        let score_milli = score_milli.unwrap_or(crash.score_milli);
+        let crash = Crash {
+            score_milli,
+            ..crash
+        };
         entry.add_crash(now.monotonic, crash);
         if entry.is_quarantined(now.monotonic) {
             log_quarantined(&service, *fingerprint, out);
@@ -225,6 +233,36 @@
     }
 }
 
+/// The suspects of a death that were in flight at the most deaths before.
+///
+/// With two or more of them behind it, a request is to blame rather than the new ones beside it.
+struct RepeatedSuspects {
+    earlier_crashes_count: usize,
+    count: usize,
+}
+
+impl RepeatedSuspects {
+    fn among(board: &Blackboard, now: Moment, service: &str, suspects: &[Fingerprint]) -> Self {
+        let entries = suspects
+            .iter()
+            .filter_map(|fingerprint| board.quarantine.get(service, *fingerprint));
+        let active = entries.filter(|entry| entry.is_active(now.monotonic));
+        let counts: Vec<usize> = active.map(QuarantineEntry::crashes_count).collect();
+        let most_count = counts.iter().copied().max().unwrap_or_default();
+        Self {
+            earlier_crashes_count: most_count,
+            count: counts.iter().filter(|count| **count == most_count).count(),
+        }
+    }
+
+    /// Score of a suspect with so many earlier crashes, if it is one of these.
+    fn score_milli(&self, earlier_crashes_count: usize) -> Option<u16> {
+        let is_one = earlier_crashes_count == self.earlier_crashes_count;
+        let is_repeated = earlier_crashes_count >= QuarantineRecord::CLEAR_CRASHES_COUNT;
+        (is_one && is_repeated).then(|| (1_000 / self.count) as u16)
+    }
+}
+
 fn log_quarantined(service: &str, fingerprint: Fingerprint, out: &mut Vec<Output>) {
     let detail =
         format!("requests {fingerprint:016x} to {service} are refused after at least two crashes");
--- a/crates/kumquatquay-core/tests/crashing_runs.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs.rs
@@ -186,6 +186,25 @@
         }
     }
 
+    /// Two paths are in flight whenever a server ends, and have had no time to end a run. One of them is to
+    /// blame, and the other was refused with it for an hour.
+    a_request_in_flight_at_each_crash_of_another_is_isolated: |gates| {
+        let innocent = FIRST_INNOCENT;
+        for gate in 0..3 {
+            let mut running = innocents(100 * gate as u64 + 1, 20);
+            running.extend([innocent, CRASHING]);
+            let works = gates.begin_all(gate, &running);
+            gates.end_server(gate, &works);
+        }
+        gates.mesh.run(Duration::from_millis(200));
+        assert!(gates.are_run(innocent));
+        assert_eq!(gates.run(3, innocent), RunVerdict::Run);
+        gates.crash(3, &[CRASHING]);
+        gates.mesh.run(Duration::from_millis(200));
+        assert!(gates.are_refused(CRASHING));
+        assert!(gates.are_run(innocent));
+    }
+
     /// All that was in flight when a backend server ended ran one at a time, at one host.
     requests_in_flight_at_a_crash_run_together: |gates| {
         let running = innocents(0, 100);
@@ -208,6 +227,20 @@
         assert!(gates.are_refused(CRASHING));
     }
 
+    /// Servers of a rack end one after the other, with runs of one path in flight at each and no time for one
+    /// to end in between.
+    a_path_that_many_send_outlives_a_row_of_crashes: |gates| {
+        let many = FIRST_INNOCENT;
+        for gate in 0..4 {
+            gates.run(gate, many);
+        }
+        for gate in 0..3 {
+            gates.crash(gate, &[many, many, many]);
+        }
+        gates.mesh.run(Duration::from_millis(200));
+        assert!(gates.are_run(many));
+    }
+
     /// It ran well until a release of its service, and crashes each backend server since.
     a_request_that_ran_well_once_is_refused: |gates| {
         for gate in 0..4 {
--- a/crates/kumquatquay-wire/src/control/quarantine_record.rs
+++ b/crates/kumquatquay-wire/src/control/quarantine_record.rs
@@ -9,7 +9,8 @@
 pub struct Crash {
     /// Id of the crash: a hash of the node, its incarnation and a number.
     pub id: u64,
-    /// Score in thousandths: 1000 divided by the number of suspects that were in flight.
+    /// Score in thousandths: 1000 divided by the number of suspects that were in flight, or of those that
+    /// had the most crashes behind them if it was one of these and they had two at least.
     pub score_milli: u16,
     /// Whether it no longer counts: a request with the fingerprint ran successfully
     /// afterwards, or an operator released it.
@@ -34,14 +35,16 @@
 }
 
 impl QuarantineRecord {
-    /// Number of crashes from which on requests with the fingerprint are refused.
-    pub const CRASHES_TO_QUARANTINE_COUNT: usize = 3;
+    /// Number of crashes from which on requests with the fingerprint are refused, whatever else was in
+    /// flight.
+    pub const CRASHES_TO_QUARANTINE_COUNT: usize = 5;
 
     /// Number of crashes from which on they are refused if the score is at least
     /// [`QuarantineRecord::CLEAR_SCORE_MILLI`].
     pub const CLEAR_CRASHES_COUNT: usize = 2;
 
-    /// Score of a fingerprint that was the only suspect at one crash, or one of two at two.
+    /// Score of a fingerprint that was the only suspect at one crash, one of two at two, or the only one
+    /// with two crashes behind it at a third.
     pub const CLEAR_SCORE_MILLI: u32 = 1_000;
 
     /// Score from which on one crash is strong evidence: one of two suspects.
