--- a/crates/kumquatquay-core/src/quarantine/admission.rs
+++ b/crates/kumquatquay-core/src/quarantine/admission.rs
@@ -200,22 +200,32 @@
     service: &ServiceName,
     fingerprint: Fingerprint,
 ) -> bool {
-    let entry = board.quarantine.get(service, fingerprint);
-    entry.is_some_and(|entry| entry.is_active(now.monotonic))
+    crashes_count(board, now, service, fingerprint) > 0
 }
 
 /// Whether the entry of a call on a route may send it again after a run of it broke.
 ///
-/// One crash is weak evidence where many requests were in flight, and the others of them should be served. After
-/// the second crash of a fingerprint its next run is left to its caller, who learns that it failed.
+/// One crash is weak evidence where many requests were in flight, and the others of them should be
+/// served. After the second crash of a fingerprint its next run is left to its caller, who learns
+/// that it failed.
 pub(crate) fn may_send_again(
     board: &Blackboard,
     now: Moment,
     service: &ServiceName,
     fingerprint: Fingerprint,
 ) -> bool {
+    let crashes_count = crashes_count(board, now, service, fingerprint);
+    crashes_count < QuarantineRecord::CLEAR_CRASHES_COUNT
+}
+
+/// Number of crashes of a fingerprint that count at present.
+fn crashes_count(
+    board: &Blackboard,
+    now: Moment,
+    service: &ServiceName,
+    fingerprint: Fingerprint,
+) -> usize {
     let entry = board.quarantine.get(service, fingerprint);
     let active = entry.filter(|entry| entry.is_active(now.monotonic));
-    let crashes_count = active.map_or(0, QuarantineEntry::crashes_count);
-    crashes_count < QuarantineRecord::CLEAR_CRASHES_COUNT
+    active.map_or(0, QuarantineEntry::crashes_count)
 }
--- a/crates/kumquatquay-core/src/quarantine/records.rs
+++ b/crates/kumquatquay-core/src/quarantine/records.rs
@@ -47,8 +47,8 @@
     }
 }
 
-/// Clears a fingerprint that ran to an answer, if it is a suspect. One that is quarantined stays so: the run
-/// may have begun before.
+/// Clears a fingerprint that ran to an answer, if it is a suspect. One that is quarantined stays
+/// so: the run may have begun before.
 pub(super) fn clear_suspect(
     board: &mut Blackboard,
     now: Moment,
