--- a/crates/kumquatquayd/src/routed/start.rs
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -3,6 +3,8 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use eyre::WrapErr;
+use http::{Request, Response};
+use hyper::body::Incoming;
 use kumquatquay_core::{Input, Node, NodeSettings, routed::Mechanism};
 use kumquatquay_wire::MeshKey;
 use rand::Rng;
@@ -12,7 +14,7 @@
     backend_death::check_after_broken_runs,
     gate_slot::{admit_within_rate_limit, update_level_periodically},
     held_requests::release_held,
-    http_io::{accept_connections, bind_listener, serve_connection},
+    http_io::{BufferedBody, accept_connections, bind_listener, serve_connection},
     initial_health_check::check_backend_at_start,
     interface::{Dialect, PlatformStore},
     link::watch_links,
@@ -154,24 +156,14 @@
             tasks.spawn_local(serve_caller(node, stream));
         },
     ));
-    node.tasks.spawn_local(accept_connections(
-        Rc::clone(node),
-        ready,
-        |node, stream| {
-            let tasks = node.tasks.clone();
-            tasks.spawn_local(serve_connection(node, stream, serve_readiness));
-        },
-    ));
-    node.tasks.spawn_local(accept_connections(
-        Rc::clone(node),
-        reports,
-        |node, stream| {
-            let tasks = node.tasks.clone();
-            tasks.spawn_local(serve_connection(node, stream, serve_report));
-        },
-    ));
+    serve_at(node, ready, serve_readiness);
+    serve_at(node, reports, serve_report);
     if let Some(metrics) = addresses.metrics {
-        serve_metrics_at(node, bind_listener("metrics", metrics).await?);
+        serve_at(
+            node,
+            bind_listener("metrics", metrics).await?,
+            serve_metrics,
+        );
     }
     if let Some(operator) = addresses.operator {
         serve_operators_at(node, bind_listener("operators", operator).await?);
@@ -179,15 +171,19 @@
     Ok(())
 }
 
-fn serve_metrics_at(node: &Rc<RoutedNode>, listener: TcpListener) {
-    node.tasks.spawn_local(accept_connections(
-        Rc::clone(node),
-        listener,
-        |node, stream| {
-            let tasks = node.tasks.clone();
-            tasks.spawn_local(serve_connection(node, stream, serve_metrics));
-        },
-    ));
+/// Serves the requests that arrive at a listener.
+fn serve_at<F>(
+    node: &Rc<RoutedNode>,
+    listener: TcpListener,
+    serve: impl Fn(Rc<RoutedNode>, Request<Incoming>) -> F + Copy + 'static,
+) where
+    F: Future<Output = Response<BufferedBody>> + 'static,
+{
+    let accepting = accept_connections(Rc::clone(node), listener, move |node, stream| {
+        let tasks = node.tasks.clone();
+        tasks.spawn_local(serve_connection(node, stream, serve));
+    });
+    node.tasks.spawn_local(accepting);
 }
 
 /// Serves operators who are on this host. Others are turned away, since a release needs no token.
