Compute the fingerprint of a call once at its gate, and copy no name for a run while nothing is suspected

Found on reading the change again: - A gate hashed the body of a call up to three times: on arrival while something is suspected, when its run began, and for the line of a broken run. The call carries it now, as it does at the entry. - Each run copied the name of the service twice, at its begin and at its end, to look into a table that is nearly always empty. - To learn that a call is quarantined, a refusal with its text was made and dropped. - Strong evidence and the order of records stood twice each, beside the entry's own priority; three questions of the entry each asked first whether anything is suspected.

No decision changes.

--- a/crates/kumquatquay-core/src/membership/transmit_counts.rs
+++ b/crates/kumquatquay-core/src/membership/transmit_counts.rs
@@ -97,11 +97,7 @@
 /// A crash with many requests in flight leaves more records than fit into a datagram. In a fixed order
 /// the last of them, among them those that were cleared, would not be sent in any round.
 fn shuffle_weak(records: &mut [QuarantineRecord], board: &mut Blackboard) {
-    records.sort_by_key(|record| !has_strong_evidence(record));
-    let strong_count = records.partition_point(has_strong_evidence);
+    records.sort_by_key(|record| !record.has_strong_evidence());
+    let strong_count = records.partition_point(QuarantineRecord::has_strong_evidence);
     records[strong_count..].shuffle(&mut board.random);
 }
-
-fn has_strong_evidence(record: &QuarantineRecord) -> bool {
-    record.is_quarantined() || record.is_isolated()
-}
--- a/crates/kumquatquay-core/src/node.rs
+++ b/crates/kumquatquay-core/src/node.rs
@@ -2,14 +2,12 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use kumquatquay_wire::{
-    Class, ConfigurationVersion, Fingerprint, MemberRecord, ServiceName, TableDigest,
-};
+use kumquatquay_wire::{Class, ConfigurationVersion, Fingerprint, MemberRecord, TableDigest};
 
 use crate::{
     Blackboard, Counter, Counters, Input, LogInput, Moment, NodeSettings, Output, RecordToKeep,
     RunVerdict, StateDump, WorkId, call, configuration, gate, membership, operations, overload,
-    quarantine::{self, Verdict},
+    quarantine,
 };
 
 /// State machine of one node.
@@ -130,18 +128,17 @@
     }
 
     /// Whether calls with a fingerprint to a service are refused.
-    pub fn is_quarantined(&self, now: Moment, service: &ServiceName, of: Fingerprint) -> bool {
-        let verdict = quarantine::check(&self.board, now, service, of);
-        matches!(verdict, Verdict::Refuse(_))
+    pub fn is_quarantined(&self, now: Moment, service: &str, of: Fingerprint) -> bool {
+        quarantine::is_quarantined(&self.board, now, service, of)
     }
 
     /// Whether calls with a fingerprint to a service may have crashed a backend server.
-    pub fn is_suspect(&self, now: Moment, service: &ServiceName, of: Fingerprint) -> bool {
+    pub fn is_suspect(&self, now: Moment, service: &str, of: Fingerprint) -> bool {
         quarantine::is_active(&self.board, now, service, of)
     }
 
     /// Whether the entry of a call on a route may send it again after a run of it broke.
-    pub fn may_send_again(&self, now: Moment, service: &ServiceName, of: Fingerprint) -> bool {
+    pub fn may_send_again(&self, now: Moment, service: &str, of: Fingerprint) -> bool {
         quarantine::may_send_again(&self.board, now, service, of)
     }
 
--- a/crates/kumquatquay-core/src/quarantine/admission.rs
+++ b/crates/kumquatquay-core/src/quarantine/admission.rs
@@ -166,23 +166,13 @@
     work: WorkId,
     fingerprint: Fingerprint,
 ) -> RunVerdict {
-    let verdict = match own_service(board) {
-        Some(service) => check(board, now, &service, fingerprint),
-        None => Verdict::Admit,
-    };
-    match verdict {
-        Verdict::Refuse(_) => {
-            board.counters.increment(Counter::QuarantineRefusals);
-            return RunVerdict::Refuse;
-        }
-        Verdict::Isolate if !board.quarantine.running_suspects.is_empty() => {
+    // Without suspects, which is nearly always, a run costs no copy of the service's name.
+    if !board.quarantine.is_empty() {
+        let verdict = admit_suspect(board, now, work, fingerprint);
+        if verdict != RunVerdict::Run {
             board.counters.increment(Counter::QuarantineRefusals);
-            return RunVerdict::Busy;
+            return verdict;
         }
-        Verdict::Isolate => {
-            board.quarantine.running_suspects.insert(work, fingerprint);
-        }
-        Verdict::Admit => {}
     }
     let request = InFlightRequest {
         work,
@@ -193,11 +183,42 @@
     RunVerdict::Run
 }
 
+fn admit_suspect(
+    board: &mut Blackboard,
+    now: Moment,
+    work: WorkId,
+    fingerprint: Fingerprint,
+) -> RunVerdict {
+    let Some(service) = own_service(board) else {
+        return RunVerdict::Run;
+    };
+    match check(board, now, &service, fingerprint) {
+        Verdict::Refuse(_) => RunVerdict::Refuse,
+        Verdict::Isolate if !board.quarantine.running_suspects.is_empty() => RunVerdict::Busy,
+        Verdict::Isolate => {
+            board.quarantine.running_suspects.insert(work, fingerprint);
+            RunVerdict::Run
+        }
+        Verdict::Admit => RunVerdict::Run,
+    }
+}
+
+/// Whether requests with a fingerprint are refused at present.
+pub(crate) fn is_quarantined(
+    board: &Blackboard,
+    now: Moment,
+    service: &str,
+    fingerprint: Fingerprint,
+) -> bool {
+    let entry = board.quarantine.get(service, fingerprint);
+    entry.is_some_and(|entry| entry.is_quarantined(now.monotonic))
+}
+
 /// Whether crashes of a fingerprint count at present.
 pub(crate) fn is_active(
     board: &Blackboard,
     now: Moment,
-    service: &ServiceName,
+    service: &str,
     fingerprint: Fingerprint,
 ) -> bool {
     crashes_count(board, now, service, fingerprint) > 0
@@ -211,7 +232,7 @@
 pub(crate) fn may_send_again(
     board: &Blackboard,
     now: Moment,
-    service: &ServiceName,
+    service: &str,
     fingerprint: Fingerprint,
 ) -> bool {
     let crashes_count = crashes_count(board, now, service, fingerprint);
@@ -222,7 +243,7 @@
 fn crashes_count(
     board: &Blackboard,
     now: Moment,
-    service: &ServiceName,
+    service: &str,
     fingerprint: Fingerprint,
 ) -> usize {
     let entry = board.quarantine.get(service, fingerprint);
--- a/crates/kumquatquay-core/src/quarantine/attribution.rs
+++ b/crates/kumquatquay-core/src/quarantine/attribution.rs
@@ -80,6 +80,9 @@
     let table = &mut board.quarantine;
     table.running_suspects.remove(&work);
     table.recent_runs.add(now.monotonic, fingerprint);
+    if table.is_empty() {
+        return;
+    }
     let Some(service) = own_service(board) else {
         return;
     };
--- a/crates/kumquatquay-core/src/quarantine/notices.rs
+++ b/crates/kumquatquay-core/src/quarantine/notices.rs
@@ -91,18 +91,17 @@
     let entries = fingerprints
         .into_iter()
         .filter_map(|fingerprint| board.quarantine.get(service, fingerprint));
-    let mut records: Vec<_> = entries.map(|entry| entry.record(now.monotonic)).collect();
-    records.sort_by_key(|record| Reverse((record.is_quarantined(), record.score_milli())));
-    records.into_iter().map(Rumour::Quarantine).collect()
+    let mut entries: Vec<_> = entries.collect();
+    entries.sort_by_key(|entry| Reverse(entry.priority()));
+    let records = entries.into_iter().map(|entry| entry.record(now.monotonic));
+    records.map(Rumour::Quarantine).collect()
 }
 
 /// Fingerprints of a service that are quarantined or isolated.
 fn strong_evidence(board: &Blackboard, now: Moment, service: &str) -> Vec<Fingerprint> {
     let entries = board.quarantine.iter();
-    let entries = entries.filter(|entry| {
-        let now = now.monotonic;
-        entry.is_of(service) && (entry.is_isolated(now) || entry.is_quarantined(now))
-    });
+    let entries =
+        entries.filter(|entry| entry.is_of(service) && entry.has_strong_evidence(now.monotonic));
     entries.map(QuarantineEntry::fingerprint).collect()
 }
 
--- a/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
+++ b/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
@@ -56,6 +56,11 @@
         !self.is_expired(now) && self.record.is_isolated()
     }
 
+    /// Whether its requests run one at a time or are refused.
+    pub(crate) fn has_strong_evidence(&self, now: Duration) -> bool {
+        !self.is_expired(now) && self.record.has_strong_evidence()
+    }
+
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         self.record.fingerprint
     }
--- a/crates/kumquatquay-wire/src/control/quarantine_record.rs
+++ b/crates/kumquatquay-wire/src/control/quarantine_record.rs
@@ -83,6 +83,11 @@
         is_clear || crashes_count >= Self::CRASHES_TO_QUARANTINE_COUNT
     }
 
+    /// Whether its requests run one at a time or are refused.
+    pub fn has_strong_evidence(&self) -> bool {
+        self.is_isolated() || self.is_quarantined()
+    }
+
     /// Returns the sum of the scores of the crashes that aren't cleared, in thousandths.
     pub fn score_milli(&self) -> u32 {
         let counting = self.crashes.iter().filter(|crash| !crash.is_cleared);
--- a/crates/kumquatquayd/src/engine/engine.rs
+++ b/crates/kumquatquayd/src/engine/engine.rs
@@ -12,7 +12,7 @@
     CallId, Clock, Counter, Counters, Input, Moment, Node, Note, OperationIssued, Output,
     RecordToKeep, RunVerdict, Severity, StateDump, WorkId,
 };
-use kumquatquay_wire::{Fingerprint, MemberRecord, OperatorReply, ServiceName};
+use kumquatquay_wire::{Fingerprint, MemberRecord, OperatorReply};
 use tokio::sync::{
     mpsc::{self, UnboundedReceiver, UnboundedSender},
     oneshot, watch,
@@ -271,19 +271,19 @@
     }
 
     /// [`Node::is_quarantined`].
-    pub(crate) fn is_quarantined(&self, service: &ServiceName, of: Fingerprint) -> bool {
+    pub(crate) fn is_quarantined(&self, service: &str, of: Fingerprint) -> bool {
         let now = self.now();
         self.lock().node.is_quarantined(now, service, of)
     }
 
     /// [`Node::is_suspect`].
-    pub(crate) fn is_suspect(&self, service: &ServiceName, of: Fingerprint) -> bool {
+    pub(crate) fn is_suspect(&self, service: &str, of: Fingerprint) -> bool {
         let now = self.now();
         self.lock().node.is_suspect(now, service, of)
     }
 
     /// [`Node::may_send_again`].
-    pub(crate) fn may_send_again(&self, service: &ServiceName, of: Fingerprint) -> bool {
+    pub(crate) fn may_send_again(&self, service: &str, of: Fingerprint) -> bool {
         let now = self.now();
         self.lock().node.may_send_again(now, service, of)
     }
--- a/crates/kumquatquayd/src/routed/crash_guard.rs
+++ b/crates/kumquatquayd/src/routed/crash_guard.rs
@@ -1,13 +1,15 @@
 //! Keeps requests that crash backend servers from the one of this host.
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
 use kumquatquay_core::{RunInput, RunVerdict, WorkId};
-use kumquatquay_wire::routed::{CallHead, LinkOutcome, NotRunReason, Repeat, UnknownReason};
+use kumquatquay_wire::{
+    Fingerprint,
+    routed::{LinkOutcome, NotRunReason, Repeat, UnknownReason},
+};
 
 use super::{
-    call_fingerprint::fingerprint_at_gate, gate_slot::TimedCall, link_answer::LinkAnswer,
-    node::RoutedNode, outgoing_call::OutgoingCall,
+    gate_slot::TimedCall, link_answer::LinkAnswer, node::RoutedNode, outgoing_call::OutgoingCall,
 };
 
 /// Runs of one call that may break before its entry stops to send it again.
@@ -37,8 +39,7 @@
     /// [`NotRunReason::Quarantined`], or [`NotRunReason::Isolated`] while another suspect runs.
     pub(super) fn begin(node: &'a RoutedNode, timed: &TimedCall<'_>) -> Result<Self, NotRunReason> {
         let work = node.engine.next_id();
-        let fingerprint = fingerprint_at_gate(timed.call, &timed.payload.body);
-        let refused = match node.engine.begin_run(work, fingerprint) {
+        let refused = match node.engine.begin_run(work, timed.fingerprint()) {
             RunVerdict::Run => None,
             RunVerdict::Busy => Some(NotRunReason::Isolated),
             RunVerdict::Refuse => Some(NotRunReason::Quarantined),
@@ -78,14 +79,12 @@
 }
 
 /// Whether a call that arrives at the gate of this host is refused, before it waits for a slot.
-pub(super) fn is_refused_on_arrival(node: &RoutedNode, call: &CallHead<'_>, body: &[u8]) -> bool {
+pub(super) fn is_refused_on_arrival(node: &RoutedNode, timed: &TimedCall<'_>) -> bool {
     if node.engine.has_no_suspects() {
         return false;
     }
-    let fingerprint = fingerprint_at_gate(call, body);
-    let is_refused = node
-        .engine
-        .is_quarantined(&String::from(call.service), fingerprint);
+    let service = timed.call.service;
+    let is_refused = node.engine.is_quarantined(service, timed.fingerprint());
     if is_refused {
         node.metrics.count("quarantine", "refused_at_gate");
     }
@@ -94,12 +93,16 @@
 
 // At the entry
 
+/// Fingerprint of a call; `None` while no request is a suspect, and none needs it.
+fn needed_fingerprint(node: &RoutedNode, call: &OutgoingCall) -> Option<Fingerprint> {
+    let has_suspects = !node.engine.has_no_suspects();
+    has_suspects.then(|| call.fingerprint())
+}
+
 /// Whether this node knows that a call is quarantined.
 pub(super) fn is_quarantined(node: &RoutedNode, call: &OutgoingCall) -> bool {
-    !node.engine.has_no_suspects()
-        && node
-            .engine
-            .is_quarantined(&call.service, call.fingerprint())
+    let fingerprint = needed_fingerprint(node, call);
+    fingerprint.is_some_and(|of| node.engine.is_quarantined(&call.service, of))
 }
 
 /// Whether a call may be sent again after an attempt whose outcome is unknown.
@@ -113,28 +116,23 @@
         return false;
     }
     let has_broken = reason == UnknownReason::BackendBroke;
-    let is_suspect = has_broken && broken_runs_count >= BROKEN_RUNS_LIMIT_COUNT
-        || !node.engine.has_no_suspects()
-            && !node
-                .engine
-                .may_send_again(&call.service, call.fingerprint());
-    if is_suspect {
+    let has_broken_often = has_broken && broken_runs_count >= BROKEN_RUNS_LIMIT_COUNT;
+    let fingerprint = needed_fingerprint(node, call);
+    let may_send = !has_broken_often
+        && fingerprint.is_none_or(|of| node.engine.may_send_again(&call.service, of));
+    if !may_send {
         node.metrics.count("quarantine", "not_sent_again");
     }
-    !is_suspect
+    may_send
 }
 
 /// Whether a hedged attempt of a call may be started while another one runs.
 pub(super) fn may_hedge(node: &RoutedNode, call: &OutgoingCall) -> bool {
-    node.engine.has_no_suspects() || !node.engine.is_suspect(&call.service, call.fingerprint())
+    let fingerprint = needed_fingerprint(node, call);
+    fingerprint.is_none_or(|of| !node.engine.is_suspect(&call.service, of))
 }
 
 /// Refusal of a call that is quarantined.
 pub(super) fn quarantined() -> LinkAnswer {
     LinkAnswer::not_run(NotRunReason::Quarantined)
 }
-
-/// Notes that a connection to the backend server broke, so that it is checked whether the server lives.
-pub(super) fn on_broken_run(node: &Rc<RoutedNode>) {
-    node.run_broken.notify_one();
-}
--- a/crates/kumquatquayd/src/routed/gate_slot.rs
+++ b/crates/kumquatquayd/src/routed/gate_slot.rs
@@ -1,13 +1,17 @@
 //! Slots of the gate of this host: calls wait for them, and are refused where they can't run.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::OnceCell, rc::Rc, time::Duration};
 
 use kumquatquay_core::routed::{Admission, GateCall, GateQueueKey, Mechanism, RouteRunTime};
-use kumquatquay_wire::routed::{CallHead, NotRunReason, Payload};
+use kumquatquay_wire::{
+    Fingerprint,
+    routed::{CallHead, NotRunReason, Payload},
+};
 use tokio::sync::oneshot;
 
 use super::{
     backend_death::on_backend_unresponsive,
+    call_fingerprint::fingerprint_at_gate,
     node::{RoutedNode, RunPermit},
     repeat_admission::admits_repeat,
 };
@@ -21,9 +25,17 @@
     pub(super) payload: &'a Payload,
     pub(super) soft_deadline: Duration,
     pub(super) deadline: Duration,
+    /// Computed when it is first needed.
+    pub(super) known_fingerprint: OnceCell<Fingerprint>,
 }
 
 impl TimedCall<'_> {
+    /// Identifies the call when its caller sends it again.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        let compute = || fingerprint_at_gate(self.call, &self.payload.body);
+        *self.known_fingerprint.get_or_init(compute)
+    }
+
     /// The latest start with which the call may still end before its deadline. It is refused
     /// after that, while its sender can still report that it has not run.
     pub(super) fn latest_start(&self, node: &RoutedNode) -> Duration {
--- a/crates/kumquatquayd/src/routed/local_run.rs
+++ b/crates/kumquatquayd/src/routed/local_run.rs
@@ -1,6 +1,6 @@
 //! Runs calls at the backend server of this host, after they have passed its gate.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::OnceCell, rc::Rc, time::Duration};
 
 use http::{Method, Request, Uri};
 use http_body_util::Full;
@@ -12,8 +12,7 @@
     backend_death::on_backend_died,
     backend_pool::{BackendAnswer, SendError},
     backend_run::BackendRun,
-    call_fingerprint::fingerprint_at_gate,
-    crash_guard::{GuardedRun, is_refused_on_arrival, on_broken_run, quarantined},
+    crash_guard::{GuardedRun, is_refused_on_arrival, quarantined},
     gate_slot::{RunSlot, TimedCall, wait_for_confirmed_slot},
     http_io::{BufferedBody, fields_from_headers, headers_from_fields},
     interface::ForwardedMetadata,
@@ -46,11 +45,17 @@
     cancelled: impl Future<Output = ()>,
 ) -> LinkAnswer {
     let now = node.now();
-    if is_refused_on_arrival(node, call, &payload.body) {
+    let timed = TimedCall {
+        call,
+        payload,
+        soft_deadline: now + Duration::from_millis(call.target_latency_ms),
+        deadline: now + Duration::from_millis(call.remaining_ms),
+        known_fingerprint: OnceCell::new(),
+    };
+    if is_refused_on_arrival(node, &timed) {
         return quarantined();
     }
     on_known_limit(node, call);
-    let deadline = now + Duration::from_millis(call.remaining_ms);
     let sender_level = f64::from(call.level_permille) / 1_000.0;
     let run_time = node.gate.borrow().run_times().estimate(call.route);
     node.level_controller
@@ -59,13 +64,6 @@
     node.route_callers
         .borrow_mut()
         .record_call(now, call.route, call.caller_service);
-    let soft_deadline = now + Duration::from_millis(call.target_latency_ms);
-    let timed = TimedCall {
-        call,
-        payload,
-        soft_deadline,
-        deadline,
-    };
     let mut cancelled = std::pin::pin!(cancelled);
     let slot = tokio::select! {
         slot = wait_for_confirmed_slot(node, &timed, confirmed) => slot,
@@ -278,7 +276,7 @@
 }
 
 fn on_send_error(
-    node: &Rc<RoutedNode>,
+    node: &RoutedNode,
     timed: &TimedCall<'_>,
     slot: &RunSlot,
     error: SendError,
@@ -291,7 +289,7 @@
         SendError::Unsent => LinkAnswer::not_run(NotRunReason::TurnedAway),
         SendError::ConnectionBroken => {
             log_broken_run(node, timed, slot.started_at);
-            on_broken_run(node);
+            node.run_broken.notify_one();
             LinkAnswer::unknown(UnknownReason::BackendBroke)
         }
     }
@@ -305,7 +303,7 @@
         return;
     }
     let call = timed.call;
-    let fingerprint = fingerprint_at_gate(call, &timed.payload.body);
+    let fingerprint = timed.fingerprint();
     log::warn!(event = "run_broken", request = call.attempt, route = call.route,
         service = call.service, fingerprint:% = format_args!("{fingerprint:016x}"),
         ran_ms = now.saturating_sub(started_at).as_millis() as u64,
