--- a/crates/kumquatquay-core/tests/crashing_runs.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs.rs
@@ -205,6 +205,18 @@
         assert!(gates.are_run(innocent));
     }
 
+    /// Two servers end at the same moment with the same two requests in flight: each was one of two at both
+    /// crashes, and the innocent one was refused with the other.
+    an_innocent_request_beside_another_at_two_crashes_is_not_refused: |gates| {
+        let innocent = FIRST_INNOCENT;
+        for gate in [0, 1] {
+            let works = gates.begin_all(gate, &[innocent, CRASHING]);
+            gates.end_server(gate, &works);
+        }
+        gates.mesh.run(Duration::from_millis(200));
+        assert_eq!(gates.run(2, innocent), RunVerdict::Run);
+    }
+
     /// All that was in flight when a backend server ended ran one at a time, at one host.
     requests_in_flight_at_a_crash_run_together: |gates| {
         let running = innocents(0, 100);
