Log what a node knew of a request whose run broke, and how long the node runs

The line run_broken names the request, but not why it was let in. The crashes that the node knew and its age tell evidence that is counted for each service (none known, an old node) from evidence that went with a life of the nodes (none known, a new one), and both from a record that came too late.

--- a/crates/kumquatquay-core/src/node.rs
+++ b/crates/kumquatquay-core/src/node.rs
@@ -142,6 +142,11 @@
         quarantine::may_send_again(&self.board, now, service, of)
     }
 
+    /// Number of crashes of a fingerprint at a service that this node knows and that count at present.
+    pub fn crashes_count(&self, now: Moment, service: &str, of: Fingerprint) -> usize {
+        quarantine::crashes_count(&self.board, now, service, of)
+    }
+
     /// Numbers of fingerprints that are suspects, and that are quarantined.
     pub fn quarantine_counts(&self, now: Moment) -> (usize, usize) {
         quarantine::counts(&self.board, now)
--- a/crates/kumquatquay-core/src/quarantine/admission.rs
+++ b/crates/kumquatquay-core/src/quarantine/admission.rs
@@ -240,7 +240,7 @@
 }
 
 /// Number of crashes of a fingerprint that count at present.
-fn crashes_count(
+pub(crate) fn crashes_count(
     board: &Blackboard,
     now: Moment,
     service: &str,
--- a/crates/kumquatquayd/src/engine/engine.rs
+++ b/crates/kumquatquayd/src/engine/engine.rs
@@ -288,6 +288,12 @@
         self.lock().node.may_send_again(now, service, of)
     }
 
+    /// [`Node::crashes_count`].
+    pub(crate) fn crashes_count(&self, service: &str, of: Fingerprint) -> usize {
+        let now = self.now();
+        self.lock().node.crashes_count(now, service, of)
+    }
+
     /// [`Node::quarantine_counts`].
     pub(crate) fn quarantine_counts(&self) -> (usize, usize) {
         let now = self.now();
--- a/crates/kumquatquayd/src/routed/local_run.rs
+++ b/crates/kumquatquayd/src/routed/local_run.rs
@@ -295,7 +295,8 @@
     }
 }
 
-/// Logs a run whose connection broke. The fingerprint shows which of them were the same request.
+/// Logs a run whose connection broke. The fingerprint shows which of them were the same request, and the
+/// rest what this node knew of it and since when it runs.
 fn log_broken_run(node: &RoutedNode, timed: &TimedCall<'_>, started_at: Duration) {
     node.metrics.count("run", "broken");
     let now = node.now();
@@ -307,6 +308,8 @@
     log::warn!(event = "run_broken", request = call.attempt, route = call.route,
         service = call.service, fingerprint:% = format_args!("{fingerprint:016x}"),
         ran_ms = now.saturating_sub(started_at).as_millis() as u64,
-        running = node.gate_report().running_count;
+        running = node.gate_report().running_count,
+        known_crashes = node.engine.crashes_count(call.service, fingerprint),
+        node_age_ms = now.as_millis() as u64;
         "the backend server broke the connection of a run");
 }
