--- a/crates/kumquatquay-cli/src/command/quarantine.rs
+++ b/crates/kumquatquay-cli/src/command/quarantine.rs
@@ -22,7 +22,7 @@
             Arg::new("service")
                 .value_name("SERVICE")
                 .required(true)
-                .help("The service"),
+                .help("A service that refuses them; they run again at all"),
         )
         .arg(
             Arg::new("fingerprint")
--- a/crates/kumquatquay-cli/src/render/mod.rs
+++ b/crates/kumquatquay-cli/src/render/mod.rs
@@ -80,15 +80,16 @@
     }
     let mut text = String::new();
     for record in records {
-        let state = match record.is_quarantined() {
+        let evidence = record.evidence();
+        let state = match evidence.is_quarantined() {
             true => "quarantined",
             false => "suspected",
         };
         text += &format!(
             "{} {:016x} {state}, {} crashes, lapses in {} s\n",
-            record.service,
+            record.services().join(","),
             record.fingerprint,
-            record.crashes_count(),
+            evidence.crashes_count,
             record.remaining_ms / 1_000
         );
     }
--- a/crates/kumquatquay-core/benches/decision.rs
+++ b/crates/kumquatquay-core/benches/decision.rs
@@ -272,7 +272,7 @@
                 work += 1;
                 let digest = (!body.is_empty()).then(|| *blake3::hash(body).as_bytes());
                 let identity = RequestIdentity {
-                    service: "archive",
+                    destination: "pits.example",
                     method: "POST",
                     path: "/survey/pit-seven/2026",
                     query: "",
--- a/crates/kumquatquay-core/src/input/mod.rs
+++ b/crates/kumquatquay-core/src/input/mod.rs
@@ -22,7 +22,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use derive_more::From;
-use kumquatquay_wire::{Datagram, QuarantineRecord};
+use kumquatquay_wire::{CrashReport, Datagram, ServiceName};
 
 /// An event that the host reports to its node.
 #[derive(Clone, Debug, From)]
@@ -47,9 +47,18 @@
     Run(RunInput),
     /// An event of the backend server of this host.
     Backend(BackendInput),
-    /// A record that the host found in the platform's store.
+    /// A crash of a backend server that the host found in the platform's store.
     #[from(skip)]
-    Quarantine(QuarantineRecord),
+    KeptCrash(CrashReport),
+    /// The host has read all crashes that the platform's store keeps, or none can be kept yet.
+    #[from(skip)]
+    CrashesRead,
+    /// Control address of another node that is to be asked for the crashes that it knows.
+    #[from(skip)]
+    AskForCrashes(SocketAddr),
+    /// Other services to which routes to the service of this host are split.
+    #[from(skip)]
+    SiblingServices(Vec<ServiceName>),
     /// Control addresses of other nodes that the host found in a register.
     #[from(skip)]
     Seeds(Vec<SocketAddr>),
--- a/crates/kumquatquay-core/src/lib.rs
+++ b/crates/kumquatquay-core/src/lib.rs
@@ -60,5 +60,7 @@
     Severity, StartAttempt,
 };
 pub use policy::Policy;
-pub use quarantine::{KeepStep, KeptRecords, RecordToKeep, RequestIdentity, RunVerdict};
+pub use quarantine::{
+    CrashSync, KeepAction, KeepStep, KeptCrashes, KnownCrash, RequestIdentity, RunVerdict,
+};
 pub use state_dump::{DataCentreDump, MemberDump, MembershipDump, StateDump};
--- a/crates/kumquatquay-core/src/membership/bulk_sync.rs
+++ b/crates/kumquatquay-core/src/membership/bulk_sync.rs
@@ -11,7 +11,7 @@
 use super::{
     data_centre_view::DataCentreView, gossip, gossip_queue::Urgency, merge, seed_log, sender,
 };
-use crate::{Blackboard, BulkInput, Counter, Moment, Output, configuration};
+use crate::{Blackboard, BulkInput, Counter, Moment, Output, configuration, quarantine};
 
 /// Interval at which a node that has no table yet requests one from a seed or known member.
 const JOIN_INTERVAL: Duration = Duration::from_secs(1);
@@ -225,6 +225,7 @@
         Ok(BulkRequest::Configuration { payload }) => BulkAnswer::Configuration {
             payload: configuration::on_bulk_question(board, &payload),
         },
+        Ok(BulkRequest::Crashes) => quarantine::crashes_answer(board, now),
         Err(_) => {
             board.counters.increment(Counter::BulkMalformed);
             BulkAnswer::Members {
@@ -291,6 +292,10 @@
         Ok(BulkAnswer::Configuration { payload }) => {
             configuration::on_bulk_answer(board, now, from, &payload, out);
         }
+        Ok(BulkAnswer::Crashes {
+            reports,
+            is_complete,
+        }) => quarantine::on_crashes_answer(board, now, &reports, is_complete, out),
         Err(_) => {
             board.counters.increment(Counter::BulkMalformed);
             board.membership.sync.answer_deadline = None;
--- a/crates/kumquatquay-core/src/membership/controller.rs
+++ b/crates/kumquatquay-core/src/membership/controller.rs
@@ -243,7 +243,8 @@
         Rumour::Member(record) => merge::on_record(board, now, record, out),
         Rumour::Status(status) => merge::on_status(board, now, &status, out),
         Rumour::Level(level) => overload::on_level_rumour(board, now, level),
-        Rumour::Quarantine(record) => quarantine::on_rumour(board, now, record, out),
+        Rumour::Quarantine(record) => quarantine::on_rumour(board, now, &record, out),
+        Rumour::Crash(report) => quarantine::on_crash_report(board, now, &report, out),
         Rumour::Configuration(version) => {
             configuration::on_peer_version(board, now, from, version, out);
         }
--- a/crates/kumquatquay-core/src/membership/mod.rs
+++ b/crates/kumquatquay-core/src/membership/mod.rs
@@ -27,5 +27,5 @@
 pub(crate) use draining::{drain, on_stopping, undrain};
 pub(crate) use member_table::MemberTable;
 pub(crate) use seed_log::{on_log, owns};
-pub(crate) use sender::send_other_rumours;
+pub(crate) use sender::{send_crash_rumours, send_other_rumours};
 pub(crate) use state::Membership;
--- a/crates/kumquatquay-core/src/membership/sender.rs
+++ b/crates/kumquatquay-core/src/membership/sender.rs
@@ -85,6 +85,27 @@
     }
 }
 
+/// Sends rumours about a crash at once, in as many datagrams as they need.
+pub(crate) fn send_crash_rumours(
+    board: &mut Blackboard,
+    now: Moment,
+    to: SocketAddr,
+    rumours: &[Rumour],
+    out: &mut Vec<Output>,
+) {
+    let mut rest = rumours;
+    while !rest.is_empty() {
+        let mut batch = RumourBatch::new();
+        add_priority_rumours(board, now, to, &mut batch);
+        let sent_count = batch.add_within_budget(rest, &mut board.membership.crash_budget, now);
+        if sent_count == 0 {
+            return;
+        }
+        push_datagram(board, to, ControlBody::Gossip, batch.rumours, out);
+        rest = &rest[sent_count..];
+    }
+}
+
 /// The rumour about a member: its record, or if it is suspected only its status, which is
 /// shorter.
 pub(super) fn rumour_of(record: &MemberRecord) -> Rumour {
--- a/crates/kumquatquay-core/src/membership/state.rs
+++ b/crates/kumquatquay-core/src/membership/state.rs
@@ -25,6 +25,13 @@
 /// Bytes of rumours about levels, quarantine and configuration that may be sent in a burst.
 const OTHER_BURST_BYTES: u64 = 6_000;
 
+/// Rate at which rumours about a crash are sent to the gates that may get its suspects next.
+const CRASH_RATE_BYTES_PER_S: u64 = 1_800;
+
+/// Bytes of such rumours that may be sent in a burst: a crash under a hundred requests, told to thirty
+/// gates.
+const CRASH_BURST_BYTES: u64 = 48_000;
+
 /// State of the membership at this node, besides the member table.
 #[derive(Debug)]
 pub(crate) struct Membership {
@@ -50,6 +57,8 @@
     pub(super) member_budget: ByteBudget,
     /// Limit on other rumours.
     pub(super) other_budget: ByteBudget,
+    /// Budget of rumours about crashes that are sent at once.
+    pub(super) crash_budget: ByteBudget,
     /// Datagrams already received, to reject replays.
     pub(super) replay_windows: ReplayWindows,
     /// Probes under way.
@@ -80,6 +89,7 @@
             next_correction: Duration::ZERO,
             member_budget: ByteBudget::new(MEMBER_RATE_BYTES_PER_S, MEMBER_BURST_BYTES),
             other_budget: ByteBudget::new(OTHER_RATE_BYTES_PER_S, OTHER_BURST_BYTES),
+            crash_budget: ByteBudget::new(CRASH_RATE_BYTES_PER_S, CRASH_BURST_BYTES),
             replay_windows: ReplayWindows::default(),
             prober: Prober::default(),
             suspicions: Suspicions::default(),
--- a/crates/kumquatquay-core/src/membership/transmit_counts.rs
+++ b/crates/kumquatquay-core/src/membership/transmit_counts.rs
@@ -25,7 +25,7 @@
 /// There is one instance for the own data centre and one for the others.
 #[derive(Debug, Default)]
 pub(crate) struct TransmitCounts {
-    quarantine: BTreeMap<(ServiceName, Fingerprint), RecordTransmits>,
+    quarantine: BTreeMap<Fingerprint, RecordTransmits>,
     version: Option<ConfigurationVersion>,
     version_rounds_count: u32,
 }
@@ -34,6 +34,7 @@
 #[derive(Debug)]
 struct RecordTransmits {
     crashes: Vec<Crash>,
+    ran_at: Vec<ServiceName>,
     rounds_count: u32,
     last: Duration,
 }
@@ -73,14 +74,18 @@
         if self.quarantine.len() >= LIMIT_COUNT {
             self.quarantine.clear();
         }
-        let key = (record.service.clone(), record.fingerprint);
-        let transmits = self.quarantine.entry(key).or_insert(RecordTransmits {
+        let new = || RecordTransmits {
             crashes: record.crashes.clone(),
+            ran_at: record.ran_at.clone(),
             rounds_count: 0,
             last: now,
-        });
-        if transmits.crashes != record.crashes || now >= transmits.last + RETRANSMIT_INTERVAL {
+        };
+        let transmits = self.quarantine.entry(record.fingerprint);
+        let transmits = transmits.or_insert_with(new);
+        let has_changed = transmits.crashes != record.crashes || transmits.ran_at != record.ran_at;
+        if has_changed || now >= transmits.last + RETRANSMIT_INTERVAL {
             transmits.crashes.clone_from(&record.crashes);
+            transmits.ran_at.clone_from(&record.ran_at);
             transmits.rounds_count = 0;
         }
         if transmits.rounds_count >= ROUNDS_COUNT {
@@ -97,7 +102,8 @@
 /// A crash with many requests in flight leaves more records than fit into a datagram. In a fixed order
 /// the last of them, among them those that were cleared, would not be sent in any round.
 fn shuffle_weak(records: &mut [QuarantineRecord], board: &mut Blackboard) {
-    records.sort_by_key(|record| !record.has_strong_evidence());
-    let strong_count = records.partition_point(QuarantineRecord::has_strong_evidence);
+    let is_strong = |record: &QuarantineRecord| record.evidence().is_strong();
+    records.sort_by_key(|record| !is_strong(record));
+    let strong_count = records.partition_point(is_strong);
     records[strong_count..].shuffle(&mut board.random);
 }
--- a/crates/kumquatquay-core/src/node.rs
+++ b/crates/kumquatquay-core/src/node.rs
@@ -5,9 +5,9 @@
 use kumquatquay_wire::{Class, ConfigurationVersion, Fingerprint, MemberRecord, TableDigest};
 
 use crate::{
-    Blackboard, Counter, Counters, Input, LogInput, Moment, NodeSettings, Output, RecordToKeep,
-    RunVerdict, StateDump, WorkId, call, configuration, gate, membership, operations, overload,
-    quarantine,
+    Blackboard, Counter, Counters, CrashSync, Input, KnownCrash, LogInput, Moment, NodeSettings,
+    Output, RunVerdict, StateDump, WorkId, call, configuration, gate, membership, operations,
+    overload, quarantine,
 };
 
 /// State machine of one node.
@@ -70,7 +70,10 @@
             Input::Call(input) => call::on_input(board, now, input, out),
             Input::Work(input) => gate::on_input(board, now, input, out),
             Input::Run(input) => quarantine::on_run_ended(board, now, input, out),
-            Input::Quarantine(record) => quarantine::on_rumour(board, now, record, out),
+            Input::KeptCrash(report) => quarantine::on_crash_report(board, now, &report, out),
+            Input::CrashesRead => quarantine::on_crashes_read(board),
+            Input::AskForCrashes(to) => quarantine::ask_for_crashes(to, out),
+            Input::SiblingServices(services) => board.quarantine.sibling_services = services,
             Input::Backend(input) => {
                 gate::on_backend(board, now, &input, out);
                 membership::on_backend(board, now, input, out);
@@ -152,9 +155,14 @@
         quarantine::counts(&self.board, now)
     }
 
-    /// Records of the service of this host that should outlast a restart of all nodes.
-    pub fn records_to_keep(&self, now: Moment) -> Vec<RecordToKeep> {
-        quarantine::records_to_keep(&self.board, now)
+    /// What this node knows of the crashes before its start.
+    pub fn crash_sync(&self) -> CrashSync {
+        self.board.quarantine.crash_sync
+    }
+
+    /// Crashes that this node knows; they should outlast a restart of all nodes.
+    pub fn known_crashes(&self, now: Moment) -> Vec<KnownCrash> {
+        quarantine::known_crashes(&self.board, now)
     }
 
     /// Event counters since the node's start.
--- a/crates/kumquatquay-core/src/quarantine/admission.rs
+++ b/crates/kumquatquay-core/src/quarantine/admission.rs
@@ -2,11 +2,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use kumquatquay_wire::{Fingerprint, Outcome, QuarantineRecord, ServiceName};
+use kumquatquay_wire::{Evidence, Fingerprint, Outcome, ServiceName};
 
-use super::{
-    in_flight_request::InFlightRequest, own_service::own_service, quarantine_entry::QuarantineEntry,
-};
+use super::{in_flight_request::InFlightRequest, own_service::own_service};
 use crate::{Blackboard, Counter, Moment, Refusal, RefusalReason, WorkId};
 
 /// `Retry-After` of a suspect that can't run at the moment.
@@ -40,14 +38,15 @@
     } else {
         Verdict::Admit
     };
-    let Some(entry) = table.get(service, fingerprint) else {
+    let Some(entry) = table.get(fingerprint) else {
         return verdict;
     };
-    if entry.is_quarantined(now.monotonic) {
-        let count = entry.crashes_count();
+    let evidence = entry.evidence_at(now.monotonic, service);
+    if evidence.is_quarantined() {
+        let count = evidence.crashes_count;
         return Verdict::Refuse(quarantine_refusal(count, entry.remaining(now.monotonic)));
     }
-    if entry.is_isolated(now.monotonic) {
+    if evidence.is_isolated() {
         return Verdict::Isolate;
     }
     verdict
@@ -203,18 +202,19 @@
     }
 }
 
-/// Whether requests with a fingerprint are refused at present.
+/// Whether requests with a fingerprint are refused at a service at present.
 pub(crate) fn is_quarantined(
     board: &Blackboard,
     now: Moment,
     service: &str,
     fingerprint: Fingerprint,
 ) -> bool {
-    let entry = board.quarantine.get(service, fingerprint);
-    entry.is_some_and(|entry| entry.is_quarantined(now.monotonic))
+    let table = &board.quarantine;
+    let evidence = table.evidence_at(now.monotonic, service, fingerprint);
+    evidence.is_quarantined()
 }
 
-/// Whether crashes of a fingerprint count at present.
+/// Whether crashes of a fingerprint count at a service at present.
 pub(crate) fn is_active(
     board: &Blackboard,
     now: Moment,
@@ -235,18 +235,17 @@
     service: &str,
     fingerprint: Fingerprint,
 ) -> bool {
-    let crashes_count = crashes_count(board, now, service, fingerprint);
-    crashes_count < QuarantineRecord::CLEAR_CRASHES_COUNT
+    crashes_count(board, now, service, fingerprint) < Evidence::CLEAR_CRASHES_COUNT
 }
 
-/// Number of crashes of a fingerprint that count at present.
+/// Number of crashes of a fingerprint that count at a service at present.
 pub(crate) fn crashes_count(
     board: &Blackboard,
     now: Moment,
     service: &str,
     fingerprint: Fingerprint,
 ) -> usize {
-    let entry = board.quarantine.get(service, fingerprint);
-    let active = entry.filter(|entry| entry.is_active(now.monotonic));
-    active.map_or(0, QuarantineEntry::crashes_count)
+    let table = &board.quarantine;
+    let evidence = table.evidence_at(now.monotonic, service, fingerprint);
+    evidence.crashes_count
 }
--- a/crates/kumquatquay-core/src/quarantine/attribution.rs
+++ b/crates/kumquatquay-core/src/quarantine/attribution.rs
@@ -2,15 +2,14 @@
 
 use std::time::Duration;
 
-use kumquatquay_wire::{Crash, Fingerprint, Outcome, QuarantineRecord, ServiceName};
+use kumquatquay_wire::{Crash, CrashReport, Evidence, Fingerprint, Outcome, ServiceName};
 
 use super::{
     broken_calls::ConnectionBreak,
     in_flight_request::{InFlightRequest, fingerprints_latest_first},
-    notices::notify_service,
+    notices::notify_of_crash,
     own_service::own_service,
-    quarantine_entry::QuarantineEntry,
-    records::clear_suspect,
+    records::clear_at,
 };
 use crate::{AttemptResult, Blackboard, Counter, Moment, Note, Output, RunInput, Severity, WorkId};
 
@@ -28,11 +27,6 @@
 /// Most work with a broken connection that is remembered.
 const BROKEN_WORK_LIMIT_COUNT: usize = 1_024;
 
-/// Most suspects that one crash adds.
-///
-/// With more requests in flight, the crash is weak evidence against each of them.
-const SUSPECTS_LIMIT_COUNT: usize = 256;
-
 /// Records how an attempt of a call of this node ended.
 ///
 /// This node treats a request as a suspect as soon as a backend server has broken its
@@ -86,7 +80,7 @@
     let Some(service) = own_service(board) else {
         return;
     };
-    clear_suspect(board, now, &service, fingerprint, out);
+    clear_at(board, now, &service, fingerprint, out);
 }
 
 /// Records that the connection of a piece of work broke while it ran.
@@ -129,23 +123,25 @@
     if suspects.is_empty() {
         return;
     }
-    let crash = new_crash(board, suspects.len());
+    let crash = new_crash(board, &service, suspects.len());
+    board.quarantine.own_crashes.insert(crash.id);
     let repeated = RepeatedSuspects::among(board, now, &service, &suspects);
-    suspects.truncate(SUSPECTS_LIMIT_COUNT);
+    suspects.truncate(CrashReport::SUSPECTS_LIMIT_COUNT);
     for fingerprint in &suspects {
-        let entry = board.quarantine.get_or_insert(&service, *fingerprint);
-        let score_milli = repeated.score_milli(entry.crashes_count());
+        let entry = board.quarantine.get_or_insert(*fingerprint);
+        let earlier = entry.evidence_at(now.monotonic, &service);
+        let score_milli = repeated.score_milli(earlier.crashes_count);
         let score_milli = score_milli.unwrap_or(crash.score_milli);
         let crash = Crash {
             score_milli,
-            ..crash
+            ..crash.clone()
         };
         entry.add_crash(now.monotonic, crash);
-        if entry.is_quarantined(now.monotonic) {
+        if entry.evidence_at(now.monotonic, &service).is_quarantined() {
             log_quarantined(&service, *fingerprint, out);
         }
     }
-    notify_service(board, now, &service, &suspects, out);
+    notify_of_crash(board, now, crash.id, &suspects, out);
 }
 
 /// Records that the backend server of this host gives no answers any more.
@@ -220,7 +216,7 @@
     suspects
 }
 
-fn new_crash(board: &mut Blackboard, suspects_count: usize) -> Crash {
+fn new_crash(board: &mut Blackboard, service: &ServiceName, suspects_count: usize) -> Crash {
     board.quarantine.deaths_count += 1;
     let settings = &board.settings;
     let name = format!(
@@ -231,11 +227,17 @@
         id: settings
             .key
             .keyed_hash("backend server death", name.as_bytes()),
-        score_milli: (1_000 / suspects_count) as u16,
+        service: service.clone(),
+        score_milli: score_among(suspects_count),
         is_cleared: false,
     }
 }
 
+/// Score of each of so many suspects. A crash says something of each, however many they are.
+fn score_among(suspects_count: usize) -> u16 {
+    (Evidence::ALONE_SCORE_MILLI as usize / suspects_count).max(1) as u16
+}
+
 /// The suspects of a death that were in flight at the most deaths before.
 ///
 /// With two or more of them behind it, a request is to blame rather than the new ones beside it.
@@ -246,11 +248,12 @@
 
 impl RepeatedSuspects {
     fn among(board: &Blackboard, now: Moment, service: &str, suspects: &[Fingerprint]) -> Self {
-        let entries = suspects
+        let table = &board.quarantine;
+        let evidence = suspects
             .iter()
-            .filter_map(|fingerprint| board.quarantine.get(service, *fingerprint));
-        let active = entries.filter(|entry| entry.is_active(now.monotonic));
-        let counts: Vec<usize> = active.map(QuarantineEntry::crashes_count).collect();
+            .map(|fingerprint| table.evidence_at(now.monotonic, service, *fingerprint));
+        let counts = evidence.map(|evidence| evidence.crashes_count);
+        let counts: Vec<usize> = counts.collect();
         let most_count = counts.iter().copied().max().unwrap_or_default();
         Self {
             earlier_crashes_count: most_count,
@@ -261,8 +264,8 @@
     /// Score of a suspect with so many earlier crashes, if it is one of these.
     fn score_milli(&self, earlier_crashes_count: usize) -> Option<u16> {
         let is_one = earlier_crashes_count == self.earlier_crashes_count;
-        let is_repeated = earlier_crashes_count >= QuarantineRecord::CLEAR_CRASHES_COUNT;
-        (is_one && is_repeated).then(|| (1_000 / self.count) as u16)
+        let is_repeated = earlier_crashes_count >= Evidence::CLEAR_CRASHES_COUNT;
+        (is_one && is_repeated).then(|| score_among(self.count))
     }
 }
 
--- a/crates/kumquatquay-core/src/quarantine/fingerprint.rs
+++ b/crates/kumquatquay-core/src/quarantine/fingerprint.rs
@@ -16,8 +16,10 @@
 /// What identifies a request across resends, which bring a new trace id.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestIdentity<'a> {
-    /// Service that is called.
-    pub service: &'a str,
+    /// What the request is addressed to: the host in its URL on routes, otherwise a service.
+    ///
+    /// A route may be split over services, and moved to another one; the host stays the same.
+    pub destination: &'a str,
     /// HTTP method.
     pub method: &'a str,
     /// Path, without the query.
@@ -40,7 +42,7 @@
     pub fn fingerprint(&self) -> Fingerprint {
         let mut hasher = blake3::Hasher::new_keyed(&DERIVED_KEY);
         let texts = [
-            self.service,
+            self.destination,
             self.method,
             self.path,
             self.query,
@@ -64,7 +66,7 @@
 /// Fingerprint of a call that has arrived.
 pub(crate) fn fingerprint_of(arrived: &CallArrived, caller: &str) -> Fingerprint {
     let identity = RequestIdentity {
-        service: &arrived.service,
+        destination: &arrived.service,
         method: &arrived.method,
         path: &arrived.path,
         query: arrived.query.as_deref().unwrap_or_default(),
--- a/crates/kumquatquay-core/src/quarantine/notices.rs
+++ b/crates/kumquatquay-core/src/quarantine/notices.rs
@@ -3,18 +3,32 @@
 //! A gate that doesn't know a record runs the request, and loses its backend server. Gossip takes
 //! seconds to reach all nodes of a large deployment; the gates of one service are few.
 
-use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
-use kumquatquay_wire::{Fingerprint, Incarnation, MemberState, Rumour, ServiceName};
-use rand::seq::IteratorRandom;
+use kumquatquay_wire::{
+    CrashId, CrashReport, Fingerprint, Incarnation, MemberState, Rumour, ServiceName,
+};
+use rand::seq::{IteratorRandom, SliceRandom};
 
-use super::quarantine_entry::QuarantineEntry;
+use super::{
+    own_service::own_service,
+    quarantine_entry::QuarantineEntry,
+    records::{empty_report, suspect_of},
+};
 use crate::{Blackboard, Moment, Output, membership};
 
 /// Interval at which all records are sent to one other gate, for those that missed them in a
 /// partition or as a datagram was lost.
 const RESEND_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Suspects in one report of a crash; it has to fit into a datagram.
+const SUSPECTS_PER_REPORT_COUNT: usize = 64;
+
 /// Gates that are remembered, at most.
 const GATES_LIMIT_COUNT: usize = 1_024;
 
@@ -32,30 +46,91 @@
     members_changed_at: Option<Duration>,
 }
 
-/// Sends the records of some fingerprints to the other gates of a service at once.
+/// Services whose gates are told of what happens here: the one of this host, and those to which its routes
+/// are split.
+pub(super) fn told_services(board: &mut Blackboard) -> BTreeSet<ServiceName> {
+    let own = own_service(board);
+    let siblings = board.quarantine.sibling_services.iter().cloned();
+    siblings.chain(own).collect()
+}
+
+/// Sends the records of some fingerprints to the other gates of some services at once.
 ///
 /// A caller that resends to another backend server before the next round of gossip would crash
 /// that one too.
-pub(super) fn notify_service(
+pub(super) fn notify_gates(
     board: &mut Blackboard,
     now: Moment,
-    service: &ServiceName,
+    services: &BTreeSet<ServiceName>,
     fingerprints: &[Fingerprint],
     out: &mut Vec<Output>,
 ) {
-    let rumours = rumours_of(board, now, service, fingerprints.iter().copied());
-    for to in gates_of(board, service) {
+    let rumours = rumours_of(board, now, fingerprints.iter().copied());
+    for to in gates_of(board, services) {
         membership::send_other_rumours(board, now, to, &rumours, out);
     }
 }
 
+/// Reports a crash of the backend server of this host to the gates that may get its suspects next.
+///
+/// What was known before of those with strong evidence goes along: a gate may have missed it.
+pub(super) fn notify_of_crash(
+    board: &mut Blackboard,
+    now: Moment,
+    id: CrashId,
+    suspects: &[Fingerprint],
+    out: &mut Vec<Output>,
+) {
+    let is_strong = |fingerprint: &Fingerprint| {
+        let entry = board.quarantine.get(*fingerprint);
+        entry.is_some_and(|entry| entry.evidence(now.monotonic).is_strong())
+    };
+    let strong: Vec<Fingerprint> = suspects.iter().copied().filter(is_strong).collect();
+    let mut rumours = rumours_of(board, now, strong);
+    let chunks = suspects.chunks(SUSPECTS_PER_REPORT_COUNT);
+    rumours.extend(
+        chunks
+            .filter_map(|suspects| report_of(board, now, id, suspects))
+            .map(Rumour::Crash),
+    );
+    let services = told_services(board);
+    let mut gates = gates_of(board, &services);
+    // If the budget is used up before all were told, it isn't always the same ones that miss it.
+    gates.shuffle(&mut board.random);
+    for to in gates {
+        membership::send_crash_rumours(board, now, to, &rumours, out);
+    }
+}
+
+/// A crash with some of its suspects.
+fn report_of(
+    board: &Blackboard,
+    now: Moment,
+    id: CrashId,
+    suspects: &[Fingerprint],
+) -> Option<CrashReport> {
+    let mut report: Option<CrashReport> = None;
+    for fingerprint in suspects {
+        let Some(entry) = board.quarantine.get(*fingerprint) else {
+            continue;
+        };
+        let Some(crash) = entry.crashes().iter().find(|crash| crash.id == id) else {
+            continue;
+        };
+        let report = report.get_or_insert_with(|| empty_report(crash));
+        report.suspects.push(suspect_of(entry, crash));
+        report.remaining_ms = entry.remaining(now.monotonic).as_millis() as u32;
+    }
+    report
+}
+
 /// Tells gates that have appeared or started anew, and from time to time one of the others.
 pub(super) fn on_tick(board: &mut Blackboard, now: Moment, out: &mut Vec<Output>) {
     let Some(service) = board.quarantine.service.clone() else {
         return;
     };
     remember_gates(board, &service);
-    let fingerprints = strong_evidence(board, now, &service);
+    let fingerprints = strong_evidence(board, now);
     if fingerprints.is_empty() {
         board.quarantine.peer_gates.forget_informed();
         return;
@@ -63,13 +138,14 @@
     let mut receivers = uninformed_gates(board, &service);
     if now.monotonic >= board.quarantine.peer_gates.resent_at + RESEND_INTERVAL {
         board.quarantine.peer_gates.resent_at = now.monotonic;
-        let gates = gates_of(board, &service);
+        let services = told_services(board);
+        let gates = gates_of(board, &services);
         receivers.extend(gates.into_iter().choose(&mut board.random));
     }
     if receivers.is_empty() {
         return;
     }
-    let rumours = rumours_of(board, now, &service, fingerprints);
+    let rumours = rumours_of(board, now, fingerprints);
     for to in receivers {
         membership::send_other_rumours(board, now, to, &rumours, out);
     }
@@ -85,23 +161,21 @@
 fn rumours_of(
     board: &Blackboard,
     now: Moment,
-    service: &ServiceName,
     fingerprints: impl IntoIterator<Item = Fingerprint>,
 ) -> Vec<Rumour> {
     let entries = fingerprints
         .into_iter()
-        .filter_map(|fingerprint| board.quarantine.get(service, fingerprint));
+        .filter_map(|fingerprint| board.quarantine.get(fingerprint));
     let mut entries: Vec<_> = entries.collect();
     entries.sort_by_key(|entry| Reverse(entry.priority()));
     let records = entries.into_iter().map(|entry| entry.record(now.monotonic));
     records.map(Rumour::Quarantine).collect()
 }
 
-/// Fingerprints of a service that are quarantined or isolated.
-fn strong_evidence(board: &Blackboard, now: Moment, service: &str) -> Vec<Fingerprint> {
+/// Fingerprints that are quarantined or isolated.
+fn strong_evidence(board: &Blackboard, now: Moment) -> Vec<Fingerprint> {
     let entries = board.quarantine.iter();
-    let entries =
-        entries.filter(|entry| entry.is_of(service) && entry.has_strong_evidence(now.monotonic));
+    let entries = entries.filter(|entry| entry.evidence(now.monotonic).is_strong());
     entries.map(QuarantineEntry::fingerprint).collect()
 }
 
@@ -126,12 +200,15 @@
     });
 }
 
-/// Control addresses of the other gates of a service.
-fn gates_of(board: &Blackboard, service: &ServiceName) -> Vec<SocketAddr> {
+/// Control addresses of the other gates of some services.
+fn gates_of(board: &Blackboard, services: &BTreeSet<ServiceName>) -> Vec<SocketAddr> {
     let own = board.settings.control;
-    let candidates = board.members.candidates(service).iter();
+    let candidates = services
+        .iter()
+        .flat_map(|service| board.members.candidates(service));
     let mut gates: Vec<SocketAddr> = candidates.map(|candidate| candidate.control).collect();
-    if board.quarantine.service.as_ref() == Some(service) {
+    let own_service = board.quarantine.service.as_ref();
+    if own_service.is_some_and(|service| services.contains(service)) {
         gates.extend(board.quarantine.peer_gates.informed.keys());
     }
     gates.sort_unstable();
@@ -143,7 +220,7 @@
 /// Gates whose present incarnation wasn't sent the records yet; they count as informed from now on.
 fn uninformed_gates(board: &mut Blackboard, service: &ServiceName) -> Vec<SocketAddr> {
     let mut receivers = Vec::new();
-    for control in gates_of(board, service) {
+    for control in gates_of(board, &BTreeSet::from([service.clone()])) {
         let Some(member) = board.members.get(control) else {
             continue;
         };
--- a/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
+++ b/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
@@ -1,16 +1,11 @@
-//! Crashes that are attributed to one fingerprint at one service.
+//! What this node knows against the requests with one fingerprint.
 
 use std::time::Duration;
 
-use kumquatquay_wire::{Crash, Fingerprint, QuarantineRecord, ServiceName};
+use kumquatquay_wire::{Crash, Evidence, Fingerprint, QuarantineRecord};
 
-/// How long a suspicion lasts after its latest crash.
-///
-/// Servers may crash many minutes apart; a success clears a suspect long before.
-pub(crate) const SUSPICION_DURATION: Duration = Duration::from_secs(60 * 60);
-
-/// How long a quarantine lasts after its latest crash.
-pub(crate) const QUARANTINE_DURATION: Duration = Duration::from_secs(60 * 60);
+/// How long a crash counts. Servers may crash many minutes apart; a success clears a suspect long before.
+pub(crate) const CRASH_DURATION: Duration = Duration::from_secs(60 * 60);
 
 /// By how much a received record must outlast the local one to extend it.
 ///
@@ -19,27 +14,23 @@
 /// ever, a little with each exchange.
 const MIN_EXTENSION: Duration = Duration::from_secs(2);
 
-/// Crashes that are attributed to one fingerprint at one service, until they expire.
+/// Crashes that are attributed to one fingerprint, until they expire.
 #[derive(Clone, Debug)]
 pub(crate) struct QuarantineEntry {
     /// The record; its `remaining_ms` stays 0.
     record: QuarantineRecord,
     /// When the record expires, on the monotonic clock.
     expires: Duration,
-    has_own_crash: bool,
 }
 
 impl QuarantineEntry {
-    pub(crate) fn new(service: ServiceName, fingerprint: Fingerprint) -> Self {
+    pub(crate) fn new(fingerprint: Fingerprint) -> Self {
         Self {
             record: QuarantineRecord {
-                service,
                 fingerprint,
-                crashes: Vec::new(),
-                remaining_ms: 0,
+                ..QuarantineRecord::default()
             },
             expires: Duration::ZERO,
-            has_own_crash: false,
         }
     }
 
@@ -47,56 +38,41 @@
         self.expires <= now
     }
 
-    pub(crate) fn is_suspect(&self, now: Duration) -> bool {
-        !self.is_expired(now) && self.record.is_suspect()
-    }
-
-    /// Whether it is a suspect with strong evidence against it.
-    pub(crate) fn is_isolated(&self, now: Duration) -> bool {
-        !self.is_expired(now) && self.record.is_isolated()
+    /// Evidence that counts at a service.
+    pub(crate) fn evidence_at(&self, now: Duration, service: &str) -> Evidence {
+        if self.is_expired(now) {
+            return Evidence::default();
+        }
+        self.record.evidence_at(service)
     }
 
-    /// Whether its requests run one at a time or are refused.
-    pub(crate) fn has_strong_evidence(&self, now: Duration) -> bool {
-        !self.is_expired(now) && self.record.has_strong_evidence()
+    /// Evidence that counts at a service at which it hasn't run.
+    pub(crate) fn evidence(&self, now: Duration) -> Evidence {
+        if self.is_expired(now) {
+            return Evidence::default();
+        }
+        self.record.evidence()
     }
 
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         self.record.fingerprint
     }
 
-    pub(crate) fn is_of(&self, service: &str) -> bool {
-        self.record.service == service
-    }
-
-    /// Whether it should outlast a restart of all nodes: not after one crash, which proves little and
-    /// costs one backend server more if it is forgotten.
-    pub(crate) fn is_worth_keeping(&self, now: Duration) -> bool {
-        !self.is_expired(now) && self.crashes_count() >= QuarantineRecord::CLEAR_CRASHES_COUNT
-    }
-
-    /// Whether this node detected one of the crashes.
-    pub(crate) fn has_own_crash(&self) -> bool {
-        self.has_own_crash
-    }
-
-    pub(crate) fn is_quarantined(&self, now: Duration) -> bool {
-        !self.is_expired(now) && self.record.is_quarantined()
-    }
-
-    /// Whether it has not expired and has a crash that is not cleared.
-    pub(crate) fn is_active(&self, now: Duration) -> bool {
-        !self.is_expired(now) && self.record.crashes_count() > 0
+    /// Crashes, also those that don't count any more.
+    pub(crate) fn crashes(&self) -> &[Crash] {
+        &self.record.crashes
     }
 
-    pub(crate) fn crashes_count(&self) -> usize {
-        self.record.crashes_count()
+    /// Services at which it ran since it was suspected.
+    pub(crate) fn ran_at(&self) -> &[String] {
+        &self.record.ran_at
     }
 
     /// Priority for gossip and against eviction: quarantined fingerprints first, then by how
     /// likely they caused the crashes.
     pub(crate) fn priority(&self) -> (bool, u32) {
-        (self.record.is_quarantined(), self.record.score_milli())
+        let evidence = self.record.evidence();
+        (evidence.is_quarantined(), evidence.score_milli)
     }
 
     pub(crate) fn expires(&self) -> Duration {
@@ -119,38 +95,24 @@
     /// Adds a crash that this node detected.
     pub(crate) fn add_crash(&mut self, now: Duration, crash: Crash) {
         self.merge_crash(crash);
-        self.has_own_crash = true;
-        self.expires = self.expires.max(now + self.duration());
-    }
-
-    fn duration(&self) -> Duration {
-        if self.record.is_quarantined() {
-            QUARANTINE_DURATION
-        } else {
-            SUSPICION_DURATION
-        }
+        self.expires = self.expires.max(now + CRASH_DURATION);
     }
 
     /// Merges the record of another node.
-    ///
-    /// If this quarantines the fingerprint, the entry expires [`QUARANTINE_DURATION`] from now.
     pub(crate) fn merge(&mut self, now: Duration, other: &QuarantineRecord) {
-        let was_quarantined = self.record.is_quarantined();
-        for crash in other
-            .crashes
-            .iter()
-            .take(QuarantineRecord::CRASHES_LIMIT_COUNT)
-        {
-            self.merge_crash(*crash);
+        let crashes = other.crashes.iter();
+        for crash in crashes.take(QuarantineRecord::CRASHES_LIMIT_COUNT) {
+            self.merge_crash(crash.clone());
+        }
+        let ran_at = other.ran_at.iter();
+        for service in ran_at.take(QuarantineRecord::RAN_AT_LIMIT_COUNT) {
+            self.add_ran_at(service);
         }
         let remaining = Duration::from_millis(u64::from(other.remaining_ms));
-        let expires = now + remaining.min(QUARANTINE_DURATION);
+        let expires = now + remaining.min(CRASH_DURATION);
         if expires > self.expires + MIN_EXTENSION {
             self.expires = expires;
         }
-        if !was_quarantined && self.record.is_quarantined() {
-            self.expires = now + QUARANTINE_DURATION;
-        }
     }
 
     fn merge_crash(&mut self, crash: Crash) {
@@ -165,6 +127,38 @@
         }
     }
 
+    /// Whether that is new.
+    fn add_ran_at(&mut self, service: &str) -> bool {
+        let ran_at = &mut self.record.ran_at;
+        let is_full = ran_at.len() >= QuarantineRecord::RAN_AT_LIMIT_COUNT;
+        match ran_at.binary_search_by(|known| known.as_str().cmp(service)) {
+            Err(index) if !is_full => {
+                ran_at.insert(index, String::from(service));
+                true
+            }
+            Ok(_) | Err(_) => false,
+        }
+    }
+
+    /// Clears the crashes at a service, at which it has run; whether that changes anything.
+    ///
+    /// Those at other services go on to count elsewhere: a new version of a service may crash under what the
+    /// old one runs well.
+    pub(crate) fn clear_at(&mut self, service: &str) -> bool {
+        let mut has_changed = false;
+        let mut counts_elsewhere = false;
+        let crashes = self.record.crashes.iter_mut();
+        for crash in crashes.filter(|crash| !crash.is_cleared) {
+            if crash.service == service {
+                crash.is_cleared = true;
+                has_changed = true;
+            } else {
+                counts_elsewhere = true;
+            }
+        }
+        has_changed | (counts_elsewhere && self.add_ran_at(service))
+    }
+
     /// Clears all crashes known so far: they no longer count.
     pub(crate) fn clear(&mut self) {
         for crash in &mut self.record.crashes {
--- a/crates/kumquatquay-core/src/quarantine/quarantine_table.rs
+++ b/crates/kumquatquay-core/src/quarantine/quarantine_table.rs
@@ -5,11 +5,11 @@
     time::Duration,
 };
 
-use kumquatquay_wire::{Fingerprint, ServiceName};
+use kumquatquay_wire::{CrashId, Evidence, Fingerprint, ServiceName};
 
 use super::{
-    broken_calls::BrokenCalls, in_flight_request::InFlightRequest, notices::PeerGates,
-    quarantine_entry::QuarantineEntry, recent_runs::RecentRuns,
+    broken_calls::BrokenCalls, crash_sync::CrashSync, in_flight_request::InFlightRequest,
+    notices::PeerGates, quarantine_entry::QuarantineEntry, recent_runs::RecentRuns,
 };
 use crate::WorkId;
 
@@ -19,7 +19,7 @@
 /// Requests that are suspected of crashing backend servers, and what led to the suspicion.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct QuarantineTable {
-    entries: BTreeMap<(ServiceName, Fingerprint), QuarantineEntry>,
+    entries: BTreeMap<Fingerprint, QuarantineEntry>,
     /// Runs of calls on routes that are in flight at the backend server of this host.
     pub(crate) running: BTreeMap<WorkId, InFlightRequest>,
     /// Fingerprints that ran to an answer there lately.
@@ -41,6 +41,12 @@
     pub(crate) broken_calls: BrokenCalls,
     /// Service of this host; kept when its backend server is gone.
     pub(crate) service: Option<ServiceName>,
+    /// Other services to which the routes of this host's service are split.
+    pub(crate) sibling_services: Vec<ServiceName>,
+    /// What is known of the crashes before the start of this node.
+    pub(crate) crash_sync: CrashSync,
+    /// Crashes that this node detected.
+    pub(crate) own_crashes: BTreeSet<CrashId>,
     /// Deaths of the backend server since the node's start, with requests in flight.
     pub(crate) deaths_count: u32,
     /// When expired entries were last removed, on the monotonic clock.
@@ -48,34 +54,37 @@
 }
 
 impl QuarantineTable {
-    pub(crate) fn get(&self, service: &str, fingerprint: Fingerprint) -> Option<&QuarantineEntry> {
-        if self.entries.is_empty() {
-            return None;
-        }
-        self.entries.get(&(String::from(service), fingerprint))
+    pub(crate) fn get(&self, fingerprint: Fingerprint) -> Option<&QuarantineEntry> {
+        self.entries.get(&fingerprint)
+    }
+
+    /// Evidence against a fingerprint that counts at a service.
+    pub(crate) fn evidence_at(
+        &self,
+        now: Duration,
+        service: &str,
+        fingerprint: Fingerprint,
+    ) -> Evidence {
+        let entry = self.get(fingerprint);
+        entry.map_or_else(Evidence::default, |entry| entry.evidence_at(now, service))
     }
 
     /// The entry of a fingerprint; a new one if there is none.
     ///
     /// If the table is full, the entry of the lowest priority is evicted, of several the one
     /// that expires first: unrelated requests go before likely causes of a crash.
-    pub(crate) fn get_or_insert(
-        &mut self,
-        service: &ServiceName,
-        fingerprint: Fingerprint,
-    ) -> &mut QuarantineEntry {
-        let key = (service.clone(), fingerprint);
-        if self.entries.len() >= ENTRIES_LIMIT_COUNT && !self.entries.contains_key(&key) {
+    pub(crate) fn get_or_insert(&mut self, fingerprint: Fingerprint) -> &mut QuarantineEntry {
+        if self.entries.len() >= ENTRIES_LIMIT_COUNT && !self.entries.contains_key(&fingerprint) {
             self.evict_lowest_priority();
         }
-        let new = || QuarantineEntry::new(service.clone(), fingerprint);
-        self.entries.entry(key).or_insert_with(new)
+        let new = || QuarantineEntry::new(fingerprint);
+        self.entries.entry(fingerprint).or_insert_with(new)
     }
 
     fn evict_lowest_priority(&mut self) {
         let entries = self.entries.iter();
         let least = entries.min_by_key(|(_, entry)| (entry.priority(), entry.expires()));
-        if let Some(key) = least.map(|(key, _)| key.clone()) {
+        if let Some(key) = least.map(|(key, _)| *key) {
             self.entries.remove(&key);
         }
     }
@@ -90,6 +99,9 @@
 
     pub(crate) fn remove_expired(&mut self, now: Duration) {
         self.entries.retain(|_, entry| !entry.is_expired(now));
+        let known = self.entries.values().flat_map(QuarantineEntry::crashes);
+        let known: BTreeSet<CrashId> = known.map(|crash| crash.id).collect();
+        self.own_crashes.retain(|id| known.contains(id));
         self.broken_calls.remove_expired(now);
     }
 }
--- a/crates/kumquatquay-core/src/quarantine/records.rs
+++ b/crates/kumquatquay-core/src/quarantine/records.rs
@@ -1,10 +1,22 @@
 //! Records of suspects and quarantined requests: gossip, the operators' view and release.
 
-use std::{cmp::Reverse, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
-use kumquatquay_wire::{Fingerprint, OperatorReply, QuarantineRecord, ServiceName};
+use kumquatquay_wire::{
+    Crash, CrashId, CrashReport, CrashSuspect, Evidence, Fingerprint, OperatorReply,
+    QuarantineRecord, ServiceName,
+};
 
-use super::{kept_records::RecordToKeep, notices, own_service::own_service};
+use super::{
+    kept_crashes::KnownCrash,
+    notices::{self, told_services},
+    own_service::own_service,
+    quarantine_entry::QuarantineEntry,
+};
 use crate::{Blackboard, Moment, Output};
 
 /// How often expired entries are removed.
@@ -29,70 +41,117 @@
 pub(crate) fn on_rumour(
     board: &mut Blackboard,
     now: Moment,
-    record: QuarantineRecord,
+    record: &QuarantineRecord,
     out: &mut Vec<Output>,
 ) {
     if record.remaining_ms == 0 {
         return;
     }
-    let service = &record.service;
     let fingerprint = record.fingerprint;
-    let entry = board.quarantine.get_or_insert(service, fingerprint);
-    entry.merge(now.monotonic, &record);
+    let entry = board.quarantine.get_or_insert(fingerprint);
+    entry.merge(now.monotonic, record);
     let table = &board.quarantine;
-    let has_run_here = table.service.as_ref() == Some(service)
-        && table.recent_runs.contains(now.monotonic, fingerprint);
-    if has_run_here {
-        clear_suspect(board, now, service, fingerprint, out);
+    if !table.recent_runs.contains(now.monotonic, fingerprint) {
+        return;
+    }
+    if let Some(service) = own_service(board) {
+        clear_at(board, now, &service, fingerprint, out);
+    }
+}
+
+/// Merges a crash that another node has reported, or that the platform's store keeps.
+pub(crate) fn on_crash_report(
+    board: &mut Blackboard,
+    now: Moment,
+    report: &CrashReport,
+    out: &mut Vec<Output>,
+) {
+    for record in report.records() {
+        on_rumour(board, now, &record, out);
     }
 }
 
-/// Clears a fingerprint that ran to an answer, if it is a suspect. One that is quarantined stays
-/// so: the run may have begun before.
-pub(super) fn clear_suspect(
+/// Clears a fingerprint at the service of this host, where it ran to an answer. One that is quarantined for
+/// crashes there stays so: the run may have begun before.
+pub(super) fn clear_at(
     board: &mut Blackboard,
     now: Moment,
     service: &ServiceName,
     fingerprint: Fingerprint,
     out: &mut Vec<Output>,
 ) {
-    let Some(entry) = board.quarantine.get(service, fingerprint) else {
+    let Some(entry) = board.quarantine.get(fingerprint) else {
         return;
     };
-    if !entry.is_suspect(now.monotonic) {
+    let is_there = |crash: &&Crash| !crash.is_cleared && crash.service == *service;
+    let there: Evidence = entry.crashes().iter().filter(is_there).collect();
+    if entry.is_expired(now.monotonic) || there.is_quarantined() {
         return;
     }
-    let was_isolated = entry.is_isolated(now.monotonic);
-    board.quarantine.get_or_insert(service, fingerprint).clear();
-    if was_isolated {
-        notices::notify_service(board, now, service, &[fingerprint], out);
+    let was_strong = entry.evidence_at(now.monotonic, service).is_strong();
+    let has_changed = board
+        .quarantine
+        .get_or_insert(fingerprint)
+        .clear_at(service);
+    if has_changed && was_strong {
+        let services = told_services(board);
+        notices::notify_gates(board, now, &services, &[fingerprint], out);
     }
 }
 
-/// Records of the service of this host that should outlast a restart of all nodes: those with more
-/// than one crash.
-pub(crate) fn records_to_keep(board: &Blackboard, now: Moment) -> Vec<RecordToKeep> {
-    let Some(service) = &board.quarantine.service else {
-        return Vec::new();
-    };
+/// The crashes that this node knows.
+pub(crate) fn known_crashes(board: &Blackboard, now: Moment) -> Vec<KnownCrash> {
+    let mut known: BTreeMap<CrashId, KnownCrash> = BTreeMap::new();
     let entries = board.quarantine.iter();
-    let entries =
-        entries.filter(|entry| entry.is_of(service) && entry.is_worth_keeping(now.monotonic));
-    let to_keep = entries.map(|entry| RecordToKeep {
-        record: entry.record(now.monotonic),
-        is_own: entry.has_own_crash(),
-    });
-    to_keep.collect()
+    for entry in entries.filter(|entry| !entry.is_expired(now.monotonic)) {
+        for crash in entry.crashes() {
+            let is_own = board.quarantine.own_crashes.contains(&crash.id);
+            let known = known.entry(crash.id).or_insert_with(|| KnownCrash {
+                report: empty_report(crash),
+                cleared: Vec::new(),
+                is_own,
+            });
+            if crash.is_cleared {
+                known.cleared.push(entry.fingerprint());
+                continue;
+            }
+            let report = &mut known.report;
+            report.suspects.push(suspect_of(entry, crash));
+            let remaining_ms = entry.remaining(now.monotonic).as_millis() as u32;
+            report.remaining_ms = report.remaining_ms.max(remaining_ms);
+        }
+    }
+    known.into_values().collect()
+}
+
+/// Report of a crash, without its suspects.
+pub(super) fn empty_report(crash: &Crash) -> CrashReport {
+    CrashReport {
+        id: crash.id,
+        service: crash.service.clone(),
+        suspects: Vec::new(),
+        remaining_ms: 0,
+    }
+}
+
+/// A suspect of a crash as it is reported.
+pub(super) fn suspect_of(entry: &QuarantineEntry, crash: &Crash) -> CrashSuspect {
+    CrashSuspect {
+        fingerprint: entry.fingerprint(),
+        score_milli: crash.score_milli,
+        ran_at: entry.ran_at().to_vec(),
+    }
 }
 
 /// Numbers of suspects and of quarantined fingerprints.
 pub(crate) fn counts(board: &Blackboard, now: Moment) -> (usize, usize) {
-    let now = now.monotonic;
-    let entries = || board.quarantine.iter();
-    (
-        entries().filter(|entry| entry.is_suspect(now)).count(),
-        entries().filter(|entry| entry.is_quarantined(now)).count(),
-    )
+    let entries = board.quarantine.iter();
+    let evidence: Vec<_> = entries.map(|entry| entry.evidence(now.monotonic)).collect();
+    let count = |is_counted: fn(Evidence) -> bool| {
+        let evidence = evidence.iter().copied();
+        evidence.filter(|evidence| is_counted(*evidence)).count()
+    };
+    (count(Evidence::is_suspect), count(Evidence::is_quarantined))
 }
 
 /// Lists suspects and quarantined requests.
@@ -105,11 +164,11 @@
 /// Records with crashes that are not cleared, by descending priority.
 pub(crate) fn active_records(board: &Blackboard, now: Moment) -> Vec<QuarantineRecord> {
     let mut records = records_to_gossip(board, now);
-    records.retain(|record| record.crashes_count() > 0);
+    records.retain(|record| record.counting_crashes().next().is_some());
     records
 }
 
-/// Lets requests with a fingerprint run again.
+/// Lets requests with a fingerprint run again, at all services.
 pub(crate) fn release(
     board: &mut Blackboard,
     now: Moment,
@@ -117,16 +176,22 @@
     fingerprint: Fingerprint,
     out: &mut Vec<Output>,
 ) -> OperatorReply {
-    let entry = board.quarantine.get(service, fingerprint);
-    if !entry.is_some_and(|entry| entry.is_active(now.monotonic)) {
+    let table = &board.quarantine;
+    let evidence = table.evidence_at(now.monotonic, service, fingerprint);
+    if evidence.crashes_count == 0 {
         return OperatorReply::Refused {
             message: format!(
                 "no request {fingerprint:016x} to {service} is suspected or quarantined"
             ),
         };
     }
-    board.quarantine.get_or_insert(service, fingerprint).clear();
-    notices::notify_service(board, now, service, &[fingerprint], out);
+    let mut services: BTreeSet<ServiceName> = told_services(board);
+    services.insert(service.clone());
+    let entry = board.quarantine.get_or_insert(fingerprint);
+    let crashes = entry.crashes().iter();
+    services.extend(crashes.map(|crash| crash.service.clone()));
+    entry.clear();
+    notices::notify_gates(board, now, &services, &[fingerprint], out);
     OperatorReply::Done {
         message: format!(
             "requests {fingerprint:016x} to {service} may run again; if one crashes two more \
--- a/crates/kumquatquay-core/tests/crashing_runs.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs.rs
@@ -7,13 +7,14 @@
 use std::{net::SocketAddr, time::Duration};
 
 use kumquatquay_core::{
-    BackendInput, Input, KeepStep, KeptRecords, OperatorInput, RecordToKeep, RunInput, RunVerdict,
-    WorkId,
+    BackendInput, Input, KeepAction, KeepStep, KeptCrashes, KnownCrash, OperatorInput, RunInput,
+    RunVerdict, WorkId,
 };
-use kumquatquay_wire::{Crash, Fingerprint, MemberState, OperatorCommand, QuarantineRecord};
+use kumquatquay_wire::{CrashReport, CrashSuspect, Fingerprint, MemberState, OperatorCommand};
 use mesh::{Mesh, control};
 
 const SERVICE: &str = "archive";
+const OTHER_SERVICE: &str = "settlement";
 
 /// How long a crashing request runs.
 const CRASH_AFTER: Duration = Duration::from_millis(40);
@@ -54,6 +55,28 @@
         }
     }
 
+    /// A deployment of three data centres: gates of one service, and beside them of another one.
+    fn start_large(seed: u64, gates_count: usize, others_count: usize) -> Self {
+        let mut mesh = Mesh::new(seed);
+        let place = |index: usize| control(index % 3, 1 + index / 3);
+        let controls: Vec<SocketAddr> = (0..gates_count + others_count).map(place).collect();
+        for (index, control) in controls.iter().enumerate() {
+            let service = if index < gates_count {
+                SERVICE
+            } else {
+                OTHER_SERVICE
+            };
+            mesh.start(*control, ["a", "b", "c"][index % 3], 1, vec![controls[0]]);
+            mesh.announce(*control, service, MemberState::Serving);
+        }
+        mesh.run(Duration::from_secs(20));
+        Self {
+            mesh,
+            controls,
+            last_work: 0,
+        }
+    }
+
     fn begin(&mut self, gate: usize, fingerprint: Fingerprint) -> (WorkId, RunVerdict) {
         self.last_work += 1;
         let moment = self.mesh.moment();
@@ -433,76 +456,241 @@
     }
 }
 
+/// Gates of the largest service and hosts beside them, and how many requests are in flight at each gate.
+const LARGE_GATES_COUNT: usize = 33;
+const LARGE_OTHERS_COUNT: usize = 46;
+const LARGE_IN_FLIGHT_COUNT: u64 = 30;
+
+/// How often the request comes there, and after how long.
+const LARGE_SENDS_COUNT: usize = 25;
+const LARGE_SEND_INTERVAL: Duration = Duration::from_millis(300);
+
+/// At 33 hosts of a service with 30 requests in flight the records of one crash are more than a node may send at
+/// once: most gates were not told, and each of them lost its server.
+#[test]
+fn a_request_among_others_is_refused_in_a_large_service() {
+    let mut gates = Gates::start_large(52, LARGE_GATES_COUNT, LARGE_OTHERS_COUNT);
+    let mut runs_count = 0;
+    for send in 0..LARGE_SENDS_COUNT {
+        let gate = send * 7 % LARGE_GATES_COUNT;
+        let from = send as u64 * LARGE_IN_FLIGHT_COUNT;
+        let (work, verdict) = gates.begin(gate, CRASHING);
+        if verdict == RunVerdict::Run {
+            runs_count += 1;
+            let mut works = gates.begin_all(gate, &innocents(from, LARGE_IN_FLIGHT_COUNT));
+            works.push(work);
+            gates.mesh.run(CRASH_AFTER);
+            gates.end_server(gate, &works);
+        }
+        gates.mesh.run(LARGE_SEND_INTERVAL);
+    }
+    assert!(runs_count <= 3, "{runs_count} runs");
+}
+
+// Routes over several services
+
+impl Gates {
+    /// Two gates of each of two services, in two data centres; routes are split over them.
+    fn start_split(seed: u64) -> Self {
+        let mut gates = Self::start_large(seed, 2, 2);
+        for (gate, sibling) in [(0, 2), (1, 2), (2, 0), (3, 0)] {
+            let sibling = String::from([SERVICE, OTHER_SERVICE][sibling / 2]);
+            let input = Input::SiblingServices(vec![sibling]);
+            gates.mesh.handle(gates.controls[gate], input);
+        }
+        gates
+    }
+
+    fn revive_as(&mut self, gate: usize, service: &str) {
+        self.mesh.run(DOWN);
+        let control = self.controls[gate];
+        self.mesh.announce(control, service, MemberState::Serving);
+        self.mesh.run(Duration::from_millis(300));
+    }
+}
+
+macro_rules! split_routes {
+    ($($(#[$failure:meta])* $name:ident: |$gates:ident| $test:block)*) => {
+        $($(#[$failure])* #[test] fn $name() {
+            let mut $gates = Gates::start_split(53);
+            $test
+        })*
+    };
+}
+
+split_routes! {
+    /// It crashes one server of each service of a split: each service knew of one crash.
+    crashes_at_all_services_of_a_split_count: |gates| {
+        gates.crash(0, &[CRASHING]);
+        gates.crash(2, &[CRASHING]);
+        gates.mesh.run(Duration::from_millis(200));
+        assert!(gates.are_refused(CRASHING));
+    }
+
+    /// Among others that are new each time, and on a route that moved after two crashes.
+    crashes_count_after_a_route_has_moved: |gates| {
+        for (crash, gate) in [0, 1].into_iter().enumerate() {
+            let mut running = innocents(crash as u64 * 100, 30);
+            running.push(CRASHING);
+            gates.crash(gate, &running);
+            gates.revive_as(gate, SERVICE);
+        }
+        gates.mesh.run(SETTLING);
+        let mut running = innocents(900, 30);
+        running.push(CRASHING);
+        gates.crash(2, &running);
+        gates.mesh.run(Duration::from_millis(200));
+        assert!(gates.are_refused(CRASHING));
+        for innocent in innocents(0, 130) {
+            assert_eq!(gates.run(3, innocent), RunVerdict::Run);
+        }
+    }
+
+    /// A new version takes part of a route and crashes under a path that the old one runs well: the path
+    /// was refused at both.
+    a_path_that_one_part_of_a_split_runs_well_is_served_there: |gates| {
+        let path = CRASHING;
+        for _ in 0..4 {
+            for gate in [0, 1] {
+                assert_eq!(gates.run(gate, path), RunVerdict::Run);
+            }
+            for gate in [2, 3] {
+                gates.crash(gate, &[path]);
+                gates.revive_as(gate, OTHER_SERVICE);
+            }
+        }
+        gates.mesh.run(SETTLING);
+        let verdicts = gates.verdicts(path);
+        assert_eq!(verdicts[..2], [RunVerdict::Run; 2]);
+        assert_eq!(verdicts[2..], [RunVerdict::Refuse; 2]);
+    }
+
+    /// Servers of both services end from outside, one by one, each with a run of a path in flight that both
+    /// run well.
+    a_path_that_all_parts_run_well_outlives_crashes_from_outside: |gates| {
+        let path = FIRST_INNOCENT;
+        for _ in 0..4 {
+            for gate in [0, 2, 1, 3] {
+                gates.mesh.run(Duration::from_secs(25));
+                assert_eq!(gates.run(gate, path), RunVerdict::Run);
+                gates.crash(gate, &[path]);
+                let service = [SERVICE, OTHER_SERVICE][gate / 2];
+                gates.revive_as(gate, service);
+            }
+        }
+        assert!(gates.are_run(path));
+    }
+}
+
+/// All nodes are killed after each crash; each reads what the store keeps, and only then runs anything.
+#[test]
+fn crashes_that_the_store_keeps_count_after_all_nodes_start_anew() {
+    let mut gates = Gates::start(54);
+    let mut kept: Vec<CrashReport> = Vec::new();
+    let mut crashes_count = 0;
+    while !gates.are_refused(CRASHING) {
+        let gate = crashes_count % 4;
+        let mut running = innocents(crashes_count as u64 * 100, 50);
+        running.push(CRASHING);
+        gates.crash(gate, &running);
+        crashes_count += 1;
+        let moment = gates.mesh.moment();
+        let node = &gates.mesh.hosts[&gates.controls[gate]].node;
+        let own = node.known_crashes(moment).into_iter();
+        kept.extend(own.filter(|crash| crash.is_own).map(|crash| crash.report));
+        for gate in 0..4 {
+            gates.start_anew(gate);
+            for report in &kept {
+                let input = Input::KeptCrash(report.clone());
+                gates.mesh.handle(gates.controls[gate], input);
+            }
+        }
+        gates.mesh.run(Duration::from_secs(2));
+    }
+    assert_eq!(crashes_count, 3);
+}
+
 // What the store keeps
 
-fn record(fingerprint: Fingerprint, crashes: &[(u64, u16, bool)]) -> QuarantineRecord {
-    let crashes = crashes.iter().map(|(id, score_milli, is_cleared)| Crash {
-        id: *id,
-        score_milli: *score_milli,
-        is_cleared: *is_cleared,
+const CRASH: u64 = 7;
+const START: Duration = Duration::from_secs(100);
+
+fn report(fingerprints: &[Fingerprint]) -> CrashReport {
+    let suspects = fingerprints.iter().map(|fingerprint| CrashSuspect {
+        fingerprint: *fingerprint,
+        score_milli: 500,
+        ran_at: Vec::new(),
     });
-    QuarantineRecord {
+    CrashReport {
+        id: CRASH,
         service: String::from(SERVICE),
-        fingerprint,
-        crashes: crashes.collect(),
-        remaining_ms: 1_000,
+        suspects: suspects.collect(),
+        remaining_ms: 60_000,
     }
 }
 
-fn to_keep(is_own: bool, crashes: &[(u64, u16, bool)]) -> RecordToKeep {
-    RecordToKeep {
-        record: record(CRASHING, crashes),
+fn known(is_own: bool, suspects: &[Fingerprint], cleared: &[Fingerprint]) -> Vec<KnownCrash> {
+    vec![KnownCrash {
+        report: report(suspects),
+        cleared: cleared.to_vec(),
         is_own,
-    }
+    }]
+}
+
+fn write(is_own: bool, suspects: &[Fingerprint]) -> Option<KeepStep> {
+    let action = KeepAction::Write(report(suspects));
+    Some(KeepStep { action, is_own })
+}
+
+fn remove(is_own: bool) -> Option<KeepStep> {
+    let action = KeepAction::Remove(CRASH);
+    Some(KeepStep { action, is_own })
 }
 
-macro_rules! kept_records {
-    ($($(#[$failure:meta])* $name:ident: $kept:expr, $current:expr => $step:expr;)*) => {
+macro_rules! kept_crashes {
+    ($($(#[$failure:meta])* $name:ident: $kept:expr, $known:expr, after $seconds:expr => $step:expr;)*) => {
         $($(#[$failure])* #[test] fn $name() {
-            let mut kept = KeptRecords::default();
-            let before: Vec<QuarantineRecord> = $kept;
-            before.iter().for_each(|record| kept.on_kept(record));
-            let current: Vec<RecordToKeep> = $current;
-            let step: Option<KeepStep> = $step;
-            assert_eq!(kept.next_step(&current), step);
+            let mut kept = KeptCrashes::default();
+            let before: Option<CrashReport> = $kept;
+            before.iter().for_each(|report| kept.on_kept(START, report));
+            let known: Vec<KnownCrash> = $known;
+            let _ = kept.next_step(START, &known);
+            let step = kept.next_step(START + Duration::from_secs($seconds), &known);
+            assert_eq!(step, $step);
         })*
     };
 }
 
-const QUARANTINED: [(u64, u16, bool); 2] = [(1, 1_000, false), (2, 1_000, false)];
-const SUSPECTED: [(u64, u16, bool); 2] = [(1, 100, false), (2, 100, false)];
-const CLEARED: [(u64, u16, bool); 2] = [(1, 1_000, true), (2, 1_000, true)];
-
-kept_records! {
-    /// The node that saw the crash writes at once.
-    an_own_crash_is_written: vec![], vec![to_keep(true, &SUSPECTED)]
-        => Some(KeepStep::Write(to_keep(true, &SUSPECTED)));
-    /// The node that saw the crashes may be gone.
-    a_quarantine_is_written_by_others: vec![], vec![to_keep(false, &QUARANTINED)]
-        => Some(KeepStep::Write(to_keep(false, &QUARANTINED)));
-    /// Each node of the service would write each suspect.
-    a_suspect_is_not_written_by_others: vec![], vec![to_keep(false, &SUSPECTED)] => None;
+kept_crashes! {
+    /// The first crash of a request went with the nodes that knew it.
+    an_own_crash_is_written: None, known(true, &[1, 2], &[]), after 0 => write(true, &[1, 2]);
+    /// The node that saw the crash may be gone.
+    a_crash_of_another_host_is_written_later: None, known(false, &[1, 2], &[]), after 4
+        => write(false, &[1, 2]);
+    /// Each node would write each crash.
+    a_crash_of_another_host_is_left_to_it: None, known(false, &[1, 2], &[]), after 1 => None;
     /// What is kept would be written again and again.
-    a_kept_record_is_not_written: vec![record(CRASHING, &QUARANTINED)],
-        vec![to_keep(true, &QUARANTINED)] => None;
-    /// One more crash would be lost.
-    a_changed_record_is_written: vec![record(CRASHING, &SUSPECTED)],
-        vec![to_keep(true, &QUARANTINED)] => Some(KeepStep::Write(to_keep(true, &QUARANTINED)));
+    a_kept_crash_is_not_written: Some(report(&[1, 2])), known(true, &[1, 2], &[]), after 9 => None;
+    /// A node that knows fewer suspects would take the others out.
+    unknown_suspects_stay_kept: Some(report(&[1, 2, 3])), known(true, &[1], &[]), after 9 => None;
+    /// Requests that ran since would be suspects again after a restart of all nodes.
+    cleared_suspects_are_taken_out: Some(report(&[1, 2, 3])), known(true, &[1, 3], &[2]), after 9
+        => write(true, &[1, 3]);
+    /// Each suspect that runs would cost a write.
+    cleared_suspects_are_taken_out_together: Some(report(&[1, 2])), known(true, &[1], &[2]), after 2
+        => None;
     /// A released request would be refused again after a restart.
-    a_cleared_record_is_removed: vec![record(CRASHING, &QUARANTINED)],
-        vec![to_keep(true, &CLEARED)] => Some(KeepStep::Remove(CRASHING));
-    /// Expired records would stay in the store for good.
-    an_expired_record_is_removed: vec![record(CRASHING, &QUARANTINED)], vec![]
-        => Some(KeepStep::Remove(CRASHING));
+    a_cleared_crash_is_removed: Some(report(&[1])), known(false, &[], &[1]), after 9 => remove(false);
+    /// Expired crashes would stay in the store for good.
+    an_expired_crash_is_removed: Some(report(&[1])), vec![], after 61 => remove(false);
 }
 
-/// The store comes back from a copy that lacks the record.
+/// The store comes back from a copy that lacks the crash.
 #[test]
-fn a_record_is_written_again_after_a_restore() {
-    let mut kept = KeptRecords::default();
-    kept.on_kept(&record(CRASHING, &QUARANTINED));
+fn a_crash_is_written_again_after_a_restore() {
+    let mut kept = KeptCrashes::default();
+    kept.on_kept(START, &report(&[1]));
     kept.on_store_restored();
-    let current = [to_keep(false, &QUARANTINED)];
-    let step = kept.next_step(&current);
-    assert_eq!(step, Some(KeepStep::Write(current[0].clone())));
+    let step = kept.next_step(START, &known(true, &[1], &[]));
+    assert_eq!(step, write(true, &[1]));
 }
--- a/crates/kumquatquay-core/tests/operations/properties.rs
+++ b/crates/kumquatquay-core/tests/operations/properties.rs
@@ -240,14 +240,15 @@
 fn record_of(seed: u8) -> QuarantineRecord {
     let crash = |id: u64| Crash {
         id,
+        service: String::from("settlement"),
         score_milli: 500,
         is_cleared: (u64::from(seed) >> id) & 1 == 1,
     };
     let first = u64::from(seed % 3);
     QuarantineRecord {
-        service: String::from("settlement"),
         fingerprint: u64::from(seed / 64),
         crashes: vec![crash(first), crash(first + 1)],
+        ran_at: Vec::new(),
         remaining_ms: 60_000,
     }
 }
@@ -270,7 +271,7 @@
     };
     let mut listed: Vec<_> = records
         .iter()
-        .map(|record| (record.fingerprint, record.crashes_count()))
+        .map(|record| (record.fingerprint, record.evidence().crashes_count))
         .collect();
     listed.sort_unstable();
     listed
--- a/crates/kumquatquay-core/tests/operations/scenarios.rs
+++ b/crates/kumquatquay-core/tests/operations/scenarios.rs
@@ -232,12 +232,13 @@
     };
     let mut said = String::new();
     for record in records {
-        let state = if record.is_quarantined() {
+        let state = if record.evidence().is_quarantined() {
             "quarantined"
         } else {
             "suspect"
         };
-        let (crashes, score) = (record.crashes_count(), record.score_milli());
+        let evidence = record.evidence();
+        let (crashes, score) = (evidence.crashes_count, evidence.score_milli);
         writeln!(said, "{state} crashes={crashes} score={score}").unwrap();
     }
     if said.is_empty() {
@@ -256,7 +257,7 @@
     let reply = mesh.operate(
         node,
         OperatorCommand::QuarantineRelease {
-            service: record.service.clone(),
+            service: String::from(record.services()[0]),
             fingerprint: record.fingerprint,
         },
     );
--- a/crates/kumquatquay-wire/src/bulk/bulk_answer.rs
+++ b/crates/kumquatquay-wire/src/bulk/bulk_answer.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{decode, encode};
-use crate::{DataCentreMembers, WireError};
+use crate::{CrashReport, DataCentreMembers, WireError};
 
 /// Answers a [`BulkRequest`](crate::BulkRequest).
 ///
@@ -20,6 +20,13 @@
         /// Encoded [`ConfigurationAnswer`](crate::ConfigurationAnswer).
         payload: Vec<u8>,
     },
+    /// The crashes of backend servers that count.
+    Crashes {
+        /// The crashes, with the suspects that aren't cleared.
+        reports: Vec<CrashReport>,
+        /// Whether the answering node knows those before its own start.
+        is_complete: bool,
+    },
 }
 
 impl BulkAnswer {
--- a/crates/kumquatquay-wire/src/bulk/bulk_request.rs
+++ b/crates/kumquatquay-wire/src/bulk/bulk_request.rs
@@ -29,6 +29,8 @@
         /// Encoded [`ConfigurationRequest`](crate::ConfigurationRequest).
         payload: Vec<u8>,
     },
+    /// The crashes of backend servers that count.
+    Crashes,
 }
 
 impl BulkRequest {
--- a/crates/kumquatquay-wire/src/control/quarantine_record.rs
+++ b/crates/kumquatquay-wire/src/control/quarantine_record.rs
@@ -2,95 +2,140 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Fingerprint, ServiceName};
+use crate::{CrashId, Fingerprint, ServiceName};
 
 /// A crash of a backend server while a request with the fingerprint was running.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Crash {
-    /// Id of the crash: a hash of the node, its incarnation and a number.
-    pub id: u64,
+    /// Id of the crash.
+    pub id: CrashId,
+    /// Service of the backend server.
+    pub service: ServiceName,
     /// Score in thousandths: 1000 divided by the number of suspects that were in flight, or of those that
     /// had the most crashes behind them if it was one of these and they had two at least.
     pub score_milli: u16,
-    /// Whether it no longer counts: a request with the fingerprint ran successfully
+    /// Whether it no longer counts: a request with the fingerprint ran successfully at the service
     /// afterwards, or an operator released it.
     pub is_cleared: bool,
 }
 
-/// Suspicion or quarantine of one fingerprint at one service.
+/// What is known against the requests with one fingerprint.
 ///
 /// Records of the same fingerprint are merged by the union of their crashes, so that two nodes
 /// that observed one crash each arrive at two, independent of the order of the updates. A crash
 /// that is cleared in either record is cleared.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineRecord {
-    /// Service whose backend servers crashed.
-    pub service: ServiceName,
     /// Fingerprint of the requests.
     pub fingerprint: Fingerprint,
     /// Crashes, ordered by id.
     pub crashes: Vec<Crash>,
+    /// Services at which such a request ran to an answer since it was suspected, in order. Crashes at
+    /// other services don't count there.
+    pub ran_at: Vec<ServiceName>,
     /// Time until the record expires, as of when it was sent, in milliseconds.
     pub remaining_ms: u32,
 }
 
+/// The crashes of a record that count, summed up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Evidence {
+    /// Number of the crashes.
+    pub crashes_count: usize,
+    /// Sum of their scores, in thousandths.
+    pub score_milli: u32,
+}
+
 impl QuarantineRecord {
+    /// Maximum number of crashes in a record.
+    pub const CRASHES_LIMIT_COUNT: usize = 8;
+
+    /// Maximum number of services in [`QuarantineRecord::ran_at`].
+    pub const RAN_AT_LIMIT_COUNT: usize = 8;
+
+    /// The crashes that aren't cleared.
+    pub fn counting_crashes(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter().filter(|crash| !crash.is_cleared)
+    }
+
+    /// Evidence that counts at a service.
+    ///
+    /// A request that crashes the backend servers of one service is taken to crash those of others, to
+    /// which its route may be split or moved, until it runs well there.
+    pub fn evidence_at(&self, service: &str) -> Evidence {
+        let runs_well = self.ran_at.iter().any(|ran_at| ran_at == service);
+        let crashes = self.counting_crashes();
+        crashes
+            .filter(|crash| !runs_well || crash.service == service)
+            .collect()
+    }
+
+    /// Evidence that counts at a service at which it hasn't run.
+    pub fn evidence(&self) -> Evidence {
+        self.counting_crashes().collect()
+    }
+
+    /// Services whose backend servers crashed, by the crashes that count, in order.
+    pub fn services(&self) -> Vec<&str> {
+        let crashes = self.counting_crashes();
+        let mut services: Vec<&str> = crashes.map(|crash| &*crash.service).collect();
+        services.sort_unstable();
+        services.dedup();
+        services
+    }
+}
+
+impl<'a> FromIterator<&'a Crash> for Evidence {
+    fn from_iter<T: IntoIterator<Item = &'a Crash>>(crashes: T) -> Self {
+        crashes
+            .into_iter()
+            .fold(Self::default(), |sum, crash| Self {
+                crashes_count: sum.crashes_count + 1,
+                score_milli: sum.score_milli + u32::from(crash.score_milli),
+            })
+    }
+}
+
+impl Evidence {
     /// Number of crashes from which on requests with the fingerprint are refused, whatever else was in
     /// flight.
     pub const CRASHES_TO_QUARANTINE_COUNT: usize = 5;
 
-    /// Number of crashes from which on they are refused if the score is at least
-    /// [`QuarantineRecord::CLEAR_SCORE_MILLI`].
+    /// Number of crashes from which on they are refused if the score is above
+    /// [`Evidence::ALONE_SCORE_MILLI`].
     pub const CLEAR_CRASHES_COUNT: usize = 2;
 
-    /// Score of a fingerprint that was the only suspect at one crash, one of two at two, or the only one
-    /// with two crashes behind it at a third.
-    pub const CLEAR_SCORE_MILLI: u32 = 1_000;
+    /// Score of the only suspect of a crash. Two suspects that were in flight at the same two crashes reach
+    /// it together, though one of them may be innocent.
+    pub const ALONE_SCORE_MILLI: u32 = 1_000;
 
     /// Score from which on one crash is strong evidence: one of two suspects.
     pub const STRONG_SCORE_MILLI: u32 = 500;
 
-    /// Maximum number of crashes in a record.
-    pub const CRASHES_LIMIT_COUNT: usize = 8;
-
-    /// Returns the number of crashes that aren't cleared.
-    pub fn crashes_count(&self) -> usize {
-        let counting = self.crashes.iter().filter(|crash| !crash.is_cleared);
-        counting.count()
-    }
-
     /// Whether there are crashes that count, but too few for a quarantine.
-    pub fn is_suspect(&self) -> bool {
-        self.crashes_count() > 0 && !self.is_quarantined()
+    pub fn is_suspect(self) -> bool {
+        self.crashes_count > 0 && !self.is_quarantined()
     }
 
-    /// Whether it is a suspect with strong evidence against it, so that its requests run one at a
-    /// time.
+    /// Whether it makes a suspect of which requests run one at a time.
     ///
     /// With many requests in flight a crash says little of each of them. If all of them ran one at a
     /// time, the crash of one backend server would hold up a hundred unrelated requests.
-    pub fn is_isolated(&self) -> bool {
-        let has_strong_evidence = self.crashes_count() >= Self::CLEAR_CRASHES_COUNT
-            || self.score_milli() >= Self::STRONG_SCORE_MILLI;
+    pub fn is_isolated(self) -> bool {
+        let has_strong_evidence = self.crashes_count >= Self::CLEAR_CRASHES_COUNT
+            || self.score_milli >= Self::STRONG_SCORE_MILLI;
         self.is_suspect() && has_strong_evidence
     }
 
     /// Whether requests with the fingerprint are refused.
-    pub fn is_quarantined(&self) -> bool {
-        let crashes_count = self.crashes_count();
-        let is_clear = crashes_count >= Self::CLEAR_CRASHES_COUNT
-            && self.score_milli() >= Self::CLEAR_SCORE_MILLI;
-        is_clear || crashes_count >= Self::CRASHES_TO_QUARANTINE_COUNT
+    pub fn is_quarantined(self) -> bool {
+        let is_clear = self.crashes_count >= Self::CLEAR_CRASHES_COUNT
+            && self.score_milli >= Self::ALONE_SCORE_MILLI;
+        is_clear || self.crashes_count >= Self::CRASHES_TO_QUARANTINE_COUNT
     }
 
     /// Whether its requests run one at a time or are refused.
-    pub fn has_strong_evidence(&self) -> bool {
+    pub fn is_strong(self) -> bool {
         self.is_isolated() || self.is_quarantined()
     }
-
-    /// Returns the sum of the scores of the crashes that aren't cleared, in thousandths.
-    pub fn score_milli(&self) -> u32 {
-        let counting = self.crashes.iter().filter(|crash| !crash.is_cleared);
-        counting.map(|crash| u32::from(crash.score_milli)).sum()
-    }
 }
--- a/crates/kumquatquay-wire/src/control/rumour.rs
+++ b/crates/kumquatquay-wire/src/control/rumour.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ConfigurationVersion, MemberRecord, MemberStatus, QuarantineRecord, ServiceLevel,
+    ConfigurationVersion, CrashReport, MemberRecord, MemberStatus, QuarantineRecord, ServiceLevel,
     size::encoded_bytes,
 };
 
@@ -22,6 +22,8 @@
     /// Version of the configuration in force at the sender.
     #[from(skip)]
     Configuration(ConfigurationVersion),
+    /// A backend server crashed.
+    Crash(CrashReport),
 }
 
 impl Rumour {
--- a/crates/kumquatquay-wire/src/ids.rs
+++ b/crates/kumquatquay-wire/src/ids.rs
@@ -33,6 +33,9 @@
 /// Identifies a request across resends under new trace ids.
 pub type Fingerprint = u64;
 
+/// Id of a crash of a backend server: a hash of its node, that node's incarnation and a number.
+pub type CrashId = u64;
+
 /// BLAKE3 digest of a request body.
 pub type BodyDigest = [u8; 32];
 
--- a/crates/kumquatquay-wire/src/lib.rs
+++ b/crates/kumquatquay-wire/src/lib.rs
@@ -33,14 +33,14 @@
     IntentChange, IntentEntry, Priority, RecordDigest, RoutePattern, SealedPlan, change_id_text,
 };
 pub use control::{
-    ControlBody, Crash, Datagram, MemberRecord, MemberState, MemberStatus, QuarantineRecord,
-    Rumour, ServiceLevel,
+    ControlBody, Crash, CrashReport, CrashSuspect, Datagram, Evidence, MemberRecord, MemberState,
+    MemberStatus, QuarantineRecord, Rumour, ServiceLevel,
 };
 pub use error::WireError;
 pub use ids::{
-    BodyDigest, CallerName, ConfigurationVersion, DataCentreName, Fingerprint, Incarnation,
-    InstanceId, LedgerToken, LogOffset, RequestId, Sequence, ServiceName, StreamName, TableDigest,
-    TraceId,
+    BodyDigest, CallerName, ConfigurationVersion, CrashId, DataCentreName, Fingerprint,
+    Incarnation, InstanceId, LedgerToken, LogOffset, RequestId, Sequence, ServiceName, StreamName,
+    TableDigest, TraceId,
 };
 pub use importance::{Class, Cohort, Importance};
 pub use key::MeshKey;
--- a/crates/kumquatquay-wire/tests/support/values.rs
+++ b/crates/kumquatquay-wire/tests/support/values.rs
@@ -4,8 +4,9 @@
 
 use arbitrary::{Result, Unstructured};
 use kumquatquay_wire::{
-    BackendLife, BulkAnswer, BulkRequest, ControlBody, DataCentreDigest, DataCentreMembers,
-    Datagram, Importance, MemberRecord, MemberState, MemberStatus, Rumour, ServiceLevel,
+    BackendLife, BulkAnswer, BulkRequest, ControlBody, Crash, CrashReport, CrashSuspect,
+    DataCentreDigest, DataCentreMembers, Datagram, Importance, MemberRecord, MemberState,
+    MemberStatus, QuarantineRecord, Rumour, ServiceLevel,
 };
 
 /// Elements of a collection, at most.
@@ -22,10 +23,11 @@
 }
 
 pub(crate) fn question(bytes: &mut Unstructured<'_>) -> Result<BulkRequest> {
-    Ok(match bytes.int_in_range(0..=1)? {
+    Ok(match bytes.int_in_range(0..=2)? {
         0 => BulkRequest::Members {
             known: several(bytes, digest)?,
         },
+        1 => BulkRequest::Crashes,
         _ => BulkRequest::Configuration {
             payload: bytes.arbitrary()?,
         },
@@ -33,10 +35,14 @@
 }
 
 pub(crate) fn answer(bytes: &mut Unstructured<'_>) -> Result<BulkAnswer> {
-    Ok(match bytes.int_in_range(0..=1)? {
+    Ok(match bytes.int_in_range(0..=2)? {
         0 => BulkAnswer::Members {
             data_centres: several(bytes, members)?,
         },
+        1 => BulkAnswer::Crashes {
+            reports: several(bytes, report)?,
+            is_complete: bytes.arbitrary()?,
+        },
         _ => BulkAnswer::Configuration {
             payload: bytes.arbitrary()?,
         },
@@ -82,7 +88,7 @@
 }
 
 fn rumour(bytes: &mut Unstructured<'_>) -> Result<Rumour> {
-    Ok(match bytes.int_in_range(0..=3)? {
+    Ok(match bytes.int_in_range(0..=5)? {
         0 => record(bytes)?.into(),
         1 => Rumour::Status(MemberStatus {
             control: address(bytes)?,
@@ -96,10 +102,42 @@
             least_admitted: Importance::from_number(bytes.arbitrary()?),
             age_ms: bytes.arbitrary()?,
         }),
+        3 => Rumour::Quarantine(QuarantineRecord {
+            fingerprint: bytes.arbitrary()?,
+            crashes: several(bytes, crash)?,
+            ran_at: bytes.arbitrary()?,
+            remaining_ms: bytes.arbitrary()?,
+        }),
+        4 => Rumour::Crash(report(bytes)?),
         _ => Rumour::Configuration(bytes.arbitrary()?),
     })
 }
 
+fn crash(bytes: &mut Unstructured<'_>) -> Result<Crash> {
+    Ok(Crash {
+        id: bytes.arbitrary()?,
+        service: bytes.arbitrary()?,
+        score_milli: bytes.arbitrary()?,
+        is_cleared: bytes.arbitrary()?,
+    })
+}
+
+fn report(bytes: &mut Unstructured<'_>) -> Result<CrashReport> {
+    let suspect = |bytes: &mut Unstructured<'_>| {
+        Ok(CrashSuspect {
+            fingerprint: bytes.arbitrary()?,
+            score_milli: bytes.arbitrary()?,
+            ran_at: bytes.arbitrary()?,
+        })
+    };
+    Ok(CrashReport {
+        id: bytes.arbitrary()?,
+        service: bytes.arbitrary()?,
+        suspects: several(bytes, suspect)?,
+        remaining_ms: bytes.arbitrary()?,
+    })
+}
+
 fn life(bytes: &mut Unstructured<'_>) -> Result<Option<BackendLife>> {
     let instance: Option<String> = bytes.arbitrary()?;
     let born_unix_ms = bytes.arbitrary()?;
--- a/crates/kumquatquayd/src/engine/engine.rs
+++ b/crates/kumquatquayd/src/engine/engine.rs
@@ -9,8 +9,8 @@
 };
 
 use kumquatquay_core::{
-    CallId, Clock, Counter, Counters, Input, Moment, Node, Note, OperationIssued, Output,
-    RecordToKeep, RunVerdict, Severity, StateDump, WorkId,
+    CallId, Clock, Counter, Counters, CrashSync, Input, KnownCrash, Moment, Node, Note,
+    OperationIssued, Output, RunVerdict, Severity, StateDump, WorkId,
 };
 use kumquatquay_wire::{Fingerprint, MemberRecord, OperatorReply};
 use tokio::sync::{
@@ -300,10 +300,15 @@
         self.lock().node.quarantine_counts(now)
     }
 
-    /// [`Node::records_to_keep`].
-    pub(crate) fn records_to_keep(&self) -> Vec<RecordToKeep> {
+    /// [`Node::crash_sync`].
+    pub(crate) fn crash_sync(&self) -> CrashSync {
+        self.lock().node.crash_sync()
+    }
+
+    /// [`Node::known_crashes`].
+    pub(crate) fn known_crashes(&self) -> Vec<KnownCrash> {
         let now = self.now();
-        self.lock().node.records_to_keep(now)
+        self.lock().node.known_crashes(now)
     }
 
     /// Reads the clock that the node is fed from.
--- a/crates/kumquatquayd/src/routed/gate_slot.rs
+++ b/crates/kumquatquayd/src/routed/gate_slot.rs
@@ -32,7 +32,7 @@
 impl TimedCall<'_> {
     /// Identifies the call when its caller sends it again.
     pub(super) fn fingerprint(&self) -> Fingerprint {
-        let compute = || fingerprint_at_gate(self.call, &self.payload.body);
+        let compute = || fingerprint_at_gate(self.call, self.payload);
         *self.known_fingerprint.get_or_init(compute)
     }
 
--- a/crates/kumquatquayd/src/routed/interface.rs
+++ b/crates/kumquatquayd/src/routed/interface.rs
@@ -8,7 +8,7 @@
     AdvertisedRateLimit, BackendLoad, LifeReport, PresentedKey, RegisterPosition,
 };
 use kumquatquay_wire::{
-    BackendLife, Fingerprint, InstanceId, QuarantineRecord, ServiceName,
+    BackendLife, CrashId, CrashReport, InstanceId,
     routed::{RouteConfiguration, RouteVersion, StoreEra},
 };
 
@@ -122,13 +122,15 @@
     pub register_page: Arc<dyn Fn(RegisterPosition) -> StoreFuture<RegisterPage>>,
     /// Writes this node's control address into the register at a position.
     pub register_node: Arc<dyn Fn(SocketAddr, RegisterPosition) -> StoreFuture<()>>,
-    /// Reads records of requests that crash backend servers, newer than the last ones read through
-    /// this value. The store may hold the read for up to the given time until there is one.
-    pub read_quarantine: Arc<dyn Fn(Duration) -> StoreFuture<QuarantineRead>>,
-    /// Writes such a record, in place of the one kept before.
-    pub write_quarantine: Arc<dyn Fn(StoredQuarantine) -> StoreFuture<()>>,
-    /// Removes the record of a fingerprint at a service.
-    pub remove_quarantine: Arc<dyn Fn(ServiceName, Fingerprint) -> StoreFuture<()>>,
+    /// Lists the crashes of backend servers that the store keeps, in one call where it keeps few.
+    pub list_crashes: Arc<dyn Fn() -> StoreFuture<CrashesRead>>,
+    /// Reads crashes newer than the last ones read through this value. The store may hold the read for
+    /// up to the given time until there is one.
+    pub read_crashes: Arc<dyn Fn(Duration) -> StoreFuture<CrashesRead>>,
+    /// Writes a crash, in place of what was kept of it before.
+    pub write_crash: Arc<dyn Fn(StoredCrash) -> StoreFuture<()>>,
+    /// Removes a crash.
+    pub remove_crash: Arc<dyn Fn(CrashId) -> StoreFuture<()>>,
     /// Eras that the store's answers have carried so far; refusals count as answers.
     pub eras: Arc<dyn Fn() -> ObservedEras>,
 }
@@ -188,20 +190,22 @@
     }
 }
 
-/// Record of a request that crashes backend servers, as the store keeps it.
+/// A crash of a backend server, as the store keeps it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoredQuarantine {
-    /// The record; its `remaining_ms` doesn't count.
-    pub record: QuarantineRecord,
-    /// When it expires, in milliseconds since 1970.
+pub struct StoredCrash {
+    /// The crash; its `remaining_ms` doesn't count.
+    pub report: CrashReport,
+    /// When it no longer counts, in milliseconds since 1970.
     pub expires_unix_ms: u64,
 }
 
-/// Result of a read of records of requests that crash backend servers.
+/// Result of a read of crashes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct QuarantineRead {
-    /// Records, the newest of each fingerprint last; those that were removed are left out.
-    pub records: Vec<StoredQuarantine>,
+pub struct CrashesRead {
+    /// Crashes, each as it was written last.
+    pub crashes: Vec<StoredCrash>,
+    /// Crashes that were removed.
+    pub removed: Vec<CrashId>,
     /// Records that can't be read.
     pub malformed_count: u64,
 }
--- a/crates/kumquatquayd/src/routed/local_run.rs
+++ b/crates/kumquatquayd/src/routed/local_run.rs
@@ -19,6 +19,7 @@
     link_answer::LinkAnswer,
     members::announce_backend,
     node::RoutedNode,
+    quarantine_keeping::wait_for_kept_crashes,
     repeat_admission::{
         admit_first_attempt, after_attempts, count_over_budget, repeat_limit, should_forward_again,
     },
@@ -52,6 +53,13 @@
         deadline: now + Duration::from_millis(call.remaining_ms),
         known_fingerprint: OnceCell::new(),
     };
+    let mut cancelled = std::pin::pin!(cancelled);
+    if !*node.has_read_crashes.borrow() {
+        tokio::select! {
+            () = wait_for_kept_crashes(node) => {}
+            () = cancelled.as_mut() => return LinkAnswer::not_run(NotRunReason::Late),
+        }
+    }
     if is_refused_on_arrival(node, &timed) {
         return quarantined();
     }
@@ -64,7 +72,6 @@
     node.route_callers
         .borrow_mut()
         .record_call(now, call.route, call.caller_service);
-    let mut cancelled = std::pin::pin!(cancelled);
     let slot = tokio::select! {
         slot = wait_for_confirmed_slot(node, &timed, confirmed) => slot,
         () = cancelled.as_mut() => Err(NotRunReason::Late),
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -57,9 +57,9 @@
 mod store_restore;
 
 pub use interface::{
-    AnswerMetadata, BackendReport, ConfigurationRead, Dialect, ForwardedMetadata, ObservedEras,
-    PlatformStore, QuarantineRead, RegisterPage, RequestMetadata, StoreError, StoreFuture,
-    StoredQuarantine,
+    AnswerMetadata, BackendReport, ConfigurationRead, CrashesRead, Dialect, ForwardedMetadata,
+    ObservedEras, PlatformStore, RegisterPage, RequestMetadata, StoreError, StoreFuture,
+    StoredCrash,
 };
 pub use settings::{
     ListenAddresses, ResourceLimits, RetryBudgetSettings, RoutedSettings, TimeBounds,
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -10,13 +10,13 @@
 };
 
 use kumquatquay_core::{
-    KeptRecords,
+    Input, KeptCrashes,
     routed::{
         BackendLiveness, BackendLives, CallEdge, CallFreeRoutes, CallGraph, CallTracer,
         EntryAdmission, FairShares, FreshnessProof, GateRetries, HeldAnswers, HostGate,
         LevelController, LoadBalancer, MachineSlowdown, Mechanism, Mechanisms, PollerFleet,
         QueueOrder, RepeatedRuns, RetryBudget, RouteCallers, RouteTable, RunFailures, StorePoller,
-        StoreReaders, UnknownKeys,
+        StoreReaders, UnknownKeys, sibling_services,
     },
 };
 use kumquatquay_wire::{
@@ -110,8 +110,10 @@
     pub(super) run_broken: Notify,
     /// Notified when that server has died under some requests.
     pub(super) crash_recorded: Notify,
-    /// Records of such requests that the store keeps.
-    pub(super) kept_records: RefCell<KeptRecords>,
+    /// Crashes that the store keeps.
+    pub(super) kept_crashes: RefCell<KeptCrashes>,
+    /// Whether those that it kept when this node started are known, or it took too long to tell.
+    pub(super) has_read_crashes: watch::Sender<bool>,
     /// Whether the backend server of this host answers at all.
     pub(crate) backend_liveness: RefCell<BackendLiveness>,
     /// Slowdown of the machine that the backend server of this host reports.
@@ -260,7 +262,8 @@
             last_answer_at: Cell::default(),
             run_broken: Notify::new(),
             crash_recorded: Notify::new(),
-            kept_records: RefCell::default(),
+            kept_crashes: RefCell::default(),
+            has_read_crashes: watch::Sender::new(false),
             backend_liveness: RefCell::default(),
             machine_slowdown: RefCell::default(),
             run_failures: RefCell::default(),
@@ -370,6 +373,10 @@
         quotas.retain(|workspace| table.workspaces().quota(workspace).is_some());
         drop(quotas);
         self.routes.replace(Some(Arc::new(table)));
+        let before = self.configuration.borrow();
+        let siblings = sibling_services(&self.settings.service, before.as_ref(), &configuration);
+        drop(before);
+        self.engine.handle(Input::SiblingServices(siblings));
         self.configuration.replace(Some(configuration));
         self.update_proof(|proof| proof.on_applied(version));
         self.metrics.count("configuration", from);
--- a/crates/kumquatquayd/src/routed/quarantine_keeping.rs
+++ b/crates/kumquatquayd/src/routed/quarantine_keeping.rs
@@ -1,47 +1,110 @@
-//! Keeps records of requests that crash backend servers in the platform's store, and reads them.
+//! Keeps crashes of backend servers in the platform's store, and reads them.
 
 use std::{
     rc::Rc,
     time::{Duration, UNIX_EPOCH},
 };
 
-use kumquatquay_core::{Input, KeepStep, KeptRecords, RecordToKeep};
+use kumquatquay_core::{CrashSync, Input, KeepAction, KeepStep};
+use kumquatquay_wire::CrashReport;
 use rand::Rng;
 
 use super::{
-    interface::{PlatformStore, QuarantineRead, StoreError, StoredQuarantine},
+    interface::{CrashesRead, PlatformStore, StoreError, StoredCrash},
     node::RoutedNode,
+    store_polling::random_peer,
 };
 
-/// Interval at which the records of this node are compared with those that the store keeps.
+/// Interval at which the crashes that this node knows are compared with those that the store keeps.
 const WRITE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Probability that a node writes a record of another host's crash in one interval. The nodes of a
-/// service spread their writes over some seconds.
+/// Probability that some node that reads the store changes what it keeps of another host's crash in one
+/// interval.
 const OTHER_WRITE_PROBABILITY: f64 = 0.2;
 
-/// How long the store may hold a read until there is a record.
+/// How long the store may hold a read until there is a crash.
 const READ_HOLD: Duration = Duration::from_secs(25);
 
-/// Pause before the first read. It shows meanwhile which nodes read the store for others.
+/// How long a node that starts takes to learn the crashes before its start before it runs calls. It covers a
+/// slow store; while the store is away and all nodes are new, they serve without.
+const START_TIME: Duration = Duration::from_millis(600);
+
+/// How long it looks for another node that knows them, and how often it asks one.
+const PEERS_TIME: Duration = Duration::from_millis(300);
+const ASK_INTERVAL: Duration = Duration::from_millis(30);
+
+/// Pause before a read at the start is tried again.
+const START_RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Pause before the first read for others. It shows meanwhile which nodes read the store for others.
 const START_PAUSE: Duration = Duration::from_millis(300);
 
-/// The same when the deployment starts for the first time, and the store keeps no records yet.
+/// The same when the deployment starts for the first time, and the store keeps no crashes yet.
 const FIRST_START_PAUSE: Duration = Duration::from_secs(3);
 
 /// Pause after a read, doubled with each one that fails, up to a limit.
 const READ_PAUSE: Duration = Duration::from_millis(500);
 const MAX_READ_PAUSE: Duration = Duration::from_secs(4);
 
-/// Writes the records of this node and, if it reads the store for others, reads those that the store
-/// keeps. What it reads reaches the others by gossip.
+/// Writes the crashes of this node, learns at the start those that were before and, if this node reads the
+/// store for others, reads those that follow. What it reads reaches the others by gossip.
 pub(crate) async fn keep_quarantine(node: Rc<RoutedNode>, store: PlatformStore) {
-    tokio::join!(write_on(&node, &store), read_on(&node, &store));
+    tokio::join!(
+        learn_at_start(&node, &store),
+        read_on(&node, &store),
+        write_on(&node, &store)
+    );
+}
+
+/// Waits until this node knows the crashes that the store kept when it started.
+///
+/// All nodes may start at once, and nobody could tell this one of them. A request that has crashed backend
+/// servers would crash one more at each.
+pub(super) async fn wait_for_kept_crashes(node: &RoutedNode) {
+    let mut has_read = node.has_read_crashes.subscribe();
+    // The node holds the sender.
+    let _ = has_read.wait_for(|has_read| *has_read).await;
+}
+
+async fn learn_at_start(node: &RoutedNode, store: &PlatformStore) {
+    if node.settings.is_first_start {
+        node.engine.handle(Input::CrashesRead);
+    } else {
+        let learning = tokio::time::timeout(START_TIME, learn(node, store));
+        if learning.await.is_err() {
+            node.metrics.count("quarantine", "unread_at_start");
+            log::warn!(event = "crashes_unread", waited_ms = START_TIME.as_millis() as u64;
+                "nobody tells which requests crash backend servers; calls run without");
+        }
+    }
+    node.has_read_crashes.send_replace(true);
 }
 
-/// Reads the records that the store keeps. After all nodes were killed nobody else knows them, and a data
-/// centre that is cut off from the others learns here of their crashes.
-async fn read_on(node: &Rc<RoutedNode>, store: &PlatformStore) {
+/// Learns the crashes from a node that knows them or, where none is found or all are new, from the store.
+async fn learn(node: &RoutedNode, store: &PlatformStore) {
+    let _ = tokio::time::timeout(PEERS_TIME, ask_peers(node)).await;
+    while node.engine.crash_sync() != CrashSync::Complete {
+        let read = (store.list_crashes)().await;
+        match on_read(node, read) {
+            Ok(()) => node.engine.handle(Input::CrashesRead),
+            Err(_) => tokio::time::sleep(START_RETRY_PAUSE).await,
+        }
+    }
+}
+
+/// Asks other nodes until one has answered.
+async fn ask_peers(node: &RoutedNode) {
+    while node.engine.crash_sync() == CrashSync::Unanswered {
+        if let Some(peer) = random_peer(node) {
+            node.engine.handle(Input::AskForCrashes(peer.control));
+        }
+        tokio::time::sleep(ASK_INTERVAL).await;
+    }
+}
+
+/// Reads the crashes that the store keeps. A data centre that is cut off from the others learns here of
+/// theirs.
+async fn read_on(node: &RoutedNode, store: &PlatformStore) {
     let start_pause = if node.settings.is_first_start {
         FIRST_START_PAUSE
     } else {
@@ -52,7 +115,8 @@
     let mut pause = READ_PAUSE;
     loop {
         if node.store_readers.get().is_reader {
-            match read(node, store, hold).await {
+            let read = (store.read_crashes)(hold).await;
+            match on_read(node, read) {
                 Ok(()) => {
                     hold = READ_HOLD;
                     pause = READ_PAUSE;
@@ -64,8 +128,7 @@
     }
 }
 
-async fn read(node: &RoutedNode, store: &PlatformStore, hold: Duration) -> Result<(), StoreError> {
-    let read = (store.read_quarantine)(hold).await;
+fn on_read(node: &RoutedNode, read: Result<CrashesRead, StoreError>) -> Result<(), StoreError> {
     match read {
         Ok(read) => {
             apply(node, read);
@@ -79,24 +142,24 @@
     }
 }
 
-fn apply(node: &RoutedNode, read: QuarantineRead) {
+fn apply(node: &RoutedNode, read: CrashesRead) {
     if read.malformed_count > 0 {
         log::warn!(event = "quarantine_malformed", count = read.malformed_count;
             "records in the store can't be read and are ignored");
     }
     let now_unix_ms = unix_ms(node);
-    for stored in read.records {
-        let mut record = stored.record;
-        if record.service == node.settings.service {
-            node.kept_records.borrow_mut().on_kept(&record);
-        }
+    let mut kept = node.kept_crashes.borrow_mut();
+    read.removed.into_iter().for_each(|id| kept.on_removed(id));
+    for stored in read.crashes {
+        let mut report = stored.report;
         let remaining_ms = stored.expires_unix_ms.saturating_sub(now_unix_ms);
-        record.remaining_ms = u32::try_from(remaining_ms).unwrap_or(u32::MAX);
-        node.engine.handle(Input::Quarantine(record));
+        report.remaining_ms = u32::try_from(remaining_ms).unwrap_or(u32::MAX);
+        kept.on_kept(node.now(), &report);
+        node.engine.handle(Input::KeptCrash(report));
     }
 }
 
-async fn write_on(node: &Rc<RoutedNode>, store: &PlatformStore) {
+async fn write_on(node: &RoutedNode, store: &PlatformStore) {
     let mut era = node.store_poller.borrow().era();
     loop {
         tokio::select! {
@@ -105,18 +168,18 @@
         }
         let now_era = node.store_poller.borrow().era();
         if std::mem::replace(&mut era, now_era) != now_era {
-            node.kept_records.borrow_mut().on_store_restored();
+            node.kept_crashes.borrow_mut().on_store_restored();
         }
         write_due(node, store).await;
     }
 }
 
-async fn write_due(node: &Rc<RoutedNode>, store: &PlatformStore) {
+async fn write_due(node: &RoutedNode, store: &PlatformStore) {
     while let Some(step) = next_step(node) {
         if !is_turn(node, &step) {
             return;
         }
-        if let Err(error) = carry_out(node, store, step).await {
+        if let Err(error) = carry_out(node, store, step.action).await {
             node.metrics.count("store_failed", "quarantine");
             log::debug!(event = "quarantine_unkept"; "{error}");
             return;
@@ -125,48 +188,48 @@
 }
 
 fn next_step(node: &RoutedNode) -> Option<KeepStep> {
-    let current = node.engine.records_to_keep();
-    let kept: &KeptRecords = &node.kept_records.borrow();
-    kept.next_step(&current)
+    let known = node.engine.known_crashes();
+    let mut kept = node.kept_crashes.borrow_mut();
+    kept.next_step(node.now(), &known)
 }
 
+/// Whether this node takes a step now: for other hosts one of those that read the store does, now and then.
 fn is_turn(node: &RoutedNode, step: &KeepStep) -> bool {
-    match step {
-        KeepStep::Write(RecordToKeep { is_own: true, .. }) | KeepStep::Remove(_) => true,
-        KeepStep::Write(_) => {
-            let mut random = node.random.borrow_mut();
-            random.random_bool(OTHER_WRITE_PROBABILITY)
-        }
-    }
+    let readers = node.store_readers.get();
+    let probability = OTHER_WRITE_PROBABILITY / readers.count.max(1) as f64;
+    step.is_own || (readers.is_reader && node.random.borrow_mut().random_bool(probability))
 }
 
 async fn carry_out(
     node: &RoutedNode,
     store: &PlatformStore,
-    step: KeepStep,
+    action: KeepAction,
 ) -> Result<(), StoreError> {
-    match step {
-        KeepStep::Write(RecordToKeep { record, .. }) => {
-            let stored = StoredQuarantine {
-                expires_unix_ms: unix_ms(node) + u64::from(record.remaining_ms),
-                record: record.clone(),
+    match action {
+        KeepAction::Write(report) => {
+            let stored = StoredCrash {
+                expires_unix_ms: unix_ms(node) + u64::from(report.remaining_ms),
+                report: report.clone(),
             };
-            (store.write_quarantine)(stored).await?;
+            (store.write_crash)(stored).await?;
             node.metrics.count("quarantine", "kept");
-            log::info!(event = "quarantine_kept", service = record.service.as_str(),
-                fingerprint:% = format_args!("{:016x}", record.fingerprint),
-                crashes = record.crashes_count();
-                "the store keeps the record of a request that crashes backend servers");
-            node.kept_records.borrow_mut().on_kept(&record);
+            log_kept(&report);
+            node.kept_crashes.borrow_mut().on_kept(node.now(), &report);
         }
-        KeepStep::Remove(fingerprint) => {
-            (store.remove_quarantine)(node.settings.service.clone(), fingerprint).await?;
-            node.kept_records.borrow_mut().on_removed(fingerprint);
+        KeepAction::Remove(id) => {
+            (store.remove_crash)(id).await?;
+            node.kept_crashes.borrow_mut().on_removed(id);
         }
     }
     Ok(())
 }
 
+fn log_kept(report: &CrashReport) {
+    log::info!(event = "crash_kept", service = report.service.as_str(),
+        crash:% = format_args!("{:016x}", report.id), suspects = report.suspects.len();
+        "the store keeps the crash of a backend server and its suspects");
+}
+
 /// Time of day, in milliseconds since 1970.
 fn unix_ms(node: &RoutedNode) -> u64 {
     let since = node.engine.now().wall.duration_since(UNIX_EPOCH);
