Leave two requests that were in flight at the same two crashes isolated until a third

Callers of an innocent request were refused for an hour: two requests in flight at the same two crashes scored one half at each, which added up to the score of one that was alone. The score has to be above that now.

--- a/crates/kumquatquay-wire/src/control/quarantine_record.rs
+++ b/crates/kumquatquay-wire/src/control/quarantine_record.rs
@@ -130,7 +130,7 @@
     /// Whether requests with the fingerprint are refused.
     pub fn is_quarantined(self) -> bool {
         let is_clear = self.crashes_count >= Self::CLEAR_CRASHES_COUNT
-            && self.score_milli >= Self::ALONE_SCORE_MILLI;
+            && self.score_milli > Self::ALONE_SCORE_MILLI;
         is_clear || self.crashes_count >= Self::CRASHES_TO_QUARANTINE_COUNT
     }
 
