Don't blame a server for runs whose calls were refused at the entry or on a route of callers, too

A run that fails since one of its calls does is not its server's fault, but the failed call was not counted in two cases: when the entry refuses it before it is forwarded, and on a route that callers use as well. So the server looked like an outlier; at 6.97 to 7.18 s all six nodes ejected host 0, whose twin had been back for half a second and took twice its slots: levels of 0.47 to 0.9 for 2.5 s. Ruled out: limits that servers name (none in force), the quarantine of others (five fingerprints, all of requests that end servers or call such), and slots.

Refusals at the entry count now, and on a route that callers use a call counts if it has the deadline of a run in progress.

--- a/crates/kumquatquay-core/src/routed/call_tracer.rs
+++ b/crates/kumquatquay-core/src/routed/call_tracer.rs
@@ -118,12 +118,13 @@
     }
 
     /// A request arrives on a route that outside callers use. The backend server may use it too: the
-    /// request is its call if it has the deadline of a run.
-    pub fn request_started(&mut self, route: &str, deadline: Duration) {
+    /// request is its call if it has the deadline of a run. Returns whether it is.
+    pub fn request_started(&mut self, route: &str, deadline: Duration) -> bool {
         let run = self.run_with_deadline(deadline);
         if run.is_some() {
             self.count_call(route, run);
         }
+        run.is_some()
     }
 
     fn count_call(&mut self, callee: &str, run: Option<RunId>) {
--- a/crates/kumquatquay-core/tests/routed/call_tracer.rs
+++ b/crates/kumquatquay-core/tests/routed/call_tracer.rs
@@ -123,8 +123,8 @@
     for round in 0..40 {
         let at = round * 50;
         let id = tracer.run_started("middle", 0, at_ms(at + 1_000));
-        tracer.request_started("leaf", at_ms(at + 3_000));
-        tracer.request_started("leaf", at_ms(at + 1_000));
+        assert!(!tracer.request_started("leaf", at_ms(at + 3_000)));
+        assert!(tracer.request_started("leaf", at_ms(at + 1_000)));
         tracer.run_ended(at_ms(at + 10), id, true);
     }
     let edges = tracer.edges(at_ms(2_000), "middle").unwrap();
--- a/crates/kumquatquayd/src/routed/admission.rs
+++ b/crates/kumquatquayd/src/routed/admission.rs
@@ -99,7 +99,7 @@
     }
 }
 
-/// Admits a request, if need be after it was held, or refuses it.
+/// Admits a request, if need be after it was held, or refuses it. It has been [traced](trace) before.
 pub(super) async fn admit(node: &Rc<RoutedNode>, pending: &PendingRequest<'_>) -> Admission {
     let Err(shortage) = check_admission(node, pending) else {
         return Admission::Admitted;
@@ -168,16 +168,7 @@
 fn check_admission(node: &RoutedNode, pending: &PendingRequest<'_>) -> Result<(), Shortage> {
     let call = pending.call;
     let route = &call.route.settings.name;
-    let is_from_outside = node
-        .entry_admission
-        .borrow()
-        .is_from_outside(node.now(), route);
-    let is_internal = is_from_outside == Some(false);
-    trace(node, pending, is_internal);
-    if is_internal {
-        return Ok(());
-    }
-    if !node.is_on(Mechanism::EntryLevels) {
+    if is_internal(node, call) || !node.is_on(Mechanism::EntryLevels) {
         return Ok(());
     }
     let tie_breaker = if admits_by_probability(node) {
@@ -217,13 +208,22 @@
     }
 }
 
+/// Whether the route of a call is used by runs of backend servers alone.
+pub(super) fn is_internal(node: &RoutedNode, call: &OutgoingCall) -> bool {
+    let entry_admission = node.entry_admission.borrow();
+    let route = &call.route.settings.name;
+    entry_admission.is_from_outside(node.now(), route) == Some(false)
+}
+
 /// Records a request in the tracer and, if it is a call of the backend server, in the call graph.
 ///
 /// If the tracer finds the run that made it, the call takes the priority of that run's root
 /// request.
-fn trace(node: &RoutedNode, pending: &PendingRequest<'_>, is_internal: bool) {
+pub(super) fn trace(node: &RoutedNode, pending: &PendingRequest<'_>) {
     let call = pending.call;
     let route = &call.route.settings.name;
+    let is_internal = is_internal(node, call);
+    call.is_of_local_run.set(is_internal);
     if is_internal {
         let mut call_graph = node.call_graph.borrow_mut();
         call_graph.call_started(node.now(), route);
@@ -233,7 +233,8 @@
     };
     let mut tracer = node.call_tracer.borrow_mut();
     if !is_internal {
-        tracer.request_started(route, caller_deadline);
+        let is_of_local_run = tracer.request_started(route, caller_deadline);
+        call.is_of_local_run.set(is_of_local_run);
         return;
     }
     let request_priority = tracer.call_started(route, caller_deadline);
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -17,7 +17,7 @@
 };
 
 use super::{
-    admission::{Admission, PendingRequest, admit, refuse_temporarily},
+    admission::{Admission, PendingRequest, admit, is_internal, refuse_temporarily, trace},
     caller_identity::{Identified, IdentityRefusal, identify, identify_without_waiting},
     crash_guard::{QUARANTINE_RETRY_AFTER, is_quarantined, quarantined},
     forwarding::forward,
@@ -205,14 +205,13 @@
 /// Counts a failed call of the backend server of this host. The run that made it is expected to
 /// fail as well and to make no further calls.
 fn count_failed_call(node: &RoutedNode, call: &OutgoingCall) {
-    let now = node.now();
-    let name = &call.route.settings.name;
-    let is_internal = node.entry_admission.borrow().is_from_outside(now, name) == Some(false);
-    if !is_internal {
+    if !call.is_of_local_run.get() {
         return;
     }
+    let now = node.now();
     node.run_failures.borrow_mut().call_failed(now);
-    if node.is_on(Mechanism::KeptGraph) {
+    if is_internal(node, call) && node.is_on(Mechanism::KeptGraph) {
+        let name = &call.route.settings.name;
         node.call_graph.borrow_mut().call_failed(now, name);
     }
 }
@@ -246,19 +245,24 @@
             let status = StatusCode::SERVICE_UNAVAILABLE;
             return RequestAdmission::Refused(local_answer(status, retry, "no destination\n"));
         };
-        if is_quarantined(node, &call) {
-            let refusal = build_response(node, &call, quarantined(), request.received_at);
-            return RequestAdmission::Refused(refusal);
-        }
         let time_left = request.metadata.time_left;
         let pending = PendingRequest {
             call: &call,
             received_at: request.received_at,
             caller_deadline: time_left.map(|time_left| request.received_at + time_left),
         };
+        trace(node, &pending);
+        if is_quarantined(node, &call) {
+            count_failed_call(node, &call);
+            let refusal = build_response(node, &call, quarantined(), request.received_at);
+            return RequestAdmission::Refused(refusal);
+        }
         match admit(node, &pending).await {
             Admission::Admitted => return RequestAdmission::Admitted(call),
-            Admission::Refused(refusal) => return RequestAdmission::Refused(refusal),
+            Admission::Refused(refusal) => {
+                count_failed_call(node, &call);
+                return RequestAdmission::Refused(refusal);
+            }
             Admission::ConfigurationChanged => {}
         }
         identified = match identify_without_waiting(node, &request.parts, request.metadata.key) {
@@ -303,6 +307,7 @@
             body: request.body.clone(),
         },
         route,
+        is_of_local_run: Cell::default(),
         may_be_of_repeated_run: request.may_be_of_repeated_run,
         progress: Cell::new(Progress::default()),
         may_have_run: MayHaveRun::default(),
--- a/crates/kumquatquayd/src/routed/outgoing_call.rs
+++ b/crates/kumquatquayd/src/routed/outgoing_call.rs
@@ -27,6 +27,8 @@
     /// Priority of the root request that the call belongs to. Until the run that made the call is
     /// known, it is computed as if the call were a root request.
     pub(crate) request_priority: Cell<Priority>,
+    /// Whether a run of the backend server of this host made the call, as far as that can be told.
+    pub(crate) is_of_local_run: Cell<bool>,
     /// Whether a repeated run of the backend server of this host may have made the call.
     pub(crate) may_be_of_repeated_run: bool,
     pub(crate) attempt_id: String,
