Don't suspect what was tried at a dead server before it is known to be silent

Where something accepts connections in place of a server that has ended, 30 ms pass until all connections are known to be closed; what is sent meanwhile breaks at once, is tried at the next gate, and was counted as in flight at both ends.

Of a server that falls silent only what began before the first break since its last answer is suspected. The test what_breaks_before_a_server_is_known_to_be_silent_is_not_suspected fails on the code before.

--- a/crates/kumquatquay-core/src/quarantine/attribution.rs
+++ b/crates/kumquatquay-core/src/quarantine/attribution.rs
@@ -74,6 +74,7 @@
     let table = &mut board.quarantine;
     table.running_suspects.remove(&work);
     table.recent_runs.add(now.monotonic, fingerprint);
+    table.last_answer_at = now.monotonic;
     if table.is_empty() {
         return;
     }
@@ -153,9 +154,25 @@
     now: Moment,
     in_flight: &[InFlightRequest],
 ) {
-    if board.quarantine.in_flight_at_silence.is_none() {
-        board.quarantine.in_flight_at_silence = take_in_flight(board, now, in_flight);
+    if board.quarantine.in_flight_at_silence.is_some() {
+        return;
     }
+    let ended_at = first_break_since_answer(board);
+    let in_flight = take_in_flight(board, now, in_flight);
+    board.quarantine.in_flight_at_silence = in_flight.map(|mut in_flight| {
+        // What was sent later met something that accepts connections in place of the backend server.
+        in_flight.retain(|request| ended_at.is_none_or(|ended_at| request.started < ended_at));
+        in_flight
+    });
+}
+
+/// When the first connection broke since the backend server last answered, on the monotonic clock.
+fn first_break_since_answer(board: &Blackboard) -> Option<Duration> {
+    let table = &board.quarantine;
+    let breaks = table.broken_work.iter().map(|(broken_at, _)| *broken_at);
+    breaks
+        .filter(|broken_at| *broken_at >= table.last_answer_at)
+        .min()
 }
 
 /// Records that the backend server of this host reports.
--- a/crates/kumquatquay-core/src/quarantine/quarantine_table.rs
+++ b/crates/kumquatquay-core/src/quarantine/quarantine_table.rs
@@ -28,6 +28,8 @@
     pub(super) peer_gates: PeerGates,
     /// Suspects that the backend server of this host is running.
     pub(crate) running_suspects: BTreeMap<WorkId, Fingerprint>,
+    /// When a run of a call last ended with an answer, on the monotonic clock.
+    pub(crate) last_answer_at: Duration,
     /// Work whose connection broke recently, with the time on the monotonic clock.
     pub(crate) broken_work: VecDeque<(Duration, InFlightRequest)>,
     /// What was in flight when the backend server stopped to answer. It is suspected if another life
--- a/crates/kumquatquay-core/tests/crashing_runs.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs.rs
@@ -411,6 +411,28 @@
         }
     }
 
+    /// It shows some moments after a server's end that something closes all its connections: what was tried in
+    /// between, at one gate after the other, was in flight at both ends.
+    what_breaks_before_a_server_is_known_to_be_silent_is_not_suspected: |gates| {
+        let innocent = FIRST_INNOCENT;
+        for gate in [0, 1, 2] {
+            let works = gates.begin_all(gate, &[CRASHING]);
+            gates.mesh.run(CRASH_AFTER);
+            works.iter().for_each(|work| gates.end(gate, RunInput::Broken { work: *work }));
+            for tried in [innocent, innocent + 1 + gate as u64] {
+                gates.mesh.run(Duration::from_millis(10));
+                let works = gates.begin_all(gate, &[tried]);
+                works.iter().for_each(|work| gates.end(gate, RunInput::Broken { work: *work }));
+            }
+            gates.mesh.handle(gates.controls[gate], BackendInput::Unresponsive.into());
+            gates.mesh.run(DOWN);
+            gates.mesh.handle(gates.controls[gate], BackendInput::Died.into());
+            gates.revive(gate);
+        }
+        assert!(gates.are_refused(CRASHING));
+        assert_eq!(gates.begin_all(3, &[innocent, innocent]).len(), 2);
+    }
+
     /// Of two suspects one ran well: its suspicion stayed at the gates where it did not run.
     a_success_clears_a_suspect_at_all_gates: |gates| {
         let innocent = FIRST_INNOCENT;
