--- a/crates/kumquatquayd/src/routed/call_fingerprint.rs
+++ b/crates/kumquatquayd/src/routed/call_fingerprint.rs
@@ -48,7 +48,7 @@
         .iter()
         .find(|field| field.name.eq_ignore_ascii_case(HOST_FIELD.as_bytes()));
     let value = field.map(|field| field.value).unwrap_or_default();
-    let host = String::from_utf8_lossy(&value).to_ascii_lowercase();
+    let host = String::from_utf8_lossy(&value);
     let name = host.split_once(':').map_or(&*host, |(name, _port)| name);
-    String::from(name)
+    name.to_ascii_lowercase()
 }
--- a/crates/kumquatquayd/src/routed/crash_guard.rs
+++ b/crates/kumquatquayd/src/routed/crash_guard.rs
@@ -15,8 +15,8 @@
 /// Runs of one call that may break before its entry stops to send it again.
 const BROKEN_RUNS_LIMIT_COUNT: u32 = 2;
 
-/// `Retry-After` of a request that is quarantined: it is refused for an hour, or until an operator
-/// releases it.
+/// `Retry-After` of a request that is quarantined at all services of its route: it is refused for an hour,
+/// or until an operator releases it.
 pub(super) const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 
 // At the gate
@@ -105,6 +105,13 @@
     fingerprint.is_some_and(|of| node.engine.is_quarantined(&call.service, of))
 }
 
+/// Whether a call that is quarantined at its service may run at another one to which its route is split.
+pub(super) fn may_run_elsewhere(node: &RoutedNode, call: &OutgoingCall) -> bool {
+    let fingerprint = call.fingerprint();
+    let mut destinations = call.route.settings.destinations.iter();
+    destinations.any(|other| !node.engine.is_quarantined(&other.service, fingerprint))
+}
+
 /// Whether a call may be sent again after an attempt whose outcome is unknown.
 pub(super) fn may_send_again(
     node: &RoutedNode,
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -19,7 +19,7 @@
 use super::{
     admission::{Admission, PendingRequest, admit, is_internal, refuse_temporarily, trace},
     caller_identity::{Identified, IdentityRefusal, identify, identify_without_waiting},
-    crash_guard::{QUARANTINE_RETRY_AFTER, is_quarantined, quarantined},
+    crash_guard::{QUARANTINE_RETRY_AFTER, is_quarantined, may_run_elsewhere, quarantined},
     forwarding::forward,
     http_io::{
         BufferedBody, CallerAddress, fields_from_headers, headers_from_fields, local_answer,
@@ -367,16 +367,17 @@
             node.metrics.count("refused", not_run_label(*reason));
             log_request_end(node, call, &answer, "refused", received_at);
             let status = StatusCode::SERVICE_UNAVAILABLE;
-            if *reason == NotRunReason::Quarantined {
-                let retry = Some(QUARANTINE_RETRY_AFTER);
-                return local_answer(
-                    status,
-                    retry,
-                    "it crashes the backend servers that run it\n",
-                );
+            let retry = retry_after(node, &call.route.settings);
+            if *reason != NotRunReason::Quarantined {
+                return local_answer(status, Some(retry), "no room\n");
             }
-            let retry = Some(retry_after(node, &call.route.settings));
-            local_answer(status, retry, "no room\n")
+            let retry = if may_run_elsewhere(node, call) {
+                retry
+            } else {
+                QUARANTINE_RETRY_AFTER
+            };
+            let text = "it crashes the backend servers that run it\n";
+            local_answer(status, Some(retry), text)
         }
         LinkOutcome::Unknown(UnknownReason::NoAnswer) => {
             node.metrics
