Ask a gate of the own service first for the crashes before a start

Weak suspects, one of dozens in flight at one crash, are told to the gates of the services that may get them next, and reach others by gossip in random order. A node that started and asked just any node could miss them.

--- a/crates/kumquatquayd/src/routed/quarantine_keeping.rs
+++ b/crates/kumquatquayd/src/routed/quarantine_keeping.rs
@@ -1,18 +1,21 @@
 //! Keeps crashes of backend servers in the platform's store, and reads them.
 
 use std::{
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, UNIX_EPOCH},
 };
 
 use kumquatquay_core::{CrashSync, Input, KeepAction, KeepStep};
-use kumquatquay_wire::CrashReport;
-use rand::Rng;
+use kumquatquay_wire::{CrashReport, MemberRecord, MemberState};
+use rand::{
+    Rng,
+    seq::{IndexedRandom, IteratorRandom},
+};
 
 use super::{
     interface::{CrashesRead, PlatformStore, StoreError, StoredCrash},
     node::RoutedNode,
-    store_polling::random_peer,
 };
 
 /// Interval at which the crashes that this node knows are compared with those that the store keeps.
@@ -95,13 +98,31 @@
 /// Asks other nodes until one has answered.
 async fn ask_peers(node: &RoutedNode) {
     while node.engine.crash_sync() == CrashSync::Unanswered {
-        if let Some(peer) = random_peer(node) {
-            node.engine.handle(Input::AskForCrashes(peer.control));
+        if let Some(peer) = peer_to_ask(node) {
+            node.engine.handle(Input::AskForCrashes(peer));
         }
         tokio::time::sleep(ASK_INTERVAL).await;
     }
 }
 
+/// Control address of another node: of a gate of the service of this host, since these are told of each
+/// suspect, or else of any.
+fn peer_to_ask(node: &RoutedNode) -> Option<SocketAddr> {
+    let own = node.settings.listen.control;
+    let service = Some(&node.settings.service);
+    let random = &mut *node.random.borrow_mut();
+    node.engine.look_at_members(|members| {
+        let is_other =
+            |member: &&MemberRecord| member.control != own && member.state != MemberState::Gone;
+        let others: Vec<&MemberRecord> = members.filter(is_other).collect();
+        let gates = others
+            .iter()
+            .filter(|member| member.service.as_ref() == service);
+        let peer = gates.choose(random).or_else(|| others.choose(random));
+        peer.map(|member| member.control)
+    })
+}
+
 /// Reads the crashes that the store keeps. A data centre that is cut off from the others learns here of
 /// theirs.
 async fn read_on(node: &RoutedNode, store: &PlatformStore) {
--- a/crates/kumquatquayd/src/routed/store_polling.rs
+++ b/crates/kumquatquayd/src/routed/store_polling.rs
@@ -96,30 +96,20 @@
         let reader = others.choose(&mut *node.random.borrow_mut()).copied();
         others = Vec::from_iter(reader);
     } else if let Some(peer) = random_peer(node) {
-        others.push(peer.links);
+        others.push(peer);
     }
     for other in others {
         send_ping(node, other);
     }
 }
 
-/// Addresses of another node.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Peer {
-    links: SocketAddr,
-    pub(super) control: SocketAddr,
-}
-
-/// A random node that isn't gone.
-pub(super) fn random_peer(node: &RoutedNode) -> Option<Peer> {
+/// Link address of a random node that isn't gone.
+fn random_peer(node: &RoutedNode) -> Option<SocketAddr> {
     let own = node.links_address();
     node.engine.look_at_members(|members| {
         let peers = members
             .filter(|member| member.state != MemberState::Gone && member.peer != own)
-            .map(|member| Peer {
-                links: member.peer,
-                control: member.control,
-            });
+            .map(|member| member.peer);
         peers.choose(&mut *node.random.borrow_mut())
     })
 }
@@ -197,7 +187,7 @@
         tokio::time::sleep(PEER_ASK_INTERVAL).await;
         let peer = random_peer(&node);
         if let Some(peer) = peer.filter(|_| node.route_version() == 0) {
-            ask_configuration(&node, peer.links);
+            ask_configuration(&node, peer);
         }
     }
 }
