Report a crash without the services at which its suspects ran, so that the report fits a datagram

Where a new version crashes under many paths that the old one runs well, other gates were not told: the names of the services at which they ran made a report of 64 suspects longer than a datagram, and it was dropped. The gates of those services know where the paths ran, and the records of strong suspects tell it.

The test a_crash_under_many_paths_that_ran_elsewhere_is_told fails before.

--- a/crates/kumquatquay-core/src/quarantine/notices.rs
+++ b/crates/kumquatquay-core/src/quarantine/notices.rs
@@ -11,7 +11,7 @@
 };
 
 use kumquatquay_wire::{
-    CrashId, CrashReport, Fingerprint, Incarnation, MemberState, Rumour, ServiceName,
+    CrashId, CrashReport, CrashSuspect, Fingerprint, Incarnation, MemberState, Rumour, ServiceName,
 };
 use rand::seq::{IteratorRandom, SliceRandom};
 
@@ -102,7 +102,8 @@
     }
 }
 
-/// A crash with some of its suspects.
+/// A crash with some of its suspects, without the services at which these ran: their names would make it
+/// longer than a datagram, and their gates know.
 fn report_of(
     board: &Blackboard,
     now: Moment,
@@ -118,7 +119,10 @@
             continue;
         };
         let report = report.get_or_insert_with(|| empty_report(crash));
-        report.suspects.push(suspect_of(entry, crash));
+        report.suspects.push(CrashSuspect {
+            ran_at: Vec::new(),
+            ..suspect_of(entry, crash)
+        });
         report.remaining_ms = entry.remaining(now.monotonic).as_millis() as u32;
     }
     report
--- a/crates/kumquatquay-core/tests/crashing_runs.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs.rs
@@ -587,6 +587,26 @@
         assert_eq!(verdicts[2..], [RunVerdict::Refuse; 2]);
     }
 
+    /// A new version crashes under a hundred paths that the old one runs well: with the names of the services at
+    /// which they ran, the report of the crash is longer than a datagram.
+    a_crash_under_many_paths_that_ran_elsewhere_is_told: |gates| {
+        // As long as hashes are.
+        let paths: Vec<Fingerprint> = innocents(0, 100).into_iter().map(|path| path | 1 << 63).collect();
+        gates.crash(2, &paths);
+        gates.revive_as(2, OTHER_SERVICE);
+        for path in &paths {
+            assert_eq!(gates.run(0, *path), RunVerdict::Run);
+            assert_eq!(gates.run(3, *path), RunVerdict::Run);
+        }
+        gates.mesh.run(SETTLING * 10);
+        gates.crash(2, &paths);
+        gates.mesh.run(Duration::from_millis(100));
+        let moment = gates.mesh.moment();
+        let node = &gates.mesh.hosts[&gates.controls[3]].node;
+        let told = paths.iter().filter(|path| node.crashes_count(moment, OTHER_SERVICE, **path) == 1);
+        assert_eq!(told.count(), paths.len());
+    }
+
     /// Servers of both services end from outside, one by one, each with a run of a path in flight that both
     /// run well.
     a_path_that_all_parts_run_well_outlives_crashes_from_outside: |gates| {
