--- a/crates/kumquatquayd/src/routed/quarantine_keeping.rs
+++ b/crates/kumquatquayd/src/routed/quarantine_keeping.rs
@@ -88,9 +88,8 @@
     let _ = tokio::time::timeout(PEERS_TIME, ask_peers(node)).await;
     while node.engine.crash_sync() != CrashSync::Complete {
         let read = (store.list_crashes)().await;
-        match on_read(node, read) {
-            Ok(()) => node.engine.handle(Input::CrashesRead),
-            Err(_) => tokio::time::sleep(START_RETRY_PAUSE).await,
+        if on_read(node, read).is_err() {
+            tokio::time::sleep(START_RETRY_PAUSE).await;
         }
     }
 }
@@ -153,6 +152,7 @@
     match read {
         Ok(read) => {
             apply(node, read);
+            node.engine.handle(Input::CrashesRead);
             Ok(())
         }
         Err(error) => {
