Quarantine a request only if one of its crashes names it alone, or after five

Traced: a path that many send was in flight at three ends within 1.3 s beside the same crashing request, while no server of the service was left to answer it; shares of a half, a quarter and a half add up to more than one for both. Sums of shares say nothing where the same requests share each time.

A crash counts for a quarantine now if the request was the only suspect, or the only one with two crashes behind it. Where two share all crashes both stay isolated, which has one of them alone at the next: one server more in this case. The test an_innocent_request_beside_another_at_three_crashes_is_not_refused fails before.

--- a/crates/kumquatquay-core/src/quarantine/attribution.rs
+++ b/crates/kumquatquay-core/src/quarantine/attribution.rs
@@ -252,7 +252,7 @@
 
 /// Score of each of so many suspects. A crash says something of each, however many they are.
 fn score_among(suspects_count: usize) -> u16 {
-    (Evidence::ALONE_SCORE_MILLI as usize / suspects_count).max(1) as u16
+    (usize::from(Evidence::ALONE_SCORE_MILLI) / suspects_count).max(1) as u16
 }
 
 /// The suspects of a death that were in flight at the most deaths before.
--- a/crates/kumquatquay-core/tests/crashing_runs/one_service.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs/one_service.rs
@@ -75,6 +75,22 @@
         assert_eq!(gates.run(2, innocent), RunVerdict::Run);
     }
 
+    /// A path that many send is in flight at three ends in a row beside the request to blame, and no server is left
+    /// to answer it in between: it was refused with that one.
+    an_innocent_request_beside_another_at_three_crashes_is_not_refused: |gates| {
+        let innocent = FIRST_INNOCENT;
+        let works: Vec<_> = (0..3).map(|gate| gates.begin_all(gate, &[innocent, CRASHING])).collect();
+        for (gate, works) in works.iter().enumerate() {
+            gates.end_server(gate, works);
+            gates.mesh.run(Duration::from_millis(20));
+        }
+        gates.mesh.run(Duration::from_millis(200));
+        assert_eq!(gates.run(3, innocent), RunVerdict::Run);
+        gates.crash(3, &[CRASHING]);
+        gates.mesh.run(Duration::from_millis(200));
+        assert!(gates.are_refused(CRASHING));
+    }
+
     /// All that was in flight when a backend server ended ran one at a time, at one host.
     requests_in_flight_at_a_crash_run_together: |gates| {
         let running = innocents(0, 100);
--- a/crates/kumquatquay-wire/src/control/quarantine_record.rs
+++ b/crates/kumquatquay-wire/src/control/quarantine_record.rs
@@ -44,6 +44,8 @@
     pub crashes_count: usize,
     /// Sum of their scores, in thousandths.
     pub score_milli: u32,
+    /// The highest of their scores, in thousandths.
+    pub highest_score_milli: u16,
 }
 
 impl QuarantineRecord {
@@ -92,6 +94,7 @@
             .fold(Self::default(), |sum, crash| Self {
                 crashes_count: sum.crashes_count + 1,
                 score_milli: sum.score_milli + u32::from(crash.score_milli),
+                highest_score_milli: sum.highest_score_milli.max(crash.score_milli),
             })
     }
 }
@@ -101,13 +104,13 @@
     /// flight.
     pub const CRASHES_TO_QUARANTINE_COUNT: usize = 5;
 
-    /// Number of crashes from which on they are refused if the score is above
+    /// Number of crashes from which on they are refused if one of the crashes names them alone, with
     /// [`Evidence::ALONE_SCORE_MILLI`].
     pub const CLEAR_CRASHES_COUNT: usize = 2;
 
-    /// Score of the only suspect of a crash. Two suspects that were in flight at the same two crashes reach
-    /// it together, though one of them may be innocent.
-    pub const ALONE_SCORE_MILLI: u32 = 1_000;
+    /// Score of the only suspect of a crash. Those that were in flight at the same crashes never reach it
+    /// together, however many these are: one of them may be innocent.
+    pub const ALONE_SCORE_MILLI: u16 = 1_000;
 
     /// Score from which on one crash is strong evidence: one of two suspects.
     pub const STRONG_SCORE_MILLI: u32 = 500;
@@ -130,7 +133,7 @@
     /// Whether requests with the fingerprint are refused.
     pub fn is_quarantined(self) -> bool {
         let is_clear = self.crashes_count >= Self::CLEAR_CRASHES_COUNT
-            && self.score_milli > Self::ALONE_SCORE_MILLI;
+            && self.highest_score_milli >= Self::ALONE_SCORE_MILLI;
         is_clear || self.crashes_count >= Self::CRASHES_TO_QUARANTINE_COUNT
     }
 
