--- a/crates/kumquatquayd/src/routed/quarantine_keeping.rs
+++ b/crates/kumquatquayd/src/routed/quarantine_keeping.rs
@@ -32,8 +32,9 @@
 /// slow store; while the store is away and all nodes are new, they serve without.
 const START_TIME: Duration = Duration::from_millis(600);
 
-/// How long it looks for another node that knows them, and how often it asks one.
-const PEERS_TIME: Duration = Duration::from_millis(300);
+/// How long it looks for another node that knows them before it reads the store, and how often it asks one. A
+/// busy node takes a second to find others; those that start with it answer that they are new.
+const PEERS_TIME: Duration = Duration::from_secs(3);
 const ASK_INTERVAL: Duration = Duration::from_millis(30);
 
 /// Pause before a read at the start is tried again.
@@ -73,11 +74,14 @@
     if node.settings.is_first_start {
         node.engine.handle(Input::CrashesRead);
     } else {
-        let learning = tokio::time::timeout(START_TIME, learn(node, store));
-        if learning.await.is_err() {
+        let mut learning = std::pin::pin!(learn(node, store));
+        let in_time = tokio::time::timeout(START_TIME, learning.as_mut());
+        if in_time.await.is_err() {
             node.metrics.count("quarantine", "unread_at_start");
             log::warn!(event = "crashes_unread", waited_ms = START_TIME.as_millis() as u64;
                 "nobody tells which requests crash backend servers; calls run without");
+            node.has_read_crashes.send_replace(true);
+            learning.await;
         }
     }
     node.has_read_crashes.send_replace(true);
