Show that uploads within the operator's limit exceed a node's memory

A node collects the body of each request in memory, for any number of requests at once, and copies it twice on its way. Nothing counts these bytes against the memory of the settings.

--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -49,6 +49,7 @@
     is_in: AtomicBool,
     /// How often the platform has asked whether it is ready.
     questions_count: AtomicU32,
+    memory_ends_count: AtomicU32,
     record: Arc<Record>,
 }
 
@@ -116,6 +117,7 @@
                 child: Mutex::default(),
                 is_in: AtomicBool::new(false),
                 questions_count: AtomicU32::new(0),
+                memory_ends_count: AtomicU32::new(0),
                 record: Arc::clone(record),
             });
             fleet.hosts.push(host);
@@ -186,6 +188,32 @@
         answer.is_ok_and(|answer| answer.status == 200)
     }
 
+    /// Memory of its process, without the pages of its program.
+    pub fn memory_kb(&self) -> Option<u64> {
+        let id = self.child.lock().unwrap().as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("RssAnon:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
+    /// The platform kills a process that exceeds its memory, and starts it again.
+    pub fn end_for_memory(&self) {
+        let Some(mut child) = self.child.lock().unwrap().take() else {
+            return;
+        };
+        let _ = child.kill();
+        let _ = child.wait();
+        self.memory_ends_count.fetch_add(1, Ordering::Relaxed);
+        self.record
+            .add(format!("{} was killed for its memory", self.name));
+        self.start_again();
+    }
+
+    /// How often that happened.
+    pub fn memory_ends_count(&self) -> u32 {
+        self.memory_ends_count.load(Ordering::Relaxed)
+    }
+
     /// Waits until the platform has just asked whether the node is ready.
     pub fn wait_for_question(&self) {
         let asked_count = self.questions_count.load(Ordering::Relaxed);
@@ -210,6 +238,10 @@
             thread::sleep(Duration::from_millis(5));
         }
         self.record.add(format!("{} has ended", self.name));
+        self.start_again();
+    }
+
+    fn start_again(&self) {
         thread::sleep(RESTART_DELAY);
         if self.start_node(false).is_ok() {
             self.record.add(format!("{} starts again", self.name));
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -12,6 +12,7 @@
 mod record;
 mod stop;
 mod store;
+mod upload;
 
 use std::{io, path::Path, process::ExitCode, sync::Arc};
 
@@ -36,6 +37,7 @@
     let root = Path::new(root);
     let played = match case.as_str() {
         "quota" => quota::play(root, has_trouble, &record),
+        "upload" => upload::play(root, has_trouble, &record),
         "stop" => stop::play(root, has_trouble, &record),
         other => Err(io::Error::other(format!("no case {other}"))),
     };
