Show that two borrowers use the burst of the same part of a quota

A borrower that loses its role keeps the tokens of a workspace that sends nothing while the role changes, and has them again when it gets the role back, although the other borrower has spent the burst meanwhile.

--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -50,6 +50,7 @@
     /// How often the platform has asked whether it is ready.
     questions_count: AtomicU32,
     memory_ends_count: AtomicU32,
+    has_started: AtomicBool,
     record: Arc<Record>,
 }
 
@@ -72,20 +73,23 @@
 }
 
 impl Fleet {
-    /// Starts a host for each service, all nodes within a moment of each other.
+    /// Starts a backend server for each service, and the store; the nodes are yet to be started.
+    ///
+    /// The control addresses of the hosts' nodes are suitable.
     pub fn start(
         root: &Path,
         services: &[&str],
         bounds: &str,
         work: Duration,
         record: &Arc<Record>,
+        is_suitable: impl Fn(&[SocketAddr]) -> bool,
     ) -> io::Result<Self> {
         let program = root.join("target/release/kumquatquayd");
         if !program.exists() {
             return Err(io::Error::other("target/release/kumquatquayd isn't built"));
         }
         let folder = temporary_folder()?;
-        let subnet = free_subnet(services.len())?;
+        let subnet = free_subnet(services.len(), is_suitable)?;
         let store_address = SocketAddr::new(subnet(250), STORE_PORT);
         let store = Store::start(store_address)?;
         let mut fleet = Self {
@@ -118,10 +122,23 @@
                 is_in: AtomicBool::new(false),
                 questions_count: AtomicU32::new(0),
                 memory_ends_count: AtomicU32::new(0),
+                has_started: AtomicBool::new(false),
                 record: Arc::clone(record),
             });
             fleet.hosts.push(host);
         }
+        Ok(fleet)
+    }
+
+    /// [`Fleet::start`] with all nodes, within a moment of each other.
+    pub fn start_all(
+        root: &Path,
+        services: &[&str],
+        bounds: &str,
+        work: Duration,
+        record: &Arc<Record>,
+    ) -> io::Result<Self> {
+        let fleet = Self::start(root, services, bounds, work, record, |_| true)?;
         for host in &fleet.hosts {
             host.start_node(true)?;
         }
@@ -153,8 +170,10 @@
     /// Waits until all nodes have been ready for a moment; `false` if they aren't in time.
     pub fn wait_until_ready(&self, patience: Duration) -> bool {
         let until = Instant::now() + patience;
+        let has_started = |host: &&Arc<Host>| host.has_started.load(Ordering::Relaxed);
         while Instant::now() < until {
-            if self.hosts.iter().all(|host| host.is_ready()) {
+            let mut started = self.hosts.iter().filter(has_started);
+            if started.all(|host| host.is_ready()) {
                 return true;
             }
             thread::sleep(Duration::from_millis(100));
@@ -248,7 +267,8 @@
         }
     }
 
-    fn start_node(&self, is_first_start: bool) -> io::Result<()> {
+    /// Starts its process; `is_first_start` if the whole deployment starts for the first time.
+    pub fn start_node(&self, is_first_start: bool) -> io::Result<()> {
         let settings = self.folder.join(format!("{}.conf", self.name));
         fs::write(&settings, self.settings(is_first_start))?;
         let log = self.folder.join(format!("{}.log", self.name));
@@ -261,6 +281,7 @@
             .stderr(log)
             .spawn()?;
         *self.child.lock().unwrap() = Some(child);
+        self.has_started.store(true, Ordering::Relaxed);
         Ok(())
     }
 
@@ -338,9 +359,12 @@
 }
 
 /// Finds a loopback subnet in which all ports are free; the result gives the address of a host.
-fn free_subnet(hosts_count: usize) -> io::Result<impl Fn(u8) -> IpAddr> {
+fn free_subnet(
+    hosts_count: usize,
+    is_suitable: impl Fn(&[SocketAddr]) -> bool,
+) -> io::Result<impl Fn(u8) -> IpAddr> {
     let seed = u64::from(std::process::id()) * 7_919;
-    for attempt in 0..50 {
+    for attempt in 0..500 {
         let number = seed + attempt * 104_729;
         let (second, third) = ((number % 200 + 20) as u8, (number / 200 % 250 + 1) as u8);
         let ip = move |host: u8| IpAddr::V4(Ipv4Addr::new(127, second, third, host));
@@ -355,6 +379,12 @@
             OPERATOR_PORT,
         ];
         let hosts = 1..=hosts_count as u8;
+        let controls = hosts
+            .clone()
+            .map(|host| SocketAddr::new(ip(host), RANGE_PORT));
+        if !is_suitable(&controls.collect::<Vec<_>>()) {
+            continue;
+        }
         let mut addresses =
             hosts.flat_map(|host| ports.map(|port| SocketAddr::new(ip(host), port)));
         let is_free =
--- a/review/standins/src/quota.rs
+++ b/review/standins/src/quota.rs
@@ -1,4 +1,4 @@
-//! A workspace's quota while a node is restarted, twice.
+//! A workspace's quota while a host is added and its node is restarted.
 
 use std::{
     collections::HashMap,
@@ -22,7 +22,7 @@
 };
 
 /// The workspace's quota.
-const RATE_PER_S: f64 = 40.0;
+const RATE_PER_S: f64 = 20.0;
 const BURST_COUNT: f64 = 100.0;
 
 /// The bounds of the rule.
@@ -30,18 +30,21 @@
 const OVERAGE_RATIO: f64 = 0.1;
 const SLACK_COUNT: f64 = 20.0;
 
-/// Requests a second that the workspace usually sends; its clients are on one host.
-const USUAL_PER_S: f64 = 16.0;
+/// The clients of the workspace poll: so many requests at once, this often.
+const POLL_INTERVAL: Duration = Duration::from_millis(2_200);
+const USUAL_COUNT: usize = 17;
 
-/// How many times as many it sends when it is hot, and for how long.
+/// How many times as many requests a poll has when the workspace is hot, and for how long it is.
 const HOT_FACTOR: f64 = 7.5;
 const HOT_TIME: Duration = Duration::from_millis(6_500);
 
-/// How long the workspace is hot when the node stops for the second time.
-const STOP_AFTER: Duration = Duration::from_millis(1_700);
+/// How long a machine is there before the next change.
+const CALM_TIME: Duration = Duration::from_secs(20);
 
-/// Time in which all nodes are up and nothing happens, before each part.
-const CALM_TIME: Duration = Duration::from_secs(8);
+/// How long the workspace is hot when the node stops.
+const STOP_AFTER: Duration = Duration::from_millis(1_500);
+
+const HOSTS_COUNT: usize = 4;
 
 const BOUNDS: &str =
     "terms.contracts=base,drain,config,cost,retry,recover,pressure,tenants,quota,platform
@@ -95,44 +98,55 @@
     sent_count: AtomicU32,
     is_hot: AtomicBool,
     has_ended: AtomicBool,
+    polls_count: Mutex<u32>,
 }
 
 pub fn play(root: &Path, has_trouble: bool, record: &Arc<Record>) -> io::Result<Verdict> {
-    let services = ["fares"; 4];
+    let services = ["fares"; HOSTS_COUNT];
     let work = Duration::from_millis(10);
-    let fleet = Fleet::start(root, &services, BOUNDS, work, record)?;
-    fleet.store.put("keyed.op", "config", &configuration());
-    if !fleet.wait_until_ready(Duration::from_secs(15)) {
-        return Err(io::Error::other("the nodes aren't ready in time"));
-    }
-    fleet.ask_readiness();
+    // The host that borrows the second half once the added one has left lends the first half to another
+    // one, as in nearly all cases where there are many hosts.
+    let is_suitable = |controls: &[SocketAddr]| {
+        let (first, second) = (order_for_half(controls, 0), order_for_half(controls, 1));
+        first[0] != second[1]
+    };
+    let fleet = Fleet::start(root, &services, BOUNDS, work, record, is_suitable)?;
     let controls: Vec<SocketAddr> = fleet.hosts.iter().map(|host| host.control()).collect();
     let order = order_for_half(&controls, 1);
-    let host = &fleet.hosts[order[0]];
+    let added = &fleet.hosts[order[0]];
+    for host in &fleet.hosts {
+        if !has_trouble || host.name != added.name {
+            host.start_node(true)?;
+        }
+    }
+    fleet.store.put("keyed.op", "config", &configuration());
+    wait_until_ready(&fleet)?;
+    fleet.ask_readiness();
     let clients = Arc::new(Clients {
         record: Arc::clone(record),
         sent: Mutex::default(),
         sent_count: AtomicU32::new(0),
         is_hot: AtomicBool::new(false),
         has_ended: AtomicBool::new(false),
+        polls_count: Mutex::default(),
     });
-    let (sending, clients_host) = (Arc::clone(&clients), Arc::clone(&fleet.hosts[order[2]]));
-    thread::spawn(move || sending.run_on(&clients_host));
+    let (polling, clients_host) = (Arc::clone(&clients), Arc::clone(&fleet.hosts[order[2]]));
+    thread::spawn(move || polling.poll(&clients_host));
     thread::sleep(CALM_TIME);
     if has_trouble {
-        host.restart();
-        if !fleet.wait_until_ready(Duration::from_secs(15)) {
-            return Err(io::Error::other("the node isn't ready again in time"));
-        }
+        record.add(format!("{} is added", added.name));
+        added.start_node(false)?;
+        wait_until_ready(&fleet)?;
     }
     thread::sleep(CALM_TIME);
-    record.add("the workspace is hot from now on");
+    record.add("the workspace is hot from its next poll on");
     clients.is_hot.store(true, Ordering::Relaxed);
+    clients.wait_for_poll();
     if has_trouble {
-        let host = Arc::clone(host);
+        let added = Arc::clone(added);
         thread::spawn(move || {
             thread::sleep(STOP_AFTER);
-            host.restart();
+            added.restart();
         });
     }
     thread::sleep(HOT_TIME);
@@ -143,19 +157,38 @@
     Ok(judge(&fleet, &clients))
 }
 
+fn wait_until_ready(fleet: &Fleet) -> io::Result<()> {
+    if fleet.wait_until_ready(Duration::from_secs(15)) {
+        return Ok(());
+    }
+    Err(io::Error::other("the nodes aren't ready in time"))
+}
+
 impl Clients {
-    fn run_on(self: &Arc<Self>, host: &Arc<Host>) {
+    fn poll(self: &Arc<Self>, host: &Arc<Host>) {
         while !self.has_ended.load(Ordering::Relaxed) {
             let factor = if self.is_hot.load(Ordering::Relaxed) {
                 HOT_FACTOR
             } else {
                 1.0
             };
-            thread::sleep(Duration::from_secs_f64(1.0 / (USUAL_PER_S * factor)));
+            let count = (USUAL_COUNT as f64 * factor) as usize;
+            *self.polls_count.lock().unwrap() += 1;
             if host.is_in() {
-                let (clients, host) = (Arc::clone(self), Arc::clone(host));
-                thread::spawn(move || clients.send_one(&host));
+                for _ in 0..count {
+                    let (clients, host) = (Arc::clone(self), Arc::clone(host));
+                    thread::spawn(move || clients.send_one(&host));
+                }
             }
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Waits until the next poll begins.
+    fn wait_for_poll(&self) {
+        let polls_count = *self.polls_count.lock().unwrap();
+        while *self.polls_count.lock().unwrap() == polls_count {
+            thread::sleep(Duration::from_millis(2));
         }
     }
 
--- a/review/standins/src/stop.rs
+++ b/review/standins/src/stop.rs
@@ -84,7 +84,7 @@
 
 pub fn play(root: &Path, has_trouble: bool, record: &Arc<Record>) -> io::Result<Verdict> {
     let work = Duration::from_millis(90);
-    let fleet = Fleet::start(root, &SERVICES, BOUNDS, work, record)?;
+    let fleet = Fleet::start_all(root, &SERVICES, BOUNDS, work, record)?;
     fleet.store.put("keyed.op", "config", &configuration());
     if !fleet.wait_until_ready(Duration::from_secs(15)) {
         return Err(io::Error::other("the nodes aren't ready in time"));
--- a/review/standins/src/upload.rs
+++ b/review/standins/src/upload.rs
@@ -71,7 +71,7 @@
 
 pub fn play(root: &Path, has_trouble: bool, record: &Arc<Record>) -> io::Result<Verdict> {
     let work = Duration::from_millis(110);
-    let fleet = Fleet::start(root, &["survey"; HOSTS_COUNT], BOUNDS, work, record)?;
+    let fleet = Fleet::start_all(root, &["survey"; HOSTS_COUNT], BOUNDS, work, record)?;
     fleet.store.put("keyed.op", "config", &configuration());
     if !fleet.wait_until_ready(Duration::from_secs(15)) {
         return Err(io::Error::other("the nodes aren't ready in time"));
