--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::{self, File},
-    io,
+    io::{self, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -280,6 +280,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        note_process(child.id())?;
         *self.child.lock().unwrap() = Some(child);
         self.has_started.store(true, Ordering::Relaxed);
         Ok(())
@@ -341,6 +342,15 @@
     }
 }
 
+/// Notes a process for the script, which ends it if this program can't.
+fn note_process(id: u32) -> io::Result<()> {
+    let Some(path) = std::env::var_os("REVIEW_PROCESSES") else {
+        return Ok(());
+    };
+    let mut processes = File::options().append(true).open(path)?;
+    writeln!(processes, "{id}")
+}
+
 fn signal(child: &Child, name: &str) {
     let _ = Command::new("kill")
         .arg(format!("-{name}"))
--- a/review/standins/src/stop.rs
+++ b/review/standins/src/stop.rs
@@ -54,12 +54,17 @@
 const SERVICES: [&str; 3] = ["archive", "settlement", "survey"];
 
 fn configuration() -> String {
-    let routes = SERVICES.map(|service| {
+    let route = |service: &str, name: &str, kind: &str| {
         format!(
-            r#"{{"name":"{service}-look-up","route_type":"idempotent","target_latency_ms":5000,"priority":1,
- "match":{{"path_prefix":"/{service}/"}},
+            r#"{{"name":"{service}-{name}","route_type":"{kind}","target_latency_ms":5000,"priority":1,
+ "match":{{"path_prefix":"/{service}/{name}/"}},
  "action":{{"service":"{service}","timeout_ms":{DEADLINE_MS},"attempts":2}}}}"#
         )
+    };
+    let routes = SERVICES.map(|service| {
+        let look_up = route(service, "look-up", "idempotent");
+        let filing = route(service, "filing", "non_idempotent");
+        format!("{look_up},{filing}")
     });
     let services = SERVICES.map(|service| {
         format!(r#"{{"name":"{service}","health_path":"/healthz","max_connections":754}}"#)
@@ -77,6 +82,8 @@
 /// A request whose connection ended without a complete answer.
 struct Cut {
     attempt: String,
+    /// Whether it must not run twice, so that its client can't send it again.
+    is_filing: bool,
     host: String,
     sent_at: Duration,
     cut_at: Duration,
@@ -112,7 +119,7 @@
     Ok(judge(&cuts.lock().unwrap(), &stops))
 }
 
-/// Sends a request after the other, for the service of the host, while its clients get work.
+/// Sends look-ups and filings in turn, for the service of the host, while its clients get work.
 fn run_clients(index: usize, host: &Arc<Host>, cuts: &Arc<Mutex<Vec<Cut>>>, record: &Arc<Record>) {
     for number in 0_u64.. {
         thread::sleep(REQUEST_GAP);
@@ -132,10 +139,15 @@
         ("kumquatquay-attempt-id", attempt.as_str()),
         ("kumquatquay-deadline-ms", deadline_ms.as_str()),
     ];
-    let target = format!("/{}/{number}", SERVICES[index]);
-    let sent_at = record.add(format!("sent {attempt} {target} to {}", host.name));
+    let (method, name) = if number.is_multiple_of(2) {
+        ("GET", "look-up")
+    } else {
+        ("POST", "filing")
+    };
+    let target = format!("/{}/{name}/{number}", SERVICES[index]);
+    let sent_at = record.add(format!("sent {attempt} {method} {target} to {}", host.name));
     let patience = Duration::from_millis(DEADLINE_MS);
-    match send(host.outbound(), "GET", &target, &fields, b"", patience) {
+    match send(host.outbound(), method, &target, &fields, b"", patience) {
         Ok(answer) => {
             record.add(format!("{attempt} answered {}", answer.status));
         }
@@ -149,6 +161,7 @@
             ));
             cuts.lock().unwrap().push(Cut {
                 attempt,
+                is_filing: method == "POST",
                 host: host.name.clone(),
                 sent_at,
                 cut_at,
@@ -175,9 +188,10 @@
         ));
     };
     Verdict::Broken(format!(
-        "LOST: {} requests got no answer, the first {} sent to {} at {:.3} s, its connection ended at \
+        "LOST: {} requests got no answer, {} of them filings; the first {} sent to {} at {:.3} s, its connection ended at \
          {:.3} s",
         lost.len(),
+        lost.iter().filter(|cut| cut.is_filing).count(),
         first.attempt,
         first.host,
         first.sent_at.as_secs_f64(),
