Build the stand-ins of the review into the ignored target folder

What the compiler writes names folders of the machine. It was in an ignored folder under review/, in no commit; that folder is gone, and the build goes to target/ of the repository.

--- a/review/play.sh
+++ b/review/play.sh
@@ -5,7 +5,7 @@
 folder=$2
 root=$(cd "$(dirname "$0")/.." && pwd) || exit 2
 cd "$root" || exit 2
-program=review/standins/target/release/review-standins
+program=target/review/release/review-standins
 [ -x "$program" ] || { echo "run review/build.sh first" >&2; exit 2; }
 TMPDIR=$(mktemp -d) || exit 2
 export TMPDIR
