--- a/crates/kumquatquay-core/src/node.rs
+++ b/crates/kumquatquay-core/src/node.rs
@@ -150,6 +150,12 @@
         quarantine::crashes_count(&self.board, now, service, of)
     }
 
+    /// Whether a call with a fingerprint ran to an answer at the backend server of this host within the
+    /// last seconds.
+    pub fn ran_lately(&self, now: Moment, of: Fingerprint) -> bool {
+        quarantine::ran_lately(&self.board, now, of)
+    }
+
     /// Numbers of fingerprints that are suspects, and that are quarantined.
     pub fn quarantine_counts(&self, now: Moment) -> (usize, usize) {
         quarantine::counts(&self.board, now)
--- a/crates/kumquatquay-core/src/quarantine/admission.rs
+++ b/crates/kumquatquay-core/src/quarantine/admission.rs
@@ -249,3 +249,9 @@
     let evidence = table.evidence_at(now.monotonic, service, fingerprint);
     evidence.crashes_count
 }
+
+/// Whether a request with a fingerprint ran to an answer at the backend server of this host lately.
+pub(crate) fn ran_lately(board: &Blackboard, now: Moment, fingerprint: Fingerprint) -> bool {
+    let recent_runs = &board.quarantine.recent_runs;
+    recent_runs.contains(now.monotonic, fingerprint)
+}
--- a/crates/kumquatquay-core/src/quarantine/mod.rs
+++ b/crates/kumquatquay-core/src/quarantine/mod.rs
@@ -17,7 +17,7 @@
 pub use admission::RunVerdict;
 pub(crate) use admission::{
     Verdict, admit_work, begin_run, check, crashes_count, is_active, is_quarantined,
-    isolation_endpoint, may_retry, may_send_again,
+    isolation_endpoint, may_retry, may_send_again, ran_lately,
 };
 pub(crate) use attribution::{
     on_attempt_ended, on_backend_announced, on_backend_died, on_backend_silent,
--- a/crates/kumquatquay-core/src/quarantine/records.rs
+++ b/crates/kumquatquay-core/src/quarantine/records.rs
@@ -17,7 +17,7 @@
     own_service::own_service,
     quarantine_entry::QuarantineEntry,
 };
-use crate::{Blackboard, Moment, Output};
+use crate::{Blackboard, Moment, Note, Output};
 
 /// How often expired entries are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -88,12 +88,18 @@
     if entry.is_expired(now.monotonic) || there.is_quarantined() {
         return;
     }
-    let was_strong = entry.evidence_at(now.monotonic, service).is_strong();
+    let evidence = entry.evidence_at(now.monotonic, service);
     let has_changed = board
         .quarantine
         .get_or_insert(fingerprint)
         .clear_at(service);
-    if has_changed && was_strong {
+    if has_changed && evidence.is_strong() {
+        let crashes_count = evidence.crashes_count;
+        let detail = format!(
+            "{crashes_count} crashes no longer count against requests {fingerprint:016x}: one ran to an \
+             answer at {service}"
+        );
+        out.push(Output::Note(Note::warn("suspect_cleared", detail)));
         let services = told_services(board);
         notices::notify_gates(board, now, &services, &[fingerprint], out);
     }
--- a/crates/kumquatquayd/src/engine/engine.rs
+++ b/crates/kumquatquayd/src/engine/engine.rs
@@ -288,6 +288,12 @@
         self.lock().node.may_send_again(now, service, of)
     }
 
+    /// [`Node::ran_lately`].
+    pub(crate) fn ran_lately(&self, of: Fingerprint) -> bool {
+        let now = self.now();
+        self.lock().node.ran_lately(now, of)
+    }
+
     /// [`Node::crashes_count`].
     pub(crate) fn crashes_count(&self, service: &str, of: Fingerprint) -> usize {
         let now = self.now();
--- a/crates/kumquatquayd/src/routed/local_run.rs
+++ b/crates/kumquatquayd/src/routed/local_run.rs
@@ -317,6 +317,7 @@
         ran_ms = now.saturating_sub(started_at).as_millis() as u64,
         running = node.gate_report().running_count,
         known_crashes = node.engine.crashes_count(call.service, fingerprint),
+        ran_lately = node.engine.ran_lately(fingerprint),
         node_age_ms = now.as_millis() as u64;
         "the backend server broke the connection of a run");
 }
