Show that a request which ran well a moment before ends servers without end

A run that ends in an error answer clears a request of its crashes as well.

The tests in virtual time play callers at the gates of a service, with servers that end and come back. A run that ends in an error answer is told apart at the border of the core; it counts as before.

--- a/crates/kumquatquay-core/src/input/run_input.rs
+++ b/crates/kumquatquay-core/src/input/run_input.rs
@@ -10,6 +10,12 @@
         /// The run.
         work: WorkId,
     },
+    /// The backend server answered with an error of its own. It has outlived the run, which may have ended
+    /// before it did what crashes servers.
+    Failed {
+        /// The run.
+        work: WorkId,
+    },
     /// Its connection broke, or nobody waited for an answer any more.
     Broken {
         /// The run.
--- a/crates/kumquatquay-core/src/quarantine/attribution.rs
+++ b/crates/kumquatquay-core/src/quarantine/attribution.rs
@@ -304,13 +304,18 @@
     out: &mut Vec<Output>,
 ) {
     let work = match input {
-        RunInput::Answered { work } | RunInput::Broken { work } | RunInput::NotRun { work } => work,
+        RunInput::Answered { work }
+        | RunInput::Failed { work }
+        | RunInput::Broken { work }
+        | RunInput::NotRun { work } => work,
     };
     let Some(request) = board.quarantine.running.remove(&work) else {
         return;
     };
     match input {
-        RunInput::Answered { .. } => on_work_ran(board, now, work, request.fingerprint, out),
+        RunInput::Answered { .. } | RunInput::Failed { .. } => {
+            on_work_ran(board, now, work, request.fingerprint, out)
+        }
         RunInput::Broken { .. } => on_connection_broken(board, now, request),
         RunInput::NotRun { .. } => {}
     }
--- a/crates/kumquatquay-core/tests/crashing_runs/gates.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs/gates.rs
@@ -28,6 +28,8 @@
 pub(crate) struct Gates {
     pub(crate) mesh: Mesh,
     pub(crate) controls: Vec<SocketAddr>,
+    /// How many of them are gates that a test asks; these come first.
+    pub(crate) gates_count: usize,
     last_work: WorkId,
 }
 
@@ -44,6 +46,7 @@
         mesh.run(Duration::from_secs(10));
         Self {
             mesh,
+            gates_count: controls.len(),
             controls,
             last_work: 0,
         }
@@ -67,6 +70,7 @@
         Self {
             mesh,
             controls,
+            gates_count,
             last_work: 0,
         }
     }
@@ -94,6 +98,15 @@
         verdict
     }
 
+    /// Runs a request to an error answer, if the gate takes it.
+    pub(crate) fn fail(&mut self, gate: usize, fingerprint: Fingerprint) {
+        let (work, verdict) = self.begin(gate, fingerprint);
+        if verdict == RunVerdict::Run {
+            self.mesh.run(Duration::from_millis(10));
+            self.end(gate, RunInput::Failed { work });
+        }
+    }
+
     /// Requests run at a gate, and its backend server ends; how many of them began to run.
     pub(crate) fn crash(&mut self, gate: usize, fingerprints: &[Fingerprint]) -> usize {
         let works = self.begin_all(gate, fingerprints);
@@ -135,7 +148,7 @@
 
     /// Verdicts of all gates on a request; a run that begins ends without an answer.
     pub(crate) fn verdicts(&mut self, fingerprint: Fingerprint) -> Vec<RunVerdict> {
-        let gates = 0..self.controls.len();
+        let gates = 0..self.gates_count;
         let verdicts = gates.map(|gate| {
             let (work, verdict) = self.begin(gate, fingerprint);
             self.end(gate, RunInput::NotRun { work });
@@ -167,6 +180,7 @@
     /// Two gates of each of two services, in three data centres; routes are split over them.
     pub(crate) fn start_split(seed: u64) -> Self {
         let mut gates = Self::start_large(seed, 2, 2);
+        gates.gates_count = gates.controls.len();
         for (gate, sibling) in [(0, 2), (1, 2), (2, 0), (3, 0)] {
             let sibling = String::from([SERVICE, OTHER_SERVICE][sibling / 2]);
             let input = Input::SiblingServices(vec![sibling]);
