Suspect a request of a crash though it ran well before, and run a suspect at one gate

Callers who send a request that ran well until a moment and then crashes its servers found it run without end.

Cause: a run to an answer within 10 to 20 s took a request out of the suspects of a crash at that gate, and out of what other gates told (RecentRuns); an answer 500 or 504, or one to a run that began before the crash was known, cleared it at all nodes. What was well once excused what came after. In the request's place an innocent call that was in flight beside it twice was named alone, and refused.

Now everything in flight is a suspect. What ran well lately has no score at a crash unless it ran isolated; it is refused after two crashes that name its isolated run alone, so popular paths stay served: each is cleared by its next answer. Only a run that began after a crash was known, and wasn't answered with an error, clears it of that crash. From three crashes on a suspect runs at one gate of its service alone, picked by rendezvous hash of service and fingerprint, once nodes agree on the members or one crash has named its isolated run. Entries go to that gate and wait for 0.3 s at most; before, four refusals ended such a call. On a split route, having run well at a service speaks against crashes elsewhere until a crash there names it.

--- a/crates/kumquatquay-core/src/gate/controller.rs
+++ b/crates/kumquatquay-core/src/gate/controller.rs
@@ -30,6 +30,9 @@
     }
 }
 
+/// The lowest HTTP status with which a backend server says that it failed.
+const FIRST_SERVER_ERROR_STATUS: u16 = 500;
+
 /// Handles announcements, health reports and the death of the backend server of this host.
 pub(crate) fn on_backend(
     board: &mut Blackboard,
@@ -74,15 +77,16 @@
 fn unanswered(board: &Blackboard) -> Vec<InFlightRequest> {
     let running = board.gate.running.iter();
     let unanswered = running.filter(|(_, running)| !running.is_answered);
-    let in_flight = unanswered.map(|(work, running)| in_flight(*work, running));
+    let in_flight = unanswered.map(|(work, running)| in_flight(board, *work, running));
     in_flight.collect()
 }
 
-fn in_flight(work: WorkId, running: &RunningWork) -> InFlightRequest {
+fn in_flight(board: &Blackboard, work: WorkId, running: &RunningWork) -> InFlightRequest {
     InFlightRequest {
         work,
         fingerprint: running.work.context.fingerprint,
         started: running.started,
+        is_isolated: board.quarantine.running_suspects.contains_key(&work),
     }
 }
 
@@ -118,22 +122,28 @@
     out: &mut Vec<Output>,
 ) {
     let others_count = board.gate.running.len().saturating_sub(1);
-    let Some(running) = board.gate.running.get_mut(&id) else {
+    let Some(running) = board.gate.running.get(&id) else {
         return;
     };
     if running.is_answered {
         return;
     }
+    let request = in_flight(board, id, running);
+    let Some(running) = board.gate.running.get_mut(&id) else {
+        return;
+    };
     running.is_answered = true;
     let token = running.token;
     let context = running.work.context.clone();
-    let request = in_flight(id, running);
     let started = running.started;
     let others_at_start_count = running.others_count;
     let run_time = now.monotonic - started;
     let outcome = outcome_of(result);
     match result {
-        WorkResult::Answered { says_not_run, .. } if !says_not_run => {
+        WorkResult::Answered {
+            says_not_run: false,
+            status,
+        } => {
             let ledger = board.overload.ledgers.get(token);
             let waited = ledger.map(|ledger| ledger.outgoing_call_time.total(now.monotonic));
             let own_latency = run_time.saturating_sub(waited.unwrap_or_default());
@@ -142,7 +152,11 @@
                 .gate
                 .limit
                 .on_latency(others_at_start_count, own_latency);
-            quarantine::on_work_ran(board, now, id, context.fingerprint, out);
+            if status < FIRST_SERVER_ERROR_STATUS {
+                quarantine::on_work_ran(board, now, request, out);
+            } else {
+                quarantine::on_work_failed(board, now, id);
+            }
         }
         WorkResult::Answered { .. } | WorkResult::NotSent => {
             board.gate.limit.on_backend_refused(others_count);
--- a/crates/kumquatquay-core/src/membership/member_table.rs
+++ b/crates/kumquatquay-core/src/membership/member_table.rs
@@ -104,7 +104,7 @@
     }
 
     /// Members that take calls of a service, those of the own data centre first.
-    pub(crate) fn candidates(&self, service: &ServiceName) -> &[Candidate] {
+    pub(crate) fn candidates(&self, service: &str) -> &[Candidate] {
         let members = self.services.get(service);
         members.map_or(&[], |members| &members.candidates)
     }
--- a/crates/kumquatquay-core/src/node.rs
+++ b/crates/kumquatquay-core/src/node.rs
@@ -150,6 +150,11 @@
         quarantine::crashes_count(&self.board, now, service, of)
     }
 
+    /// The gate of a service that runs a suspect where only one may: its control address.
+    pub fn isolation_gate(&self, service: &str, of: Fingerprint) -> Option<SocketAddr> {
+        quarantine::isolation_gate(&self.board, service, of)
+    }
+
     /// Whether a call with a fingerprint ran to an answer at the backend server of this host within the
     /// last seconds.
     pub fn ran_lately(&self, now: Moment, of: Fingerprint) -> bool {
--- a/crates/kumquatquay-core/src/overload/load_balancing.rs
+++ b/crates/kumquatquay-core/src/overload/load_balancing.rs
@@ -62,7 +62,7 @@
 /// Returns the endpoint at an address, if it is a candidate for calls of the service.
 pub(crate) fn endpoint_at(
     board: &Blackboard,
-    name: &String,
+    name: &str,
     peer: SocketAddr,
 ) -> Option<PickedEndpoint> {
     let mut candidates = board.members.candidates(name).iter();
@@ -79,7 +79,7 @@
 pub(crate) fn pick(
     board: &mut Blackboard,
     now: Duration,
-    name: &String,
+    name: &str,
     criteria: PickCriteria<'_>,
 ) -> Option<PickedEndpoint> {
     let candidates = board.members.candidates(name);
--- a/crates/kumquatquay-core/src/quarantine/admission.rs
+++ b/crates/kumquatquay-core/src/quarantine/admission.rs
@@ -4,12 +4,17 @@
 
 use kumquatquay_wire::{Evidence, Fingerprint, Outcome, ServiceName};
 
-use super::{in_flight_request::InFlightRequest, own_service::own_service};
-use crate::{Blackboard, Counter, Moment, Refusal, RefusalReason, WorkId};
+use super::{
+    in_flight_request::InFlightRequest, own_service::own_service, quarantine_entry::QuarantineEntry,
+};
+use crate::{Blackboard, Counter, Moment, Refusal, RefusalReason, WorkId, membership::Candidate};
 
 /// `Retry-After` of a suspect that can't run at the moment.
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// How long nodes may disagree about the members after the end of a backend server.
+const SETTLING_TIME: Duration = Duration::from_secs(1);
+
 /// What may be done with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Verdict {
@@ -93,13 +98,31 @@
 /// same one, so that two suspects, or one suspect that was sent twice, can't run at two backend
 /// servers at the same time. When it dies, the one with the next highest hash takes over.
 pub(crate) fn isolation_endpoint(board: &Blackboard, service: &ServiceName) -> Option<SocketAddr> {
-    let candidates = board.members.candidates(service).iter();
-    let picked = candidates.max_by_key(|candidate| {
-        let name = format!("{service} {} {}", candidate.control, candidate.incarnation);
+    let picked = rendezvous(board.members.candidates(service), service);
+    picked.map(|candidate| candidate.peer)
+}
+
+/// Control address of the one gate of a service that runs a suspect on a route, if its evidence is such
+/// that no other may.
+///
+/// Each suspect has its own, so that many of them don't wait for each other.
+pub(crate) fn isolation_gate(
+    board: &Blackboard,
+    service: &str,
+    fingerprint: Fingerprint,
+) -> Option<SocketAddr> {
+    let topic = format!("{service} {fingerprint:016x}");
+    let picked = rendezvous(board.members.candidates(service), &topic);
+    picked.map(|candidate| candidate.control)
+}
+
+/// The candidate with the highest hash for a topic.
+fn rendezvous<'a>(candidates: &'a [Candidate], topic: &str) -> Option<&'a Candidate> {
+    candidates.iter().max_by_key(|candidate| {
+        let name = format!("{topic} {} {}", candidate.control, candidate.incarnation);
         let hash = blake3::hash(name.as_bytes());
         (*hash.as_bytes(), candidate.control)
-    });
-    picked.map(|candidate| candidate.peer)
+    })
 }
 
 /// Whether the gate may run a piece of work now.
@@ -156,9 +179,8 @@
 
 /// Whether a run of a call on a route may begin; if so, it counts as in flight.
 ///
-/// A suspect with strong evidence against it runs alone among suspects at each gate. It isn't sent to
-/// one gate of the service alone: the entry picks by load, and just after a death the nodes
-/// disagree about the members.
+/// A suspect with strong evidence against it runs alone among suspects at each gate, and at one gate alone if
+/// [`runs_at_one_gate`] says so.
 pub(crate) fn begin_run(
     board: &mut Blackboard,
     now: Moment,
@@ -177,6 +199,7 @@
         work,
         fingerprint,
         started: now.monotonic,
+        is_isolated: board.quarantine.running_suspects.contains_key(&work),
     };
     board.quarantine.running.insert(work, request);
     RunVerdict::Run
@@ -194,6 +217,7 @@
     match check(board, now, &service, fingerprint) {
         Verdict::Refuse(_) => RunVerdict::Refuse,
         Verdict::Isolate if !board.quarantine.running_suspects.is_empty() => RunVerdict::Busy,
+        Verdict::Isolate if !is_own_to_run(board, now, &service, fingerprint) => RunVerdict::Busy,
         Verdict::Isolate => {
             board.quarantine.running_suspects.insert(work, fingerprint);
             RunVerdict::Run
@@ -202,6 +226,33 @@
     }
 }
 
+/// Whether this gate may run a suspect, as far as it knows the others.
+fn is_own_to_run(
+    board: &Blackboard,
+    now: Moment,
+    service: &ServiceName,
+    fingerprint: Fingerprint,
+) -> bool {
+    let entry = board.quarantine.get(fingerprint);
+    if !entry.is_some_and(|entry| runs_at_one_gate(now, service, entry)) {
+        return true;
+    }
+    let gate = isolation_gate(board, service, fingerprint);
+    gate.is_none_or(|gate| gate == board.settings.control)
+}
+
+/// Whether a suspect runs at one gate of the service alone.
+///
+/// Where all backend servers of a service have ended, they come back together, and each would run what ended
+/// them once more. Just after a crash the nodes disagree about the members, and the one gate may be one that
+/// is gone: until then each gate runs it, if no crash under an isolated run of it is known.
+fn runs_at_one_gate(now: Moment, service: &str, entry: &QuarantineEntry) -> bool {
+    let evidence = entry.evidence_at(now.monotonic, service);
+    let is_settled = now.monotonic >= entry.last_crash_known_at() + SETTLING_TIME;
+    let has_many = evidence.crashes_count >= Evidence::ONE_GATE_CRASHES_COUNT;
+    has_many && (is_settled || evidence.alone_count > 0)
+}
+
 /// Whether requests with a fingerprint are refused at a service at present.
 pub(crate) fn is_quarantined(
     board: &Blackboard,
--- a/crates/kumquatquay-core/src/quarantine/attribution.rs
+++ b/crates/kumquatquay-core/src/quarantine/attribution.rs
@@ -1,6 +1,6 @@
 //! Attributes deaths of the backend server of this host to the requests that it was running.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use kumquatquay_wire::{Crash, CrashReport, Evidence, Fingerprint, Outcome, ServiceName};
 
@@ -60,20 +60,19 @@
     }
 }
 
-/// Records that the backend server of this host answered work that it ran.
+/// Records that the backend server of this host answered work that it ran, and not with an error.
 ///
-/// This clears a suspect, but not a quarantined fingerprint: the work may have started before
-/// the quarantine, and clearing it would let other requests with the fingerprint run again.
+/// This clears a suspect of the crashes that were known when the work started: a request that crashes each
+/// backend server which runs it may have run well until then. It doesn't clear a quarantined fingerprint.
 pub(crate) fn on_work_ran(
     board: &mut Blackboard,
     now: Moment,
-    work: WorkId,
-    fingerprint: Fingerprint,
+    request: InFlightRequest,
     out: &mut Vec<Output>,
 ) {
     let table = &mut board.quarantine;
-    table.running_suspects.remove(&work);
-    table.recent_runs.add(now.monotonic, fingerprint);
+    table.running_suspects.remove(&request.work);
+    table.recent_runs.add(now.monotonic, request.fingerprint);
     table.last_answer_at = now.monotonic;
     if table.is_empty() {
         return;
@@ -81,7 +80,17 @@
     let Some(service) = own_service(board) else {
         return;
     };
-    clear_at(board, now, &service, fingerprint, out);
+    clear_at(board, now, &service, request, out);
+}
+
+/// Records that the backend server of this host answered work with an error.
+///
+/// It says nothing of a suspect: the run may have ended before it did what crashes servers, for want of time
+/// or as one of its calls failed.
+pub(crate) fn on_work_failed(board: &mut Blackboard, now: Moment, work: WorkId) {
+    let table = &mut board.quarantine;
+    table.running_suspects.remove(&work);
+    table.last_answer_at = now.monotonic;
 }
 
 /// Records that the connection of a piece of work broke while it ran.
@@ -124,25 +133,27 @@
     if suspects.is_empty() {
         return;
     }
-    let crash = new_crash(board, &service, suspects.len());
+    let crash = new_crash(board, &service);
     board.quarantine.own_crashes.insert(crash.id);
     let repeated = RepeatedSuspects::among(board, now, &service, &suspects);
+    let score_of_each = score_among(suspects.len());
     suspects.truncate(CrashReport::SUSPECTS_LIMIT_COUNT);
-    for fingerprint in &suspects {
-        let entry = board.quarantine.get_or_insert(*fingerprint);
+    for suspect in &suspects {
+        let fingerprint = suspect.fingerprint;
+        let entry = board.quarantine.get_or_insert(fingerprint);
         let earlier = entry.evidence_at(now.monotonic, &service);
         let score_milli = repeated.score_milli(earlier.crashes_count);
-        let score_milli = score_milli.unwrap_or(crash.score_milli);
         let crash = Crash {
-            score_milli,
+            score_milli: suspect.weighed(score_milli.unwrap_or(score_of_each)),
             ..crash.clone()
         };
         entry.add_crash(now.monotonic, crash);
         if entry.evidence_at(now.monotonic, &service).is_quarantined() {
-            log_quarantined(&service, *fingerprint, out);
+            log_quarantined(&service, fingerprint, out);
         }
     }
-    notify_of_crash(board, now, crash.id, &suspects, out);
+    let fingerprints: Vec<Fingerprint> = suspects.iter().map(|of| of.fingerprint).collect();
+    notify_of_crash(board, now, crash.id, &fingerprints, out);
 }
 
 /// Records that the backend server of this host gives no answers any more.
@@ -210,30 +221,58 @@
     Some(new.into_iter().chain(recent).collect())
 }
 
-/// Fingerprints that may be to blame for a death, the one that started last first.
-///
-/// A request that crashes each backend server that runs it has never run to its end.
+/// A request that may be to blame for a death.
+struct Suspect {
+    fingerprint: Fingerprint,
+    is_isolated: bool,
+    ran_lately: bool,
+}
+
+impl Suspect {
+    /// Its score, by the one that it would have if it had not run well lately.
+    ///
+    /// A path that many send is in flight at each crash, and has just run well. Whether it is to blame shows
+    /// only by a crash under the one run that is allowed of it.
+    fn weighed(&self, score_milli: u16) -> u16 {
+        let is_alone = self.is_isolated && score_milli >= Evidence::ALONE_SCORE_MILLI;
+        match (self.ran_lately, is_alone) {
+            (false, _) => score_milli,
+            (true, true) => Evidence::RAN_WELL_SCORE_MILLI,
+            (true, false) => 0,
+        }
+    }
+}
+
+/// What may be to blame for a death, the one that started last first.
 fn suspects_of(
     board: &Blackboard,
     now: Moment,
     in_flight: Vec<InFlightRequest>,
     out: &mut Vec<Output>,
-) -> Vec<Fingerprint> {
-    let mut suspects = fingerprints_latest_first(in_flight);
-    let in_flight_count = suspects.len();
+) -> Vec<Suspect> {
+    let isolated = in_flight.iter().filter(|request| request.is_isolated);
+    let isolated: BTreeSet<Fingerprint> = isolated.map(|request| request.fingerprint).collect();
     let recent_runs = &board.quarantine.recent_runs;
-    suspects.retain(|fingerprint| !recent_runs.contains(now.monotonic, *fingerprint));
-    if in_flight_count > 0 {
+    let suspect = |fingerprint| Suspect {
+        fingerprint,
+        is_isolated: isolated.contains(&fingerprint),
+        ran_lately: recent_runs.contains(now.monotonic, fingerprint),
+    };
+    let fingerprints = fingerprints_latest_first(in_flight).into_iter();
+    let suspects: Vec<Suspect> = fingerprints.map(suspect).collect();
+    if !suspects.is_empty() {
+        let ran_lately = suspects.iter().filter(|suspect| suspect.ran_lately);
         let detail = format!(
-            "{in_flight_count} different requests were in flight, {} of them are suspects",
-            suspects.len()
+            "{} different requests were in flight, {} of them ran well lately",
+            suspects.len(),
+            ran_lately.count()
         );
         out.push(Output::Note(Note::warn("backend_server_died", detail)));
     }
     suspects
 }
 
-fn new_crash(board: &mut Blackboard, service: &ServiceName, suspects_count: usize) -> Crash {
+fn new_crash(board: &mut Blackboard, service: &ServiceName) -> Crash {
     board.quarantine.deaths_count += 1;
     let settings = &board.settings;
     let name = format!(
@@ -245,7 +284,7 @@
             .key
             .keyed_hash("backend server death", name.as_bytes()),
         service: service.clone(),
-        score_milli: score_among(suspects_count),
+        score_milli: 0,
         is_cleared: false,
     }
 }
@@ -264,11 +303,11 @@
 }
 
 impl RepeatedSuspects {
-    fn among(board: &Blackboard, now: Moment, service: &str, suspects: &[Fingerprint]) -> Self {
+    fn among(board: &Blackboard, now: Moment, service: &str, suspects: &[Suspect]) -> Self {
         let table = &board.quarantine;
         let evidence = suspects
             .iter()
-            .map(|fingerprint| table.evidence_at(now.monotonic, service, *fingerprint));
+            .map(|suspect| table.evidence_at(now.monotonic, service, suspect.fingerprint));
         let counts = evidence.map(|evidence| evidence.crashes_count);
         let counts: Vec<usize> = counts.collect();
         let most_count = counts.iter().copied().max().unwrap_or_default();
@@ -313,9 +352,8 @@
         return;
     };
     match input {
-        RunInput::Answered { .. } | RunInput::Failed { .. } => {
-            on_work_ran(board, now, work, request.fingerprint, out)
-        }
+        RunInput::Answered { .. } => on_work_ran(board, now, request, out),
+        RunInput::Failed { .. } => on_work_failed(board, now, work),
         RunInput::Broken { .. } => on_connection_broken(board, now, request),
         RunInput::NotRun { .. } => {}
     }
--- a/crates/kumquatquay-core/src/quarantine/in_flight_request.rs
+++ b/crates/kumquatquay-core/src/quarantine/in_flight_request.rs
@@ -15,6 +15,8 @@
     pub(crate) fingerprint: Fingerprint,
     /// When it was sent to the backend server, on the monotonic clock.
     pub(crate) started: Duration,
+    /// Whether it ran as the only one of a suspect there.
+    pub(crate) is_isolated: bool,
 }
 
 /// Distinct fingerprints of the requests, the one that started last first.
--- a/crates/kumquatquay-core/src/quarantine/mod.rs
+++ b/crates/kumquatquay-core/src/quarantine/mod.rs
@@ -17,11 +17,11 @@
 pub use admission::RunVerdict;
 pub(crate) use admission::{
     Verdict, admit_work, begin_run, check, crashes_count, is_active, is_quarantined,
-    isolation_endpoint, may_retry, may_send_again, ran_lately,
+    isolation_endpoint, isolation_gate, may_retry, may_send_again, ran_lately,
 };
 pub(crate) use attribution::{
     on_attempt_ended, on_backend_announced, on_backend_died, on_backend_silent,
-    on_connection_broken, on_run_ended, on_work_ended, on_work_ran,
+    on_connection_broken, on_run_ended, on_work_ended, on_work_failed, on_work_ran,
 };
 pub use crash_sync::CrashSync;
 pub(crate) use crash_sync::{ask_for_crashes, crashes_answer, on_crashes_answer, on_crashes_read};
--- a/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
+++ b/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
@@ -1,8 +1,8 @@
 //! What this node knows against the requests with one fingerprint.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
-use kumquatquay_wire::{Crash, Evidence, Fingerprint, QuarantineRecord};
+use kumquatquay_wire::{Crash, CrashId, Evidence, Fingerprint, QuarantineRecord};
 
 /// How long a crash counts. Servers may crash many minutes apart; a success clears a suspect long before.
 pub(crate) const CRASH_DURATION: Duration = Duration::from_secs(60 * 60);
@@ -19,6 +19,8 @@
 pub(crate) struct QuarantineEntry {
     /// The record; its `remaining_ms` stays 0.
     record: QuarantineRecord,
+    /// When this node learnt of each crash, on the monotonic clock.
+    known_since: BTreeMap<CrashId, Duration>,
     /// When the record expires, on the monotonic clock.
     expires: Duration,
 }
@@ -30,6 +32,7 @@
                 fingerprint,
                 ..QuarantineRecord::default()
             },
+            known_since: BTreeMap::new(),
             expires: Duration::ZERO,
         }
     }
@@ -70,9 +73,18 @@
 
     /// Priority for gossip and against eviction: quarantined fingerprints first, then by how
     /// likely they caused the crashes.
-    pub(crate) fn priority(&self) -> (bool, u32) {
+    pub(crate) fn priority(&self) -> (bool, usize, u32) {
         let evidence = self.record.evidence();
-        (evidence.is_quarantined(), evidence.score_milli)
+        (
+            evidence.is_quarantined(),
+            evidence.crashes_count,
+            evidence.score_milli,
+        )
+    }
+
+    /// When this node last learnt of a crash, on the monotonic clock.
+    pub(crate) fn last_crash_known_at(&self) -> Duration {
+        self.known_since.values().copied().max().unwrap_or_default()
     }
 
     pub(crate) fn expires(&self) -> Duration {
@@ -94,7 +106,7 @@
 
     /// Adds a crash that this node detected.
     pub(crate) fn add_crash(&mut self, now: Duration, crash: Crash) {
-        self.merge_crash(crash);
+        self.merge_crash(now, crash);
         self.expires = self.expires.max(now + CRASH_DURATION);
     }
 
@@ -102,7 +114,7 @@
     pub(crate) fn merge(&mut self, now: Duration, other: &QuarantineRecord) {
         let crashes = other.crashes.iter();
         for crash in crashes.take(QuarantineRecord::CRASHES_LIMIT_COUNT) {
-            self.merge_crash(crash.clone());
+            self.merge_crash(now, crash.clone());
         }
         let ran_at = other.ran_at.iter();
         for service in ran_at.take(QuarantineRecord::RAN_AT_LIMIT_COUNT) {
@@ -115,15 +127,21 @@
         }
     }
 
-    fn merge_crash(&mut self, crash: Crash) {
+    fn merge_crash(&mut self, now: Duration, crash: Crash) {
         let crashes = &mut self.record.crashes;
         match crashes.binary_search_by_key(&crash.id, |known| known.id) {
             Ok(index) => crashes[index].is_cleared |= crash.is_cleared,
-            Err(index) => crashes.insert(index, crash),
+            Err(index) => {
+                self.known_since.insert(crash.id, now);
+                crashes.insert(index, crash);
+            }
         }
         if crashes.len() > QuarantineRecord::CRASHES_LIMIT_COUNT {
-            let cleared = crashes.iter().position(|known| known.is_cleared);
-            crashes.remove(cleared.unwrap_or_default());
+            let least = crashes.iter().enumerate();
+            let least = least.min_by_key(|(_, known)| (!known.is_cleared, known.score_milli));
+            let least = least.map(|(index, _)| index).unwrap_or_default();
+            let removed = crashes.remove(least);
+            self.known_since.remove(&removed.id);
         }
     }
 
@@ -140,15 +158,18 @@
         }
     }
 
-    /// Clears the crashes at a service, at which it has run; whether that changes anything.
+    /// Clears the crashes at a service that were known when a run there started which went well; whether
+    /// that changes anything.
     ///
     /// Those at other services go on to count elsewhere: a new version of a service may crash under what the
     /// old one runs well.
-    pub(crate) fn clear_at(&mut self, service: &str) -> bool {
+    pub(crate) fn clear_at(&mut self, service: &str, started: Duration) -> bool {
         let mut has_changed = false;
         let mut counts_elsewhere = false;
+        let known_since = &self.known_since;
+        let was_known = |id: CrashId| known_since.get(&id).is_none_or(|since| *since <= started);
         let crashes = self.record.crashes.iter_mut();
-        for crash in crashes.filter(|crash| !crash.is_cleared) {
+        for crash in crashes.filter(|crash| !crash.is_cleared && was_known(crash.id)) {
             if crash.service == service {
                 crash.is_cleared = true;
                 has_changed = true;
@@ -159,6 +180,13 @@
         has_changed | (counts_elsewhere && self.add_ran_at(service))
     }
 
+    /// Records that it ran well at a service, if crashes elsewhere count; whether that is new.
+    pub(crate) fn add_ran_well_at(&mut self, service: &str) -> bool {
+        let is_elsewhere = |crash: &Crash| crash.service != service;
+        let counts_elsewhere = self.record.counting_crashes().any(is_elsewhere);
+        counts_elsewhere && self.add_ran_at(service)
+    }
+
     /// Clears all crashes known so far: they no longer count.
     pub(crate) fn clear(&mut self) {
         for crash in &mut self.record.crashes {
--- a/crates/kumquatquay-core/src/quarantine/records.rs
+++ b/crates/kumquatquay-core/src/quarantine/records.rs
@@ -12,6 +12,8 @@
 };
 
 use super::{
+    admission::ran_lately,
+    in_flight_request::InFlightRequest,
     kept_crashes::KnownCrash,
     notices::{self, told_services},
     own_service::own_service,
@@ -36,8 +38,8 @@
 
 /// Merges a record received from another node.
 ///
-/// A suspect that ran to an answer here lately is cleared: its success may be older than the news of the
-/// crash.
+/// If it ran well here lately, crashes at other services don't count here. Those at this one do: it may have
+/// run well until then.
 pub(crate) fn on_rumour(
     board: &mut Blackboard,
     now: Moment,
@@ -50,12 +52,17 @@
     let fingerprint = record.fingerprint;
     let entry = board.quarantine.get_or_insert(fingerprint);
     entry.merge(now.monotonic, record);
-    let table = &board.quarantine;
-    if !table.recent_runs.contains(now.monotonic, fingerprint) {
+    if !ran_lately(board, now, fingerprint) {
         return;
     }
-    if let Some(service) = own_service(board) {
-        clear_at(board, now, &service, fingerprint, out);
+    let Some(service) = own_service(board) else {
+        return;
+    };
+    let entry = board.quarantine.get_or_insert(fingerprint);
+    let was_strong = entry.evidence_at(now.monotonic, &service).is_strong();
+    if entry.add_ran_well_at(&service) && was_strong {
+        let services = told_services(board);
+        notices::notify_gates(board, now, &services, &[fingerprint], out);
     }
 }
 
@@ -71,15 +78,16 @@
     }
 }
 
-/// Clears a fingerprint at the service of this host, where it ran to an answer. One that is quarantined for
-/// crashes there stays so: the run may have begun before.
+/// Clears a fingerprint at the service of this host, where it ran to an answer, of the crashes that were
+/// known when the run started. One that is quarantined for crashes there stays so.
 pub(super) fn clear_at(
     board: &mut Blackboard,
     now: Moment,
     service: &ServiceName,
-    fingerprint: Fingerprint,
+    ran: InFlightRequest,
     out: &mut Vec<Output>,
 ) {
+    let fingerprint = ran.fingerprint;
     let Some(entry) = board.quarantine.get(fingerprint) else {
         return;
     };
@@ -92,7 +100,7 @@
     let has_changed = board
         .quarantine
         .get_or_insert(fingerprint)
-        .clear_at(service);
+        .clear_at(service, ran.started);
     if has_changed && evidence.is_strong() {
         let crashes_count = evidence.crashes_count;
         let detail = format!(
--- a/crates/kumquatquay-wire/src/control/quarantine_record.rs
+++ b/crates/kumquatquay-wire/src/control/quarantine_record.rs
@@ -13,6 +13,9 @@
     pub service: ServiceName,
     /// Score in thousandths: 1000 divided by the number of suspects that were in flight, or of those that
     /// had the most crashes behind them if it was one of these and they had two at least.
+    ///
+    /// For a request that ran well at the same backend server host shortly before it is
+    /// [`Evidence::RAN_WELL_SCORE_MILLI`] if it ran isolated and would have the highest score, else 0.
     pub score_milli: u16,
     /// Whether it no longer counts: a request with the fingerprint ran successfully at the service
     /// afterwards, or an operator released it.
@@ -42,6 +45,10 @@
 pub struct Evidence {
     /// Number of the crashes.
     pub crashes_count: usize,
+    /// Number of those with a score.
+    pub blamed_count: usize,
+    /// Number of those with [`Evidence::RAN_WELL_SCORE_MILLI`] or more.
+    pub alone_count: usize,
     /// Sum of their scores, in thousandths.
     pub score_milli: u32,
     /// The highest of their scores, in thousandths.
@@ -63,9 +70,15 @@
     /// Evidence that counts at a service.
     ///
     /// A request that crashes the backend servers of one service is taken to crash those of others, to
-    /// which its route may be split or moved, until it runs well there.
+    /// which its route may be split or moved, until it runs well there. That speaks for it no more once a
+    /// crash there names it alone.
     pub fn evidence_at(&self, service: &str) -> Evidence {
-        let runs_well = self.ran_at.iter().any(|ran_at| ran_at == service);
+        let has_run = self.ran_at.iter().any(|ran_at| ran_at == service);
+        let mut there = self.counting_crashes();
+        let runs_well = has_run
+            && !there.any(|crash| {
+                crash.service == service && crash.score_milli >= Evidence::RAN_WELL_SCORE_MILLI
+            });
         let crashes = self.counting_crashes();
         crashes
             .filter(|crash| !runs_well || crash.service == service)
@@ -93,6 +106,9 @@
             .into_iter()
             .fold(Self::default(), |sum, crash| Self {
                 crashes_count: sum.crashes_count + 1,
+                blamed_count: sum.blamed_count + usize::from(crash.score_milli > 0),
+                alone_count: sum.alone_count
+                    + usize::from(crash.score_milli >= Self::RAN_WELL_SCORE_MILLI),
                 score_milli: sum.score_milli + u32::from(crash.score_milli),
                 highest_score_milli: sum.highest_score_milli.max(crash.score_milli),
             })
@@ -100,18 +116,31 @@
 }
 
 impl Evidence {
-    /// Number of crashes from which on requests with the fingerprint are refused, whatever else was in
-    /// flight.
+    /// Number of crashes with a score from which on requests with the fingerprint are refused, whatever
+    /// else was in flight.
     pub const CRASHES_TO_QUARANTINE_COUNT: usize = 5;
 
-    /// Number of crashes from which on they are refused if one of the crashes names them alone, with
-    /// [`Evidence::ALONE_SCORE_MILLI`].
+    /// Number of crashes with a score from which on they are refused if one of the crashes names them
+    /// alone, with [`Evidence::ALONE_SCORE_MILLI`].
     pub const CLEAR_CRASHES_COUNT: usize = 2;
 
+    /// Number of crashes that name them alone from which on they are refused, though they ran well
+    /// shortly before.
+    pub const RAN_WELL_CRASHES_COUNT: usize = 2;
+
+    /// Number of crashes from which on they run at one backend server of the service.
+    pub const ONE_GATE_CRASHES_COUNT: usize = 3;
+
     /// Score of the only suspect of a crash. Those that were in flight at the same crashes never reach it
     /// together, however many these are: one of them may be innocent.
     pub const ALONE_SCORE_MILLI: u16 = 1_000;
 
+    /// Score of the only suspect of a crash that ran isolated, if it ran well shortly before.
+    ///
+    /// A path that many send is in flight at each crash. It is refused only if two backend servers end
+    /// under a run of it that is the only one of a suspect, and no run of it is answered in between.
+    pub const RAN_WELL_SCORE_MILLI: u16 = 999;
+
     /// Score from which on one crash is strong evidence: one of two suspects.
     pub const STRONG_SCORE_MILLI: u32 = 500;
 
@@ -132,9 +161,11 @@
 
     /// Whether requests with the fingerprint are refused.
     pub fn is_quarantined(self) -> bool {
-        let is_clear = self.crashes_count >= Self::CLEAR_CRASHES_COUNT
+        let is_clear = self.blamed_count >= Self::CLEAR_CRASHES_COUNT
             && self.highest_score_milli >= Self::ALONE_SCORE_MILLI;
-        is_clear || self.crashes_count >= Self::CRASHES_TO_QUARANTINE_COUNT
+        is_clear
+            || self.alone_count >= Self::RAN_WELL_CRASHES_COUNT
+            || self.blamed_count >= Self::CRASHES_TO_QUARANTINE_COUNT
     }
 
     /// Whether its requests run one at a time or are refused.
--- a/crates/kumquatquayd/src/engine/engine.rs
+++ b/crates/kumquatquayd/src/engine/engine.rs
@@ -1,6 +1,7 @@
 //! The core behind a lock, and the way to and from it.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, AtomicUsize, Ordering},
@@ -288,6 +289,11 @@
         self.lock().node.may_send_again(now, service, of)
     }
 
+    /// [`Node::isolation_gate`].
+    pub(crate) fn isolation_gate(&self, service: &str, of: Fingerprint) -> Option<SocketAddr> {
+        self.lock().node.isolation_gate(service, of)
+    }
+
     /// [`Node::ran_lately`].
     pub(crate) fn ran_lately(&self, of: Fingerprint) -> bool {
         let now = self.now();
--- a/crates/kumquatquayd/src/routed/crash_guard.rs
+++ b/crates/kumquatquayd/src/routed/crash_guard.rs
@@ -1,6 +1,6 @@
 //! Keeps requests that crash backend servers from the one of this host.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use kumquatquay_core::{RunInput, RunVerdict, WorkId};
 use kumquatquay_wire::{
@@ -19,6 +19,9 @@
 /// or until an operator releases it.
 pub(super) const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 
+/// The lowest HTTP status with which a backend server says that it failed.
+const FIRST_SERVER_ERROR_STATUS: u16 = 500;
+
 // At the gate
 
 /// A call that is in flight at the backend server of this host, for the quarantine.
@@ -59,6 +62,9 @@
     pub(super) fn end(mut self, outcome: &LinkOutcome) {
         let work = self.work;
         let input = match outcome {
+            LinkOutcome::Answered { status } if *status >= FIRST_SERVER_ERROR_STATUS => {
+                RunInput::Failed { work }
+            }
             LinkOutcome::Answered { .. } => RunInput::Answered { work },
             LinkOutcome::NotRun(_) => RunInput::NotRun { work },
             LinkOutcome::Unknown(_) => return,
@@ -139,6 +145,20 @@
     fingerprint.is_none_or(|of| !node.engine.is_suspect(&call.service, of))
 }
 
+/// Control addresses of the gates of a call's service, without the one that may run a suspect. All entries
+/// that know the same members send it to the same gate.
+pub(super) fn gates_that_refuse_suspect(node: &RoutedNode, call: &OutgoingCall) -> Vec<SocketAddr> {
+    let gate = node
+        .engine
+        .isolation_gate(&call.service, call.fingerprint());
+    node.engine.look_at_members(|members| {
+        let others = members.filter(|member| {
+            member.service.as_ref() == Some(&call.service) && Some(member.control) != gate
+        });
+        others.map(|member| member.control).collect()
+    })
+}
+
 /// Refusal of a call that is quarantined.
 pub(super) fn quarantined() -> LinkAnswer {
     LinkAnswer::not_run(NotRunReason::Quarantined)
--- a/crates/kumquatquayd/src/routed/forwarding.rs
+++ b/crates/kumquatquayd/src/routed/forwarding.rs
@@ -9,7 +9,9 @@
 
 use super::{
     attempt::{AttemptGuard, attempt},
-    crash_guard::{is_quarantined, may_hedge, may_send_again, quarantined},
+    crash_guard::{
+        gates_that_refuse_suspect, is_quarantined, may_hedge, may_send_again, quarantined,
+    },
     link::link_silence,
     link_answer::LinkAnswer,
     node::RoutedNode,
@@ -26,6 +28,9 @@
 /// Pause before an endpoint is picked again for a call that found none.
 const PICK_RETRY_PAUSE: Duration = Duration::from_millis(25);
 
+/// How long a call waits in all for the gate that may run it, if it is suspected of crashes.
+const ISOLATED_WAIT: Duration = Duration::from_millis(300);
+
 /// Part of the time to the deadline that is reserved for the answer to travel back.
 const ANSWER_RESERVE: Duration = Duration::from_millis(12);
 
@@ -48,7 +53,7 @@
         if is_quarantined(node, call) {
             return attempts.finish(quarantined());
         }
-        let Some(endpoint) = pick_endpoint(node, call, &attempts.tried_nodes) else {
+        let Some(endpoint) = attempts.pick(node, call) else {
             let reason = attempts.no_endpoint_reason(node, call);
             if attempts.can_pick_again(node, call) {
                 tokio::time::sleep(PICK_RETRY_PAUSE).await;
@@ -66,6 +71,10 @@
         match decision {
             RetryDecision::Finish => return attempts.finish(answer),
             RetryDecision::Retry => {}
+            RetryDecision::RetryAfterPause => {
+                tokio::time::sleep(PICK_RETRY_PAUSE).await;
+                attempts.tried_nodes.clear();
+            }
         }
     }
 }
@@ -87,11 +96,15 @@
     /// Whether a node refused the call because its backend server fails too many runs. The next
     /// node is told to run it regardless: if all backend servers fail, some runs may still succeed.
     accepts_failing: bool,
+    /// Since when it waits for the gate that may run it, on the monotonic clock: a gate said that it is
+    /// suspected of crashes.
+    isolated_since: Option<Duration>,
 }
 
 enum RetryDecision {
     Finish,
     Retry,
+    RetryAfterPause,
 }
 
 impl CallAttempts {
@@ -126,6 +139,10 @@
                 self.clear_may_have_run(call);
                 RetryDecision::Finish
             }
+            LinkOutcome::NotRun(NotRunReason::Isolated) => {
+                self.clear_may_have_run(call);
+                self.wait_for_isolated_run(node.now())
+            }
             LinkOutcome::NotRun(reason) => {
                 self.accepts_failing |= *reason == NotRunReason::Failing;
                 self.progress.refusals_count += 1;
@@ -144,6 +161,28 @@
         }
     }
 
+    /// Picks the endpoint of the next attempt: for a suspect the gate that may run it, if it can be reached.
+    fn pick(&self, node: &RoutedNode, call: &OutgoingCall) -> Option<PickedEndpoint> {
+        if self.isolated_since.is_some() {
+            let others = gates_that_refuse_suspect(node, call);
+            if let Some(endpoint) = pick_endpoint(node, call, &others) {
+                return Some(endpoint);
+            }
+        }
+        pick_endpoint(node, call, &self.tried_nodes)
+    }
+
+    /// Whether to wait until a suspect may run. The run of another one, or of the same request, ends soon: it
+    /// clears its request, or the call is refused for good.
+    fn wait_for_isolated_run(&mut self, now: Duration) -> RetryDecision {
+        let since = *self.isolated_since.get_or_insert(now);
+        if now < since + ISOLATED_WAIT {
+            RetryDecision::RetryAfterPause
+        } else {
+            RetryDecision::Finish
+        }
+    }
+
     /// Whether to retry a call that failed at a backend server: only if the call is idempotent and
     /// that server an outlier. Where all servers fail alike, the retry would fail as well.
     fn should_retry_failed(
@@ -252,6 +291,9 @@
         if !is_idempotent || !node.is_on(Mechanism::HedgedAttempts) || !may_hedge(node, call) {
             return None;
         }
+        if self.isolated_since.is_some() {
+            return None;
+        }
         if self.progress.sends_count + 1 >= call.route.settings.attempts_count {
             return None;
         }
