Write a crash again at pauses that double

A crash is kept with all that was in flight, and was written again every 5 s while its suspects were cleared one after the other: seven writes in half a minute where one is cleared each second. The pause doubles now, from 5 s to 80 s: three. The test asserts that number; it is the writes at 0, 5 and 15 s. What stays kept longer are suspects that ran since; after a restart of all nodes each is cleared by its first answer.

--- a/crates/kumquatquay-core/src/quarantine/kept_crashes.rs
+++ b/crates/kumquatquay-core/src/quarantine/kept_crashes.rs
@@ -8,9 +8,10 @@
 /// gone, or the store may not serve it.
 const WRITE_TIME: Duration = Duration::from_secs(3);
 
-/// Pause after a write of a crash until it is written again with fewer suspects. Most of them run again, and
-/// are cleared, within seconds.
+/// Pause after the first write of a crash until it is written again with fewer suspects; it doubles with each
+/// write. Most of them run again, and are cleared, within seconds.
 const REWRITE_PAUSE: Duration = Duration::from_secs(5);
+const MAX_REWRITE_PAUSE: Duration = Duration::from_secs(80);
 
 /// A crash that this node knows.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -58,16 +59,24 @@
     /// On the monotonic clock, as are the other times.
     expires: Duration,
     changed_at: Duration,
+    rewrite_pause: Duration,
 }
 
 impl KeptCrashes {
     /// The store keeps this crash: it was read or written.
     pub fn on_kept(&mut self, now: Duration, report: &CrashReport) {
         let remaining = Duration::from_millis(u64::from(report.remaining_ms));
+        let before = self.kept.get(&report.id);
+        let rewrite_pause = match before {
+            None => REWRITE_PAUSE,
+            Some(before) if before.suspects == report.suspects => before.rewrite_pause,
+            Some(before) => MAX_REWRITE_PAUSE.min(before.rewrite_pause * 2),
+        };
         let crash = KeptCrash {
             suspects: report.suspects.clone(),
             expires: now + remaining,
             changed_at: now,
+            rewrite_pause,
         };
         self.kept.insert(report.id, crash);
     }
@@ -113,7 +122,7 @@
             let is_due = crash.is_own || now >= *since + WRITE_TIME;
             return is_due.then(|| KeepAction::Write(crash.report.clone()));
         };
-        if now < kept.changed_at + REWRITE_PAUSE {
+        if now < kept.changed_at + kept.rewrite_pause {
             return None;
         }
         let remaining = kept.without_cleared(crash);
--- a/crates/kumquatquay-core/tests/crashing_runs/kept_crashes.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs/kept_crashes.rs
@@ -89,3 +89,25 @@
     let step = kept.next_step(START, &known(true, &[1], &[]));
     assert_eq!(step, write(true, &[1]));
 }
+
+/// A suspect is cleared each second, and the crash was written seven times in half a minute.
+#[test]
+fn a_crash_is_written_less_and_less_often() {
+    let suspects: Vec<Fingerprint> = (0..60).collect();
+    let mut kept = KeptCrashes::default();
+    let mut writes_count = 0;
+    for second in 0..30 {
+        let (cleared, remaining) = suspects.split_at(second);
+        let now = START + Duration::from_secs(second as u64);
+        let step = kept.next_step(now, &known(true, remaining, cleared));
+        if let Some(KeepStep {
+            action: KeepAction::Write(report),
+            ..
+        }) = step
+        {
+            kept.on_kept(now, &report);
+            writes_count += 1;
+        }
+    }
+    assert_eq!(writes_count, 3);
+}
