Clear a crash that named an isolated run after ten answers

A request that crashes servers in half of its runs was cleared by each answer, also of the crashes that had named the one run allowed of it. Such a crash now takes ten answers at one gate since the last crash; others are cleared by one, as before.

--- a/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
+++ b/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
@@ -7,6 +7,10 @@
 /// How long a crash counts. Servers may crash many minutes apart; a success clears a suspect long before.
 pub(crate) const CRASH_DURATION: Duration = Duration::from_secs(60 * 60);
 
+/// Runs that have to end well since a crash that named the isolated run of a request which ran well before,
+/// until that crash is cleared. A request that crashes servers in some of its runs ends others well.
+const ANSWERS_TO_CLEAR_COUNT: u32 = 10;
+
 /// By how much a received record must outlast the local one to extend it.
 ///
 /// `remaining_ms` doesn't count the transit time of the datagram, so a receiver computes a
@@ -21,6 +25,8 @@
     record: QuarantineRecord,
     /// When this node learnt of each crash, on the monotonic clock.
     known_since: BTreeMap<CrashId, Duration>,
+    /// Runs that ended well here and began after the last crash was known.
+    answers_count: u32,
     /// When the record expires, on the monotonic clock.
     expires: Duration,
 }
@@ -33,6 +39,7 @@
                 ..QuarantineRecord::default()
             },
             known_since: BTreeMap::new(),
+            answers_count: 0,
             expires: Duration::ZERO,
         }
     }
@@ -133,6 +140,7 @@
             Ok(index) => crashes[index].is_cleared |= crash.is_cleared,
             Err(index) => {
                 self.known_since.insert(crash.id, now);
+                self.answers_count = 0;
                 crashes.insert(index, crash);
             }
         }
@@ -166,13 +174,20 @@
     pub(crate) fn clear_at(&mut self, service: &str, started: Duration) -> bool {
         let mut has_changed = false;
         let mut counts_elsewhere = false;
+        if self.last_crash_known_at() <= started {
+            self.answers_count += 1;
+        }
+        let answers_count = self.answers_count;
+        let is_outweighed = |score_milli| {
+            score_milli != Evidence::RAN_WELL_SCORE_MILLI || answers_count >= ANSWERS_TO_CLEAR_COUNT
+        };
         let known_since = &self.known_since;
         let was_known = |id: CrashId| known_since.get(&id).is_none_or(|since| *since <= started);
         let crashes = self.record.crashes.iter_mut();
         for crash in crashes.filter(|crash| !crash.is_cleared && was_known(crash.id)) {
             if crash.service == service {
-                crash.is_cleared = true;
-                has_changed = true;
+                crash.is_cleared = is_outweighed(crash.score_milli);
+                has_changed |= crash.is_cleared;
             } else {
                 counts_elsewhere = true;
             }
