Let a request's earlier crashes name it only if its run was isolated

A request in flight at three ends in a row, each under another request, was refused for an hour: it was the only one with two crashes behind it. Where several end at the same moment that says nothing, since its run had begun before any was known.

The new test fails before (refused) and holds now. The third crash still quarantines a request beside others that are new each time, as its run is isolated by then: those tests go on as they were.

--- a/crates/kumquatquay-core/src/quarantine/attribution.rs
+++ b/crates/kumquatquay-core/src/quarantine/attribution.rs
@@ -142,7 +142,9 @@
         let fingerprint = suspect.fingerprint;
         let entry = board.quarantine.get_or_insert(fingerprint);
         let earlier = entry.evidence_at(now.monotonic, &service);
-        let score_milli = repeated.score_milli(earlier.crashes_count);
+        let score_milli = repeated
+            .score_milli(earlier.crashes_count)
+            .filter(|_| suspect.is_isolated);
         let crash = Crash {
             score_milli: suspect.weighed(score_milli.unwrap_or(score_of_each)),
             ..crash.clone()
@@ -296,7 +298,8 @@
 
 /// The suspects of a death that were in flight at the most deaths before.
 ///
-/// With two or more of them behind it, a request is to blame rather than the new ones beside it.
+/// With two or more of them behind it, a request is to blame rather than the new ones beside it, if the crashes
+/// were known when its run began: several may end at the same moment under different requests.
 struct RepeatedSuspects {
     earlier_crashes_count: usize,
     count: usize,
--- a/crates/kumquatquay-core/tests/crashing_runs/one_service.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs/one_service.rs
@@ -91,6 +91,21 @@
         assert!(gates.are_refused(CRASHING));
     }
 
+    /// Three requests end a server each before any end is told. One that is in flight at all three, and is the only
+    /// one that is, was taken for the one to blame.
+    an_innocent_request_at_the_ends_of_three_others_is_not_refused: |gates| {
+        let innocent = FIRST_INNOCENT;
+        let works: Vec<_> = (0..3)
+            .map(|gate| gates.begin_all(gate, &[innocent, CRASHING + gate as u64]))
+            .collect();
+        for (gate, works) in works.iter().enumerate() {
+            gates.end_server(gate, works);
+            gates.mesh.run(Duration::from_millis(100));
+        }
+        gates.mesh.run(Duration::from_millis(200));
+        assert_eq!(gates.run(3, innocent), RunVerdict::Run);
+    }
+
     /// All that was in flight when a backend server ended ran one at a time, at one host.
     requests_in_flight_at_a_crash_run_together: |gates| {
         let running = innocents(0, 100);
--- a/crates/kumquatquay-wire/src/control/quarantine_record.rs
+++ b/crates/kumquatquay-wire/src/control/quarantine_record.rs
@@ -12,7 +12,7 @@
     /// Service of the backend server.
     pub service: ServiceName,
     /// Score in thousandths: 1000 divided by the number of suspects that were in flight, or of those that
-    /// had the most crashes behind them if it was one of these and they had two at least.
+    /// had the most crashes behind them if it was one of these, they had two at least and it ran isolated.
     ///
     /// For a request that ran well at the same backend server host shortly before it is
     /// [`Evidence::RAN_WELL_SCORE_MILLI`] if it ran isolated and would have the highest score, else 0.
