--- a/crates/kumquatquay-core/src/gate/controller.rs
+++ b/crates/kumquatquay-core/src/gate/controller.rs
@@ -30,9 +30,6 @@
     }
 }
 
-/// The lowest HTTP status with which a backend server says that it failed.
-const FIRST_SERVER_ERROR_STATUS: u16 = 500;
-
 /// Handles announcements, health reports and the death of the backend server of this host.
 pub(crate) fn on_backend(
     board: &mut Blackboard,
@@ -152,7 +149,7 @@
                 .gate
                 .limit
                 .on_latency(others_at_start_count, own_latency);
-            if status < FIRST_SERVER_ERROR_STATUS {
+            if quarantine::speaks_for_request(status) {
                 quarantine::on_work_ran(board, now, request, out);
             } else {
                 quarantine::on_work_failed(board, now, id);
--- a/crates/kumquatquay-core/src/input/run_input.rs
+++ b/crates/kumquatquay-core/src/input/run_input.rs
@@ -1,11 +1,11 @@
 //! Inputs about runs of calls on routes.
 
-use crate::WorkId;
+use crate::{WorkId, quarantine::speaks_for_request};
 
 /// How a run that began with [`Node::begin_run`](crate::Node::begin_run) ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunInput {
-    /// The backend server answered.
+    /// The backend server answered, and not with an error of its own.
     Answered {
         /// The run.
         work: WorkId,
@@ -27,3 +27,14 @@
         work: WorkId,
     },
 }
+
+impl RunInput {
+    /// The end of a run with an answer of this HTTP status.
+    pub fn answered(work: WorkId, status: u16) -> Self {
+        if speaks_for_request(status) {
+            Self::Answered { work }
+        } else {
+            Self::Failed { work }
+        }
+    }
+}
--- a/crates/kumquatquay-core/src/quarantine/attribution.rs
+++ b/crates/kumquatquay-core/src/quarantine/attribution.rs
@@ -13,6 +13,9 @@
 };
 use crate::{AttemptResult, Blackboard, Counter, Moment, Note, Output, RunInput, Severity, WorkId};
 
+/// The lowest HTTP status with which a backend server says that it failed.
+const FIRST_SERVER_ERROR_STATUS: u16 = 500;
+
 /// HTTP status of a node's answer if its backend server broke the connection.
 ///
 /// A time-out has another status: it is no sign of a crash.
@@ -27,6 +30,14 @@
 /// Most work with a broken connection that is remembered.
 const BROKEN_WORK_LIMIT_COUNT: usize = 1_024;
 
+/// Whether an answer with a status shows that its request crashes no backend server.
+///
+/// One with an error doesn't: the run may have ended before it did what crashes servers, for want of time or as
+/// one of its calls failed.
+pub(crate) fn speaks_for_request(status: u16) -> bool {
+    status < FIRST_SERVER_ERROR_STATUS
+}
+
 /// Records how an attempt of a call of this node ended.
 ///
 /// This node treats a request as a suspect as soon as a backend server has broken its
@@ -55,7 +66,9 @@
         (AttemptResult::Broken, _) => {
             broken_calls.add(now.monotonic, service, fingerprint, ConnectionBreak::Host);
         }
-        (AttemptResult::Answered(_), Outcome::Ran) => broken_calls.remove(service, fingerprint),
+        (AttemptResult::Answered(head), Outcome::Ran) if speaks_for_request(head.status) => {
+            broken_calls.remove(service, fingerprint);
+        }
         _ => {}
     }
 }
@@ -85,8 +98,7 @@
 
 /// Records that the backend server of this host answered work with an error.
 ///
-/// It says nothing of a suspect: the run may have ended before it did what crashes servers, for want of time
-/// or as one of its calls failed.
+/// It says nothing of a suspect, see [`speaks_for_request`].
 pub(crate) fn on_work_failed(board: &mut Blackboard, now: Moment, work: WorkId) {
     let table = &mut board.quarantine;
     table.running_suspects.remove(&work);
--- a/crates/kumquatquayd/src/routed/crash_guard.rs
+++ b/crates/kumquatquayd/src/routed/crash_guard.rs
@@ -19,9 +19,6 @@
 /// or until an operator releases it.
 pub(super) const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 
-/// The lowest HTTP status with which a backend server says that it failed.
-const FIRST_SERVER_ERROR_STATUS: u16 = 500;
-
 // At the gate
 
 /// A call that is in flight at the backend server of this host, for the quarantine.
@@ -62,10 +59,7 @@
     pub(super) fn end(mut self, outcome: &LinkOutcome) {
         let work = self.work;
         let input = match outcome {
-            LinkOutcome::Answered { status } if *status >= FIRST_SERVER_ERROR_STATUS => {
-                RunInput::Failed { work }
-            }
-            LinkOutcome::Answered { .. } => RunInput::Answered { work },
+            LinkOutcome::Answered { status } => RunInput::answered(work, *status),
             LinkOutcome::NotRun(_) => RunInput::NotRun { work },
             LinkOutcome::Unknown(_) => return,
         };
