Count the end of a server that something hides as soon as it shows

A server that has broken the connections of all its runs and closes new ones has ended; its gate now says so at once. If one run from before goes on, it is treated as silent, as before. Three tests; the first fails without the new input's handling (no gate knew of a crash), the others guard against counting twice and against servers short of connections.

--- a/crates/kumquatquay-core/src/gate/controller.rs
+++ b/crates/kumquatquay-core/src/gate/controller.rs
@@ -50,6 +50,7 @@
         BackendInput::HealthReported { is_healthy } => board.gate.is_reported_ill = !is_healthy,
         BackendInput::Died => on_died(board, now, out),
         BackendInput::Unresponsive => on_unresponsive(board, now, out),
+        BackendInput::ClosesConnections => on_closes_connections(board, now, out),
     }
 }
 
@@ -65,6 +66,12 @@
     on_ended(board, out);
 }
 
+fn on_closes_connections(board: &mut Blackboard, now: Moment, out: &mut Vec<Output>) {
+    let in_flight = unanswered(board);
+    quarantine::on_backend_closes_connections(board, now, &in_flight, out);
+    on_ended(board, out);
+}
+
 fn on_ended(board: &mut Blackboard, out: &mut Vec<Output>) {
     board.gate.limit.reset();
     refuse_all(board, out);
--- a/crates/kumquatquay-core/src/input/backend_input.rs
+++ b/crates/kumquatquay-core/src/input/backend_input.rs
@@ -20,6 +20,9 @@
     /// It gives no answers. No calls are sent to it, as if it had died, but no request is suspected of
     /// it: its host may be paused.
     Unresponsive,
+    /// It has broken the connections of its runs and closes new ones at once: its process has ended, and
+    /// something else accepts connections at its address until it runs again.
+    ClosesConnections,
 }
 
 /// Announcement of a backend server, sent as JSON to `POST /announcements`.
--- a/crates/kumquatquay-core/src/membership/controller.rs
+++ b/crates/kumquatquay-core/src/membership/controller.rs
@@ -61,7 +61,9 @@
         BackendInput::Announced(announcement) => {
             board.membership.announcement = Some(announcement);
         }
-        BackendInput::Died | BackendInput::Unresponsive => board.membership.announcement = None,
+        BackendInput::Died | BackendInput::Unresponsive | BackendInput::ClosesConnections => {
+            board.membership.announcement = None;
+        }
         BackendInput::HealthReported { .. } => return,
     }
     draining::update_own_state(board, now);
--- a/crates/kumquatquay-core/src/quarantine/attribution.rs
+++ b/crates/kumquatquay-core/src/quarantine/attribution.rs
@@ -138,6 +138,16 @@
         return;
     };
     board.counters.increment(Counter::BackendDeaths);
+    record_crash(board, now, in_flight, out);
+}
+
+/// Records a crash with what was in flight at it.
+fn record_crash(
+    board: &mut Blackboard,
+    now: Moment,
+    in_flight: Vec<InFlightRequest>,
+    out: &mut Vec<Output>,
+) {
     let Some(service) = own_service(board) else {
         return;
     };
@@ -191,6 +201,34 @@
     });
 }
 
+/// Records that the backend server of this host has broken connections and closes new ones.
+///
+/// Its process has ended, unless some run from before goes on: then it is treated as silent. Waiting for a report
+/// of another life would leave other gates without news for as long as a restart takes, and a node that
+/// is killed meanwhile forgets what was in flight.
+pub(crate) fn on_backend_closes_connections(
+    board: &mut Blackboard,
+    now: Moment,
+    in_flight: &[InFlightRequest],
+    out: &mut Vec<Output>,
+) {
+    if board.quarantine.in_flight_at_silence.is_some() {
+        return;
+    }
+    let running = board.quarantine.running.values().chain(in_flight);
+    let first_started = running.map(|request| request.started).min();
+    let ended_at = first_break_since_answer(board);
+    let has_ended =
+        ended_at.is_some_and(|ended_at| first_started.is_none_or(|started| started >= ended_at));
+    on_backend_silent(board, now, in_flight);
+    if !has_ended {
+        return;
+    }
+    // What breaks from now on has never reached a backend server, and is ignored until it reports.
+    let at_silence = board.quarantine.in_flight_at_silence.replace(Vec::new());
+    record_crash(board, now, at_silence.unwrap_or_default(), out);
+}
+
 /// When the first connection broke since the backend server last answered, on the monotonic clock.
 fn first_break_since_answer(board: &Blackboard) -> Option<Duration> {
     let table = &board.quarantine;
--- a/crates/kumquatquay-core/src/quarantine/mod.rs
+++ b/crates/kumquatquay-core/src/quarantine/mod.rs
@@ -20,9 +20,9 @@
     isolation_endpoint, isolation_gate, may_retry, may_send_again, ran_lately,
 };
 pub(crate) use attribution::{
-    on_attempt_ended, on_backend_announced, on_backend_died, on_backend_silent,
-    on_connection_broken, on_run_ended, on_work_ended, on_work_failed, on_work_ran,
-    speaks_for_request,
+    on_attempt_ended, on_backend_announced, on_backend_closes_connections, on_backend_died,
+    on_backend_silent, on_connection_broken, on_run_ended, on_work_ended, on_work_failed,
+    on_work_ran, speaks_for_request,
 };
 pub use crash_sync::CrashSync;
 pub(crate) use crash_sync::{ask_for_crashes, crashes_answer, on_crashes_answer, on_crashes_read};
--- a/crates/kumquatquay-core/tests/crashing_runs/one_service.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs/one_service.rs
@@ -255,6 +255,49 @@
         assert!(gates.are_run(CRASHING));
     }
 
+    /// Something accepts connections for a server that has ended, until it is back. Its end was told only then, and
+    /// other gates ran meanwhile what had ended it.
+    an_end_that_something_hides_is_told_at_once: |gates| {
+        for gate in [0, 1] {
+            let works = gates.begin_all(gate, &[CRASHING]);
+            gates.mesh.run(CRASH_AFTER);
+            works.iter().for_each(|work| gates.end(gate, RunInput::Broken { work: *work }));
+            gates.mesh.handle(gates.controls[gate], BackendInput::ClosesConnections.into());
+            gates.mesh.run(Duration::from_millis(200));
+        }
+        assert!(gates.are_refused(CRASHING));
+    }
+
+    /// The same end counted once more when the next life reported.
+    an_end_that_something_hides_counts_once: |gates| {
+        let works = gates.begin_all(0, &[CRASHING]);
+        works.iter().for_each(|work| gates.end(0, RunInput::Broken { work: *work }));
+        gates.mesh.handle(gates.controls[0], BackendInput::ClosesConnections.into());
+        for innocent in innocents(0, 3) {
+            let works = gates.begin_all(0, &[innocent]);
+            works.iter().for_each(|work| gates.end(0, RunInput::Broken { work: *work }));
+        }
+        gates.mesh.run(DOWN);
+        gates.mesh.handle(gates.controls[0], BackendInput::Died.into());
+        gates.revive(0);
+        assert!(gates.are_run(CRASHING));
+        for innocent in innocents(0, 3) {
+            assert_eq!(gates.begin_all(1, &[innocent, innocent]).len(), 2);
+        }
+    }
+
+    /// A server that is short of connections breaks one and closes new ones while its other runs go on: it has not
+    /// ended.
+    a_server_that_closes_connections_beside_its_runs_makes_no_suspects: |gates| {
+        for gate in 0..3 {
+            let works = gates.begin_all(gate, &[CRASHING, FIRST_INNOCENT + gate as u64]);
+            gates.end(gate, RunInput::Broken { work: works[0] });
+            gates.mesh.handle(gates.controls[gate], BackendInput::ClosesConnections.into());
+        }
+        gates.mesh.run(Duration::from_millis(200));
+        assert!(gates.are_run(CRASHING));
+    }
+
     /// Something in front of a dead server accepts connections and closes them until the next life reports:
     /// all that was tried there meanwhile was suspected.
     what_breaks_while_a_server_is_silent_is_not_suspected: |gates| {
--- a/crates/kumquatquayd/src/routed/backend_death.rs
+++ b/crates/kumquatquayd/src/routed/backend_death.rs
@@ -50,7 +50,8 @@
         match result {
             CheckResult::Refuses => on_backend_died(&node, "connection refused after a broken run"),
             CheckResult::Closes if !has_answered => {
-                on_backend_unresponsive(&node, "it closes all connections");
+                let why = "it closes all connections";
+                end_life(&node, BackendInput::ClosesConnections, why);
             }
             CheckResult::Closes | CheckResult::Accepts => {}
         }
