Remember the crashes that a record has no room for, and don't ask a gate again that has just refused a suspect

A path that many send is in flight at more crashes than the eight of its record since all in flight are suspects. A cleared crash was dropped for another, came back as not cleared with the records of nodes that knew others, and had the path run one at a time at one gate again and again: found by the new test with twelve other hosts (Busy where Run was due), which holds now.

The entry asked the one gate of a suspect again at once where it refused for another reason than the suspicion, such as a server that is gone; found on reading. It takes the others by then, and asks again after the pause.

--- a/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
+++ b/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
@@ -1,6 +1,9 @@
 //! What this node knows against the requests with one fingerprint.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use kumquatquay_wire::{Crash, CrashId, Evidence, Fingerprint, QuarantineRecord};
 
@@ -11,6 +14,9 @@
 /// until that crash is cleared. A request that crashes servers in some of its runs ends others well.
 const ANSWERS_TO_CLEAR_COUNT: u32 = 10;
 
+/// Crashes without room in a record that are remembered.
+const DROPPED_LIMIT_COUNT: usize = 64;
+
 /// By how much a received record must outlast the local one to extend it.
 ///
 /// `remaining_ms` doesn't count the transit time of the datagram, so a receiver computes a
@@ -25,6 +31,8 @@
     record: QuarantineRecord,
     /// When this node learnt of each crash, on the monotonic clock.
     known_since: BTreeMap<CrashId, Duration>,
+    /// Crashes that had no room in the record, the last ones. Other nodes still send them, also as not cleared.
+    dropped: VecDeque<CrashId>,
     /// Runs that ended well here and began after the last crash was known.
     answers_count: u32,
     /// When the record expires, on the monotonic clock.
@@ -39,6 +47,7 @@
                 ..QuarantineRecord::default()
             },
             known_since: BTreeMap::new(),
+            dropped: VecDeque::new(),
             answers_count: 0,
             expires: Duration::ZERO,
         }
@@ -135,6 +144,9 @@
     }
 
     fn merge_crash(&mut self, now: Duration, crash: Crash) {
+        if self.dropped.contains(&crash.id) {
+            return;
+        }
         let crashes = &mut self.record.crashes;
         match crashes.binary_search_by_key(&crash.id, |known| known.id) {
             Ok(index) => crashes[index].is_cleared |= crash.is_cleared,
@@ -145,11 +157,26 @@
             }
         }
         if crashes.len() > QuarantineRecord::CRASHES_LIMIT_COUNT {
-            let least = crashes.iter().enumerate();
-            let least = least.min_by_key(|(_, known)| (!known.is_cleared, known.score_milli));
-            let least = least.map(|(index, _)| index).unwrap_or_default();
-            let removed = crashes.remove(least);
-            self.known_since.remove(&removed.id);
+            self.drop_least_crash();
+        }
+    }
+
+    /// Drops one of the crashes: one that is cleared if there is any, with the lowest score.
+    fn drop_least_crash(&mut self) {
+        let crashes = &mut self.record.crashes;
+        let indexes = 0..crashes.len();
+        let least = indexes.min_by_key(|index| {
+            let crash = &crashes[*index];
+            (!crash.is_cleared, crash.score_milli)
+        });
+        let Some(least) = least else {
+            return;
+        };
+        let id = crashes.remove(least).id;
+        self.known_since.remove(&id);
+        self.dropped.push_back(id);
+        if self.dropped.len() > DROPPED_LIMIT_COUNT {
+            self.dropped.pop_front();
         }
     }
 
--- a/crates/kumquatquay-core/tests/crashing_runs/one_service.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs/one_service.rs
@@ -417,3 +417,28 @@
     }
     assert!(runs_count <= 3, "{runs_count} runs");
 }
+
+/// A path that many send is in flight at more ends of servers than its record holds. Those that were cleared came
+/// back with the records of nodes that knew others of them.
+#[test]
+fn a_path_that_many_send_outlives_more_crashes_than_a_record_holds() {
+    let mut gates = Gates::start_large(60, 4, 12);
+    let many = FIRST_INNOCENT;
+    for crash in 0..20 {
+        gates.crash(crash % 4, &[many, many, FIRST_INNOCENT + 1 + crash as u64]);
+        gates.revive(crash % 4);
+        for gate in 0..4 {
+            assert_eq!(gates.run(gate, many), RunVerdict::Run);
+        }
+    }
+    for _ in 0..60 {
+        gates.mesh.run(Duration::from_secs(1));
+        for gate in 0..4 {
+            let works = gates.begin_all(gate, &[many, many]);
+            assert_eq!(works.len(), 2);
+            for work in works {
+                gates.end(gate, RunInput::NotRun { work });
+            }
+        }
+    }
+}
--- a/crates/kumquatquay-core/tests/crashing_runs/ran_before.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs/ran_before.rs
@@ -18,6 +18,9 @@
 const CRASHES_FROM_S: u64 = 4;
 const LENGTH_S: u64 = 24;
 
+/// How often servers end from outside.
+const ROUNDS_COUNT: usize = 8;
+
 /// Gates of the large service, and hosts beside them.
 const LARGE_GATES_COUNT: usize = 20;
 const LARGE_OTHERS_COUNT: usize = 4;
@@ -96,27 +99,36 @@
     five_paths_that_never_ran_well_are_refused: three_gates, crashing(5, 8.0, 0), beside popular();
 }
 
-/// Servers end from outside, one after the other or all at once, with popular paths in flight at each end.
-#[test]
-fn popular_paths_outlive_crashes_from_outside() {
-    let paths = popular();
-    for seed in 0..3 {
-        let mut load = Load::new(three_gates(seed), &paths, seed);
-        load.run(2);
-        for round in 0..8 {
-            if round % 2 == 0 {
-                load.end_from_outside(0..3);
-            } else {
-                load.end_from_outside([round % 3]);
+macro_rules! crashes_from_outside {
+    ($($(#[$failure:meta])* $name:ident: $gates:expr, one of $gates_count:expr;)*) => {
+        $($(#[$failure])* #[test] fn $name() {
+            let paths = popular();
+            for seed in 0..3 {
+                let mut load = Load::new($gates(seed), &paths, seed);
+                load.run(2);
+                for round in 0..ROUNDS_COUNT {
+                    if round % 2 == 0 {
+                        load.end_from_outside(0..$gates_count);
+                    } else {
+                        load.end_from_outside([round % $gates_count]);
+                    }
+                    load.run(2);
+                }
+                assert_held(&load, &paths);
+                for path in &paths {
+                    let record = load.record(path.fingerprint);
+                    assert_eq!(record.not_taken_count, 0, "{record:?}");
+                }
             }
-            load.run(2);
-        }
-        assert_held(&load, &paths);
-        for path in &paths {
-            let record = load.record(path.fingerprint);
-            assert_eq!(record.not_taken_count, 0, "{record:?}");
-        }
-    }
+        })*
+    };
+}
+
+crashes_from_outside! {
+    /// Servers end from outside, one alone or all at once, with popular paths in flight at each end.
+    popular_paths_outlive_crashes_from_outside: three_gates, one of 3;
+    /// The same at many gates: a path is in flight at more ends than its record holds.
+    popular_paths_outlive_crashes_from_outside_in_a_large_service: large, one of LARGE_GATES_COUNT;
 }
 
 /// A run that ended in an error answer spoke for its request, and cleared it of its crashes at all gates.
--- a/crates/kumquatquayd/src/routed/forwarding.rs
+++ b/crates/kumquatquayd/src/routed/forwarding.rs
@@ -164,8 +164,10 @@
     /// Picks the endpoint of the next attempt: for a suspect the gate that may run it, if it can be reached.
     fn pick(&self, node: &RoutedNode, call: &OutgoingCall) -> Option<PickedEndpoint> {
         if self.isolated_since.is_some() {
-            let others = gates_that_refuse_suspect(node, call);
-            if let Some(endpoint) = pick_endpoint(node, call, &others) {
+            let mut excluded = gates_that_refuse_suspect(node, call);
+            // One that has just refused it is not asked again before the next pause.
+            excluded.extend(&self.tried_nodes);
+            if let Some(endpoint) = pick_endpoint(node, call, &excluded) {
                 return Some(endpoint);
             }
         }
