Keep the suspects of the last crashes before those with a higher score

Its log shows known_crashes 0 at each run, also at a node that had lost its server under it. With 300 in flight at a crash its score is 3 of 1,000; the table of 1,024 was full of suspects of earlier crashes, with higher scores and mostly never sent again, and the new one was the first to be evicted.

Entries are evicted by age now: quarantined ones stay, then those of the last minute, of these the ones with more crashes. The new test fails before. 32 are evicted at once, since a sort for each of hundreds would take milliseconds.

--- a/crates/kumquatquay-core/src/quarantine/attribution.rs
+++ b/crates/kumquatquay-core/src/quarantine/attribution.rs
@@ -162,7 +162,7 @@
     suspects.truncate(CrashReport::SUSPECTS_LIMIT_COUNT);
     for suspect in &suspects {
         let fingerprint = suspect.fingerprint;
-        let entry = board.quarantine.get_or_insert(fingerprint);
+        let entry = board.quarantine.get_or_insert(now.monotonic, fingerprint);
         let earlier = entry.evidence_at(now.monotonic, &service);
         let score_milli = repeated
             .score_milli(earlier.crashes_count)
--- a/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
+++ b/crates/kumquatquay-core/src/quarantine/quarantine_entry.rs
@@ -14,6 +14,9 @@
 /// until that crash is cleared. A request that crashes servers in some of its runs ends others well.
 const ANSWERS_TO_CLEAR_COUNT: u32 = 10;
 
+/// How long the suspects of a crash stay before those of later ones.
+const RECENT_TIME: Duration = Duration::from_secs(60);
+
 /// Crashes without room in a record that are remembered.
 const DROPPED_LIMIT_COUNT: usize = 64;
 
@@ -87,8 +90,7 @@
         &self.record.ran_at
     }
 
-    /// Priority for gossip and against eviction: quarantined fingerprints first, then by how
-    /// likely they caused the crashes.
+    /// Priority for gossip: quarantined fingerprints first, then by how likely they caused the crashes.
     pub(crate) fn priority(&self) -> (bool, usize, u32) {
         let evidence = self.record.evidence();
         (
@@ -98,15 +100,27 @@
         )
     }
 
+    /// Priority against eviction: quarantined fingerprints first, then those of the last crashes.
+    ///
+    /// A request that crashes servers among hundreds in flight has a low score at each, and most of the others
+    /// never come again.
+    pub(crate) fn retention_priority(&self, now: Duration) -> (bool, bool, usize, Duration) {
+        let evidence = self.record.evidence();
+        let is_recent = now < self.last_crash_known_at() + RECENT_TIME;
+        let crashes_count = evidence.crashes_count;
+        (
+            evidence.is_quarantined(),
+            is_recent,
+            crashes_count,
+            self.expires,
+        )
+    }
+
     /// When this node last learnt of a crash, on the monotonic clock.
     pub(crate) fn last_crash_known_at(&self) -> Duration {
         self.known_since.values().copied().max().unwrap_or_default()
     }
 
-    pub(crate) fn expires(&self) -> Duration {
-        self.expires
-    }
-
     /// Time until it expires.
     pub(crate) fn remaining(&self, now: Duration) -> Duration {
         self.expires.saturating_sub(now)
--- a/crates/kumquatquay-core/src/quarantine/quarantine_table.rs
+++ b/crates/kumquatquay-core/src/quarantine/quarantine_table.rs
@@ -16,6 +16,9 @@
 /// Most fingerprints with an entry at one node.
 const ENTRIES_LIMIT_COUNT: usize = 1_024;
 
+/// Entries that are evicted from a full table at once.
+const EVICTED_COUNT: usize = 32;
+
 /// Requests that are suspected of crashing backend servers, and what led to the suspicion.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct QuarantineTable {
@@ -73,20 +76,27 @@
 
     /// The entry of a fingerprint; a new one if there is none.
     ///
-    /// If the table is full, the entry of the lowest priority is evicted, of several the one
-    /// that expires first: unrelated requests go before likely causes of a crash.
-    pub(crate) fn get_or_insert(&mut self, fingerprint: Fingerprint) -> &mut QuarantineEntry {
+    /// If the table is full, entries of the lowest [`QuarantineEntry::retention_priority`] are evicted.
+    pub(crate) fn get_or_insert(
+        &mut self,
+        now: Duration,
+        fingerprint: Fingerprint,
+    ) -> &mut QuarantineEntry {
         if self.entries.len() >= ENTRIES_LIMIT_COUNT && !self.entries.contains_key(&fingerprint) {
-            self.evict_lowest_priority();
+            self.evict_lowest_priority(now);
         }
         let new = || QuarantineEntry::new(fingerprint);
         self.entries.entry(fingerprint).or_insert_with(new)
     }
 
-    fn evict_lowest_priority(&mut self) {
+    /// Evicts several at once: a crash may bring hundreds of new ones.
+    fn evict_lowest_priority(&mut self, now: Duration) {
         let entries = self.entries.iter();
-        let least = entries.min_by_key(|(_, entry)| (entry.priority(), entry.expires()));
-        if let Some(key) = least.map(|(key, _)| *key) {
+        let mut keys: Vec<_> = entries
+            .map(|(key, entry)| (entry.retention_priority(now), *key))
+            .collect();
+        keys.sort_unstable();
+        for (_, key) in keys.into_iter().take(EVICTED_COUNT) {
             self.entries.remove(&key);
         }
     }
--- a/crates/kumquatquay-core/src/quarantine/records.rs
+++ b/crates/kumquatquay-core/src/quarantine/records.rs
@@ -50,7 +50,7 @@
         return;
     }
     let fingerprint = record.fingerprint;
-    let entry = board.quarantine.get_or_insert(fingerprint);
+    let entry = board.quarantine.get_or_insert(now.monotonic, fingerprint);
     entry.merge(now.monotonic, record);
     if !ran_lately(board, now, fingerprint) {
         return;
@@ -58,7 +58,7 @@
     let Some(service) = own_service(board) else {
         return;
     };
-    let entry = board.quarantine.get_or_insert(fingerprint);
+    let entry = board.quarantine.get_or_insert(now.monotonic, fingerprint);
     let was_strong = entry.evidence_at(now.monotonic, &service).is_strong();
     if entry.add_ran_well_at(&service) && was_strong {
         let services = told_services(board);
@@ -99,7 +99,7 @@
     let evidence = entry.evidence_at(now.monotonic, service);
     let has_changed = board
         .quarantine
-        .get_or_insert(fingerprint)
+        .get_or_insert(now.monotonic, fingerprint)
         .clear_at(service, ran.started);
     if has_changed && evidence.is_strong() {
         let crashes_count = evidence.crashes_count;
@@ -201,7 +201,7 @@
     }
     let mut services: BTreeSet<ServiceName> = told_services(board);
     services.insert(service.clone());
-    let entry = board.quarantine.get_or_insert(fingerprint);
+    let entry = board.quarantine.get_or_insert(now.monotonic, fingerprint);
     let crashes = entry.crashes().iter();
     services.extend(crashes.map(|crash| crash.service.clone()));
     entry.clear();
--- a/crates/kumquatquay-core/tests/crashing_runs/one_service.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs/one_service.rs
@@ -44,6 +44,23 @@
         }
     }
 
+    /// Earlier crashes have left more suspects than a table holds, each with a higher score: the request to blame
+    /// for the next crashes was the first to be forgotten.
+    a_request_among_others_is_refused_after_many_were_suspected: |gates| {
+        for crash in 0..24 {
+            gates.crash(crash as usize % 4, &innocents(crash * 60, 60));
+            gates.revive(crash as usize % 4);
+        }
+        for crash in 0..3 {
+            let mut running = innocents(10_000 + crash * 250, 250);
+            running.push(CRASHING);
+            gates.crash(crash as usize, &running);
+            gates.revive(crash as usize);
+        }
+        gates.mesh.run(SETTLING);
+        assert!(gates.are_refused(CRASHING));
+    }
+
     /// Two paths are in flight whenever a server ends, and have had no time to end a run. One of them is to
     /// blame, and the other was refused with it for an hour.
     a_request_in_flight_at_each_crash_of_another_is_isolated: |gates| {
