Count crashes of all parts of a split towards isolation once one of the service counts

That it ran well somewhere speaks against crashes elsewhere, so that a new version's crashes don't refuse a path at the old one; it did so until a crash there named the request alone.

From the first crash there on, the others count with it, without their scores: it runs one at a time there, and at one gate from three on.

--- a/crates/kumquatquay-core/tests/crashing_runs/gates.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs/gates.rs
@@ -179,13 +179,22 @@
 
     /// Two gates of each of two services, in three data centres; routes are split over them.
     pub(crate) fn start_split(seed: u64) -> Self {
-        let mut gates = Self::start_large(seed, 2, 2);
+        Self::start_split_over(seed, &[SERVICE, OTHER_SERVICE])
+    }
+
+    /// Two gates of each service, in three data centres; routes are split over them.
+    pub(crate) fn start_split_over(seed: u64, services: &[&str]) -> Self {
+        let mut gates = Self::start_large(seed, 2, services.len() * 2 - 2);
         gates.gates_count = gates.controls.len();
-        for (gate, sibling) in [(0, 2), (1, 2), (2, 0), (3, 0)] {
-            let sibling = String::from([SERVICE, OTHER_SERVICE][sibling / 2]);
-            let input = Input::SiblingServices(vec![sibling]);
-            gates.mesh.handle(gates.controls[gate], input);
+        for gate in 0..gates.gates_count {
+            let own = services[gate / 2];
+            let others = services.iter().filter(|other| **other != own);
+            let input = Input::SiblingServices(others.map(|other| String::from(*other)).collect());
+            let control = gates.controls[gate];
+            gates.mesh.announce(control, own, MemberState::Serving);
+            gates.mesh.handle(control, input);
         }
+        gates.mesh.run(Duration::from_secs(2));
         gates
     }
 
--- a/crates/kumquatquay-core/tests/crashing_runs/split_routes.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs/split_routes.rs
@@ -7,6 +7,11 @@
 
 use crate::gates::{CRASHING, FIRST_INNOCENT, Gates, OTHER_SERVICE, SERVICE, SETTLING, innocents};
 
+/// Services of a split with two gates each, and how often a request is sent there.
+const SERVICES: [&str; 3] = [SERVICE, OTHER_SERVICE, "survey"];
+const GATES_COUNT: usize = 6;
+const SENDS_COUNT: usize = 30;
+
 macro_rules! split_routes {
     ($($(#[$failure:meta])* $name:ident: |$gates:ident| $test:block)*) => {
         $($(#[$failure])* #[test] fn $name() {
@@ -99,3 +104,29 @@
         assert!(gates.are_run(path));
     }
 }
+
+/// It ran well at all parts of a split until a moment, and each part went on to count its own crashes alone.
+#[test]
+fn a_request_that_ran_well_at_all_parts_of_a_split_is_refused() {
+    let mut gates = Gates::start_split_over(53, &SERVICES);
+    for gate in 0..GATES_COUNT {
+        assert_eq!(gates.run(gate, CRASHING), RunVerdict::Run);
+    }
+    let mut crashes: Vec<Duration> = Vec::new();
+    for send in 0..SENDS_COUNT {
+        let gate = send * 2 % GATES_COUNT + send * 2 / GATES_COUNT % 2;
+        let innocent = FIRST_INNOCENT + send as u64;
+        if gates.crash(gate, &[CRASHING, innocent]) == 2 {
+            crashes.push(gates.mesh.now);
+        }
+        gates.revive_as(gate, SERVICES[gate / 2]);
+    }
+    let late = crashes.iter().filter(|at| **at > crashes[2] + SETTLING);
+    let late_count = late.count();
+    assert!(
+        late_count <= 3,
+        "{late_count} late runs of {}",
+        crashes.len()
+    );
+    assert!(gates.are_refused(CRASHING));
+}
--- a/crates/kumquatquay-wire/src/control/quarantine_record.rs
+++ b/crates/kumquatquay-wire/src/control/quarantine_record.rs
@@ -70,19 +70,24 @@
     /// Evidence that counts at a service.
     ///
     /// A request that crashes the backend servers of one service is taken to crash those of others, to
-    /// which its route may be split or moved, until it runs well there. That speaks for it no more once a
-    /// crash there names it alone.
+    /// which its route may be split or moved, until it runs well there. Once a crash there counts too, those of
+    /// others count with it, but without their scores; with them once a crash there names it alone.
     pub fn evidence_at(&self, service: &str) -> Evidence {
-        let has_run = self.ran_at.iter().any(|ran_at| ran_at == service);
-        let mut there = self.counting_crashes();
-        let runs_well = has_run
-            && !there.any(|crash| {
-                crash.service == service && crash.score_milli >= Evidence::RAN_WELL_SCORE_MILLI
-            });
-        let crashes = self.counting_crashes();
-        crashes
-            .filter(|crash| !runs_well || crash.service == service)
-            .collect()
+        if !self.ran_at.iter().any(|ran_at| ran_at == service) {
+            return self.evidence();
+        }
+        let is_there = |crash: &&Crash| crash.service == service;
+        let there: Evidence = self.counting_crashes().filter(is_there).collect();
+        if there.crashes_count == 0 {
+            return there;
+        }
+        if there.alone_count > 0 {
+            return self.evidence();
+        }
+        Evidence {
+            crashes_count: self.counting_crashes().count(),
+            ..there
+        }
     }
 
     /// Evidence that counts at a service at which it hasn't run.
