Let a crash name a request that ran well only if its run knew of all its crashes

Two crashes had named it alone.

The second run had begun before the first of these crashes was known, so it is one more of the same moment. Such a crash has no score now. The new test fails before (Refuse at all gates) and holds now; requests that always crash servers are refused as before.

--- a/crates/kumquatquay-core/src/quarantine/attribution.rs
+++ b/crates/kumquatquay-core/src/quarantine/attribution.rs
@@ -276,7 +276,11 @@
 /// A request that may be to blame for a death.
 struct Suspect {
     fingerprint: Fingerprint,
+    /// Whether a run of it was isolated.
     is_isolated: bool,
+    /// Whether no crash of it became known since that run began. Several gates may run it at the same moment,
+    /// and lose their servers under others.
+    knew_all: bool,
     ran_lately: bool,
 }
 
@@ -286,7 +290,7 @@
     /// A path that many send is in flight at each crash, and has just run well. Whether it is to blame shows
     /// only by a crash under the one run that is allowed of it.
     fn weighed(&self, score_milli: u16) -> u16 {
-        let is_alone = self.is_isolated && score_milli >= Evidence::ALONE_SCORE_MILLI;
+        let is_alone = self.knew_all && score_milli >= Evidence::ALONE_SCORE_MILLI;
         match (self.ran_lately, is_alone) {
             (false, _) => score_milli,
             (true, true) => Evidence::RAN_WELL_SCORE_MILLI,
@@ -302,13 +306,20 @@
     in_flight: Vec<InFlightRequest>,
     out: &mut Vec<Output>,
 ) -> Vec<Suspect> {
+    let table = &board.quarantine;
     let isolated = in_flight.iter().filter(|request| request.is_isolated);
-    let isolated: BTreeSet<Fingerprint> = isolated.map(|request| request.fingerprint).collect();
-    let recent_runs = &board.quarantine.recent_runs;
+    let knew_all = isolated.clone().filter(|request| {
+        let entry = table.get(request.fingerprint);
+        entry.is_none_or(|entry| entry.last_crash_known_at() <= request.started)
+    });
+    let fingerprints_of = |request: &InFlightRequest| request.fingerprint;
+    let knew_all: BTreeSet<Fingerprint> = knew_all.map(fingerprints_of).collect();
+    let isolated: BTreeSet<Fingerprint> = isolated.map(fingerprints_of).collect();
     let suspect = |fingerprint| Suspect {
         fingerprint,
         is_isolated: isolated.contains(&fingerprint),
-        ran_lately: recent_runs.contains(now.monotonic, fingerprint),
+        knew_all: knew_all.contains(&fingerprint),
+        ran_lately: table.recent_runs.contains(now.monotonic, fingerprint),
     };
     let fingerprints = fingerprints_latest_first(in_flight).into_iter();
     let suspects: Vec<Suspect> = fingerprints.map(suspect).collect();
--- a/crates/kumquatquay-core/tests/crashing_runs/one_service.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs/one_service.rs
@@ -123,6 +123,27 @@
         assert_eq!(gates.run(3, innocent), RunVerdict::Run);
     }
 
+    /// A path that many send is isolated, and its only runs at two gates are in flight when others end both servers, one
+    /// soon after the other: it was refused as named by two crashes.
+    a_path_that_many_send_outlives_two_ends_at_the_same_moment: |gates| {
+        let many = FIRST_INNOCENT;
+        for gate in 0..4 {
+            gates.run(gate, many);
+        }
+        for gate in [0, 1] {
+            gates.crash(gate, &[many, CRASHING + gate as u64]);
+        }
+        gates.mesh.run(Duration::from_millis(100));
+        let works = [2, 3].map(|gate| gates.begin_all(gate, &[many, CRASHING + gate as u64]));
+        for (gate, works) in [2, 3].into_iter().zip(&works) {
+            gates.mesh.run(Duration::from_millis(60));
+            gates.end_server(gate, works);
+        }
+        gates.mesh.run(Duration::from_millis(200));
+        let verdicts = gates.verdicts(many);
+        assert!(!verdicts.contains(&RunVerdict::Refuse), "{verdicts:?}");
+    }
+
     /// All that was in flight when a backend server ended ran one at a time, at one host.
     requests_in_flight_at_a_crash_run_together: |gates| {
         let running = innocents(0, 100);
