Give every request that was read its final answer before a stopping node ends

The cause: the stop waited for requests, but requests did not know of the stop. Each wait had its own end, most of them the deadline of the call, and the process had another.

Now the end of the grace is one event that each request at the entry waits for beside its answer. All times of the stop are counted with suspended time.

A time that is known makes early answers possible, so that callers can go elsewhere: calls tell other gates no more time than this node has, the own gate lets no run start that can't end, granted room is given back where a run would end too late, and a request that has no endpoint at a stopping node for 300 ms is refused. Calls of runs at the own backend server go on searching: their runs have no other node.

Ruled out: a check in each loop (the next wait that somebody adds would be forgotten), and handing requests on to another node (the callers' retries do that, for filings too, since 503 is a promise).

--- a/crates/kumquatquayd/src/routed/admission.rs
+++ b/crates/kumquatquayd/src/routed/admission.rs
@@ -13,7 +13,7 @@
     entry::retry_after,
     held_requests::{HoldResult, flow_key, hold},
     http_io::{BufferedBody, local_answer},
-    node::{RoutedNode, StopPhase},
+    node::RoutedNode,
     outgoing_call::OutgoingCall,
     request_log::log_request,
 };
@@ -154,7 +154,7 @@
 }
 
 fn may_hold(node: &RoutedNode) -> bool {
-    node.is_on(Mechanism::EntryHold) && node.stop_phase() == StopPhase::Serving
+    node.is_on(Mechanism::EntryHold) && !node.is_stopping()
 }
 
 /// Whether requests of one priority are admitted by an admission probability, and not by a random
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -44,12 +44,40 @@
 /// The body of a caller's request: still being received, or already in memory.
 pub(crate) type CallerBody = Either<Incoming, BufferedBody>;
 
-/// Serves one request: admits it, forwards it and returns the response.
+/// `Retry-After` of a request that gets its final answer before its route is known.
+const STOPPED_RETRY: Duration = Duration::from_millis(300);
+
+/// Serves one request: admits it, forwards it and returns the response. Whatever the request waits for, it gets
+/// its final answer when the grace period of a shutdown is used up.
 pub(crate) async fn serve_entry(
     node: Rc<RoutedNode>,
     request: Request<CallerBody>,
 ) -> Response<BufferedBody> {
-    let node = &node;
+    let may_have_run = MayHaveRun::default();
+    tokio::select! {
+        biased;
+        answer = serve_request(&node, request, &may_have_run) => answer,
+        () = node.grace_used_up() => final_answer(&node, &may_have_run),
+    }
+}
+
+/// The answer to a request that is still in progress when the grace period of a shutdown is used up.
+fn final_answer(node: &RoutedNode, may_have_run: &MayHaveRun) -> Response<BufferedBody> {
+    if may_have_run.get() {
+        node.metrics.count("failed", "stopping");
+        let text = "no answer before this node stops\n";
+        return local_answer(StatusCode::GATEWAY_TIMEOUT, None, text);
+    }
+    node.metrics.count("refused", "stopping");
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    local_answer(status, Some(STOPPED_RETRY), "this node stops\n")
+}
+
+async fn serve_request(
+    node: &Rc<RoutedNode>,
+    request: Request<CallerBody>,
+    may_have_run: &MayHaveRun,
+) -> Response<BufferedBody> {
     let received_at = node.now();
     let (mut parts, body) = request.into_parts();
     let metadata = (node.dialect.read_request)(&parts.headers);
@@ -95,6 +123,7 @@
         body,
         received_at,
         may_be_of_repeated_run,
+        may_have_run: may_have_run.clone(),
     };
     let call = match admit_request(node, &request, identified).await {
         RequestAdmission::Admitted(call) => call,
@@ -104,9 +133,12 @@
     drop(request);
     let token = token.spend();
     let admitted_at = node.now();
-    let wait = call.deadline.saturating_sub(node.now());
-    let forwarded = tokio::time::timeout(wait, forward(node, &call)).await;
-    if forwarded.as_ref().is_ok_and(LinkAnswer::is_success) {
+    let forwarded = tokio::select! {
+        biased;
+        answer = forward(node, &call) => Some(answer),
+        () = node.deadline_reached(call.deadline) => None,
+    };
+    if forwarded.as_ref().is_some_and(LinkAnswer::is_success) {
         let took = node.now().saturating_sub(admitted_at);
         let mut held = node.held_requests.borrow_mut();
         held.on_answer(&call.route.settings.name, took);
@@ -114,18 +146,18 @@
         count_failed_call(node, &call);
     }
     let forwarded = match forwarded {
-        Err(_) if !call.may_have_run.get() => Ok(LinkAnswer::not_run(NotRunReason::Late)),
+        None if !call.may_have_run.get() => Some(LinkAnswer::not_run(NotRunReason::Late)),
         forwarded => forwarded,
     };
     match forwarded {
-        Ok(answer) => {
+        Some(answer) => {
             let has_not_run = matches!(answer.outcome, LinkOutcome::NotRun(_));
             if let Some(token) = token.filter(|_| has_not_run) {
                 return_token(node, token);
             }
             build_response(node, &call, answer, received_at)
         }
-        Err(_) => {
+        None => {
             node.metrics.count("failed", "deadline");
             log_request_rate_limited(node, &call, "failed", "deadline", None, received_at);
             local_answer(StatusCode::GATEWAY_TIMEOUT, None, "no answer in time\n")
@@ -150,7 +182,7 @@
 /// A request accepted at the end of the grace period would be cut off when the node exits. Calls of
 /// the backend server are accepted until the last phase: they belong to requests in progress.
 fn is_refused_for_shutdown(node: &RoutedNode, route: &RouteEntry) -> bool {
-    if node.stop_phase() == StopPhase::Ending {
+    if node.stop_phase() >= StopPhase::Ending {
         return true;
     }
     let name = &route.settings.name;
@@ -223,6 +255,7 @@
     body: Bytes,
     received_at: Duration,
     may_be_of_repeated_run: bool,
+    may_have_run: MayHaveRun,
 }
 
 /// Result of the admission of a received request.
@@ -310,7 +343,7 @@
         is_of_local_run: Cell::default(),
         may_be_of_repeated_run: request.may_be_of_repeated_run,
         progress: Cell::new(Progress::default()),
-        may_have_run: MayHaveRun::default(),
+        may_have_run: request.may_have_run.clone(),
         known_fingerprint: OnceCell::new(),
     })
 }
--- a/crates/kumquatquayd/src/routed/forwarding.rs
+++ b/crates/kumquatquayd/src/routed/forwarding.rs
@@ -28,6 +28,10 @@
 /// Pause before an endpoint is picked again for a call that found none.
 const PICK_RETRY_PAUSE: Duration = Duration::from_millis(25);
 
+/// How long a request searches for an endpoint at a node that stops: long enough for one that could not be reached
+/// for a moment.
+const STOPPING_SEARCH_TIME: Duration = Duration::from_millis(300);
+
 /// How long a call waits in all for the gate that may run it, if it is suspected of crashes.
 const ISOLATED_WAIT: Duration = Duration::from_millis(300);
 
@@ -47,13 +51,14 @@
 pub(crate) async fn forward(node: &Rc<RoutedNode>, call: &OutgoingCall) -> LinkAnswer {
     let mut attempts = CallAttempts::default();
     loop {
-        if node.now() + MIN_ATTEMPT_TIME > call.deadline {
+        if node.now() + MIN_ATTEMPT_TIME > node.limit_deadline(call.deadline) {
             return attempts.finish(LinkAnswer::not_run(NotRunReason::Late));
         }
         if is_quarantined(node, call) {
             return attempts.finish(quarantined());
         }
         let Some(endpoint) = attempts.pick(node, call) else {
+            attempts.searches_since.get_or_insert(node.now());
             let reason = attempts.no_endpoint_reason(node, call);
             if attempts.can_pick_again(node, call) {
                 tokio::time::sleep(PICK_RETRY_PAUSE).await;
@@ -99,6 +104,8 @@
     /// Since when it waits for the gate that may run it, on the monotonic clock: a gate said that it is
     /// suspected of crashes.
     isolated_since: Option<Duration>,
+    /// When it first found no endpoint, on the monotonic clock.
+    searches_since: Option<Duration>,
 }
 
 enum RetryDecision {
@@ -255,7 +262,8 @@
             (self.progress.sends_count > 0).then_some(RepeatCause::Resent)
         };
         let settings = &call.route.settings;
-        let time_left = call.deadline.saturating_sub(node.now() + ANSWER_RESERVE);
+        let deadline = node.limit_deadline(call.deadline);
+        let time_left = deadline.saturating_sub(node.now() + ANSWER_RESERVE);
         let entry_admission = node.entry_admission.borrow();
         let level = entry_admission.level(node.now(), &call.service);
         let level = level.map_or(1.0, |(level, _)| level);
@@ -339,8 +347,22 @@
     /// Whether to search for an endpoint again after none was found: while enough time is left
     /// and the limit of refusals is not reached.
     fn can_pick_again(&self, node: &RoutedNode, call: &OutgoingCall) -> bool {
-        let has_time = node.now() + PICK_RETRY_PAUSE + MIN_ATTEMPT_TIME < call.deadline;
-        has_time && self.progress.refusals_count < REFUSALS_LIMIT_COUNT
+        let now = node.now();
+        let deadline = node.limit_deadline(call.deadline);
+        let has_time = now + PICK_RETRY_PAUSE + MIN_ATTEMPT_TIME < deadline;
+        has_time
+            && self.progress.refusals_count < REFUSALS_LIMIT_COUNT
+            && !(node.is_stopping() && self.should_search_elsewhere(node, call))
+    }
+
+    /// Whether the caller had better search for an endpoint at another node than at this one, which stops. The
+    /// run that made a call has no other node.
+    fn should_search_elsewhere(&self, node: &RoutedNode, call: &OutgoingCall) -> bool {
+        let may_be_of_local_run =
+            call.is_of_local_run.get() && node.gate_report().running_count > 0;
+        let now = node.now();
+        let since = self.searches_since.unwrap_or(now);
+        !may_be_of_local_run && now >= since + STOPPING_SEARCH_TIME
     }
 
     /// The answer for the caller. An error answer or an unknown outcome of an earlier attempt takes
--- a/crates/kumquatquayd/src/routed/gate_slot.rs
+++ b/crates/kumquatquayd/src/routed/gate_slot.rs
@@ -38,16 +38,31 @@
 
     /// The latest start with which the call may still end before its deadline. It is refused
     /// after that, while its sender can still report that it has not run.
+    ///
+    /// A shutdown of this node may bring it forward.
     pub(super) fn latest_start(&self, node: &RoutedNode) -> Duration {
         let run_time = node.gate.borrow().run_times().estimate(self.call.route);
-        self.deadline
-            .saturating_sub(run_time.mul_f64(MIN_RUN_TIME_RATIO))
+        let deadline = node.limit_deadline(self.deadline);
+        deadline.saturating_sub(run_time.mul_f64(MIN_RUN_TIME_RATIO))
+    }
+
+    /// Waits until it is too late for the call to start.
+    async fn too_late(&self, node: &RoutedNode) {
+        if !node.is_stopping() {
+            let wait = self.latest_start(node).saturating_sub(node.now());
+            tokio::select! {
+                () = tokio::time::sleep(wait) => return,
+                () = node.stop_requested() => {}
+            }
+        }
+        let wait = self.latest_start(node).saturating_sub(node.now());
+        tokio::time::sleep(wait).await;
     }
 }
 
 /// Part of the mean run time of its route that must be left before a call's deadline when the
 /// call starts.
-const MIN_RUN_TIME_RATIO: f64 = 0.5;
+pub(super) const MIN_RUN_TIME_RATIO: f64 = 0.5;
 
 /// Interval at which the admission level of the gate is updated.
 const LEVEL_INTERVAL: Duration = Duration::from_millis(100);
@@ -168,16 +183,17 @@
         node.limit_wait_started.notify_one();
     }
     let mut waiting = WaitingCall { node, key, granted };
-    let wait = timed.latest_start(node).saturating_sub(node.now());
-    match tokio::time::timeout(wait, &mut waiting.granted).await {
-        Ok(Ok(())) => {
-            let slot = RunSlot::new(node, timed);
-            check_runnable(node, timed)?;
-            Ok(slot)
-        }
-        Ok(Err(_)) => Err(refusal_reason(node)),
-        Err(_) => Err(NotRunReason::Late),
+    let granted = tokio::select! {
+        biased;
+        granted = &mut waiting.granted => granted,
+        () = timed.too_late(node) => return Err(NotRunReason::Late),
+    };
+    if granted.is_err() {
+        return Err(refusal_reason(node));
     }
+    let slot = RunSlot::new(node, timed);
+    check_runnable(node, timed)?;
+    Ok(slot)
 }
 
 /// Why the gate refuses a call.
@@ -229,6 +245,9 @@
     if now + MIN_TIME_LEFT > timed.deadline {
         return Err(NotRunReason::Late);
     }
+    if node.is_stopping() && now > timed.latest_start(node) {
+        return Err(NotRunReason::Late);
+    }
     let lives = node.lives.borrow();
     let is_served = lives
         .current()
--- a/crates/kumquatquayd/src/routed/held_requests.rs
+++ b/crates/kumquatquayd/src/routed/held_requests.rs
@@ -11,7 +11,7 @@
 
 use super::{
     admission::{ClaimantShortage, PendingRequest, admission_probability},
-    node::{RoutedNode, StopPhase},
+    node::RoutedNode,
     outgoing_call::OutgoingCall,
 };
 
@@ -170,7 +170,7 @@
         }
         tokio::time::sleep(RELEASE_INTERVAL).await;
         let in_force = node.route_version();
-        if node.stop_phase() > StopPhase::Serving {
+        if node.is_stopping() {
             release_all(&node, HoldResult::Stopping);
         } else if std::mem::replace(&mut version, in_force) != in_force {
             release_all(&node, HoldResult::ConfigurationChanged);
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -95,6 +95,8 @@
     end_bytes: u64,
     /// Whether the peer may run the call only after this node has committed to it.
     needs_commit: bool,
+    /// Least time that its run takes.
+    min_run_time: Duration,
     may_have_run: MayHaveRun,
 }
 
@@ -113,6 +115,7 @@
     peer: SocketAddr,
     mut call: CallHead<'_>,
     payload: &Payload,
+    min_run_time: Duration,
     may_have_run: &MayHaveRun,
 ) -> LinkAnswer {
     let link = link_to(node, peer, payload.body.len());
@@ -134,6 +137,7 @@
         sent_at,
         end_bytes,
         needs_commit,
+        min_run_time,
         may_have_run: may_have_run.clone(),
     };
     link.pending.borrow_mut().insert(number, pending);
@@ -259,7 +263,7 @@
 fn on_frame(node: &Rc<RoutedNode>, link: &Rc<Link>, frame: &Frame<'_>) -> Result<(), WireError> {
     match frame.head()? {
         FrameHead::Answer(answer) => on_answer(node, link, answer, frame.payload()?),
-        FrameHead::Granted { number } => on_granted(link, number),
+        FrameHead::Granted { number } => on_granted(node, link, number),
         FrameHead::Pong {
             sync_state,
             asked_ms,
@@ -313,12 +317,24 @@
     }
 }
 
-/// Handles granted room for a call: commits to the call, unless it was cancelled.
-fn on_granted(link: &Link, number: CallNumber) {
-    if let Some(pending) = link.pending.borrow_mut().get_mut(&number) {
+/// Handles granted room for a call: commits to the call, unless it was cancelled, or its run would not end
+/// before this node does.
+fn on_granted(node: &RoutedNode, link: &Link, number: CallNumber) {
+    let mut open = link.pending.borrow_mut();
+    let Some(pending) = open.get_mut(&number) else {
+        return;
+    };
+    let ends_at = node.now() + pending.min_run_time;
+    let is_too_late = node.answers_due().is_some_and(|due| ends_at > due);
+    if !is_too_late {
         pending.needs_commit = false;
         pending.may_have_run.set();
         pending.end_bytes = link.frames.push(&FrameHead::Commit { number });
+        return;
+    }
+    if let Some(pending) = open.remove(&number) {
+        link.frames.push(&FrameHead::Cancel { number });
+        let _ = pending.answer.send(LinkAnswer::not_run(NotRunReason::Late));
     }
 }
 
--- a/crates/kumquatquayd/src/routed/local_run.rs
+++ b/crates/kumquatquayd/src/routed/local_run.rs
@@ -173,7 +173,8 @@
     slot: &mut RunSlot,
     arrival: Arrival,
 ) -> ForwardResult {
-    let mut time_left = timed.deadline.saturating_sub(node.now());
+    let deadline = node.limit_deadline(timed.deadline);
+    let mut time_left = deadline.saturating_sub(node.now());
     if arrival.is_repeat() {
         time_left = time_left.min(repeat_limit(node, timed.call.route));
     }
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -51,6 +51,7 @@
 mod route_demand_log;
 mod server_notices;
 mod settings;
+mod shutdown;
 mod start;
 mod started_request;
 mod store_polling;
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -176,6 +176,9 @@
     pub(crate) local_readers: RefCell<Vec<SocketAddr>>,
     /// Progress of the shutdown.
     pub(crate) stop: watch::Sender<StopPhase>,
+    /// When all requests get their final answers, on the clock that includes suspended time; `None` before a
+    /// shutdown is requested.
+    pub(super) answers_due_at: Cell<Option<Duration>>,
 }
 
 /// Progress of a shutdown.
@@ -189,6 +192,8 @@
     Closing,
     /// No work is in progress, and no new requests are accepted.
     Ending,
+    /// The grace period is used up: each request gets its final answer at once.
+    Expired,
 }
 
 /// Creates the gate of this host as the enabled mechanisms require.
@@ -295,6 +300,7 @@
             store_readers: Cell::default(),
             local_readers: RefCell::default(),
             stop: watch::Sender::new(StopPhase::Serving),
+            answers_due_at: Cell::new(None),
         })
     }
 
--- a/crates/kumquatquayd/src/routed/reports.rs
+++ b/crates/kumquatquayd/src/routed/reports.rs
@@ -15,7 +15,7 @@
     interface::BackendReport,
     members::announce_backend,
     metrics_text::metrics_text,
-    node::{RoutedNode, StopPhase},
+    node::RoutedNode,
 };
 
 /// Size limit of a report, in bytes; a report has about 300.
@@ -128,7 +128,7 @@
     if !(node.dialect.asks_readiness)(&parts) {
         return local_answer(StatusCode::NOT_FOUND, None, "not found\n");
     }
-    if can_serve(&node) && node.stop_phase() == StopPhase::Serving {
+    if can_serve(&node) && !node.is_stopping() {
         local_answer(StatusCode::OK, None, "ready\n")
     } else {
         local_answer(StatusCode::SERVICE_UNAVAILABLE, None, "not ready\n")
--- a/crates/kumquatquayd/src/routed/start.rs
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -1,11 +1,11 @@
 //! Runs a node with configured routes, from start to shutdown.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc};
 
 use eyre::WrapErr;
 use http::{Request, Response};
 use hyper::body::Incoming;
-use kumquatquay_core::{Input, Node, NodeSettings, routed::Mechanism};
+use kumquatquay_core::{Node, NodeSettings};
 use kumquatquay_wire::MeshKey;
 use rand::Rng;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -22,34 +22,18 @@
     members::{
         follow_members, join_through_register, reintroduce_to_gone_members, run_effects, run_ticks,
     },
-    node::{RoutedNode, StopPhase},
+    node::RoutedNode,
     operator::serve_operator,
     pipelining::serve_caller,
     quarantine_keeping::keep_quarantine,
     quotas::run_quota_loans,
     reports::{serve_metrics, serve_readiness, serve_report},
     settings::RoutedSettings,
+    shutdown::shut_down,
     store_polling::{fetch_configuration_from_peers, poll_store},
 };
 use crate::{clock::incarnation, control, engine::Engine};
 
-/// Time left of the grace period when the node ends, whatever is still in progress.
-const GRACE_MARGIN: Duration = Duration::from_millis(600);
-
-/// How long a node keeps its connections open after a request to stop. Callers notice through
-/// the readiness check, which they send once a second, and through each answer.
-const LEAVING_TIME: Duration = Duration::from_millis(2_800);
-
-/// Part of [`LEAVING_TIME`] in which a stopping node still accepts calls of other nodes for its
-/// backend server, which no other node can reach. After it, half a second is left for the news
-/// of the stop to spread, and more than half of the grace period for the accepted calls.
-/// Without this delay, when five of sixteen nodes stopped in turn, each service with three
-/// backend servers lacked one of them for 1.6 s longer.
-const DELAYED_SHUTDOWN_RATIO: f64 = 0.55;
-
-/// Interval at which a stopping node checks for work in progress.
-const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Runs a node until `stop` completes and the work in progress has ended.
 ///
 /// It must be called inside a `tokio` `LocalSet`, on whose thread it runs.
@@ -206,53 +190,3 @@
     let addresses = stream.peer_addr().ok().zip(stream.local_addr().ok());
     addresses.is_some_and(|(peer, own)| peer.ip().is_loopback() || peer.ip() == own.ip())
 }
-
-/// Shuts the node down: callers are asked to use other nodes, then connections close, and the
-/// node ends when no work is in progress, at the latest at the end of the grace period.
-async fn shut_down(node: &Rc<RoutedNode>) {
-    let grace = node.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
-    let started = node.now();
-    let deadline = started + grace;
-    log::info!(event = "stopping", grace_ms = grace.as_millis() as u64,
-        in_flight = node.in_flight_count.get() as u64;
-        "the node was requested to stop");
-    node.stop.send_replace(StopPhase::Leaving);
-    let leaving = LEAVING_TIME.min(grace);
-    let serving = if node.is_on(Mechanism::DelayedShutdown) {
-        leaving.mul_f64(DELAYED_SHUTDOWN_RATIO)
-    } else {
-        Duration::ZERO
-    };
-    tokio::time::sleep(serving).await;
-    let grace = grace.saturating_sub(serving);
-    node.engine.handle(Input::Stopping { grace });
-    // If the process was suspended meanwhile, the period isn't extended: requests accepted then
-    // would be cut off at the end of the grace period.
-    let remaining = (started + leaving).saturating_sub(node.now());
-    tokio::time::sleep(remaining).await;
-    node.stop.send_replace(StopPhase::Closing);
-    wait_until_idle(node, deadline).await;
-    log::info!(event = "stopped", cut = node.in_flight_count.get() as u64; "the node has stopped");
-}
-
-/// Waits until no work is in progress and the bytes of the last answer are written.
-///
-/// During the final check nothing is accepted, calls of backend servers included: they would be
-/// cut off at the end of the process while their runs go on elsewhere.
-async fn wait_until_idle(node: &RoutedNode, deadline: Duration) {
-    loop {
-        while is_busy(node) && node.now() < deadline {
-            tokio::time::sleep(STOP_CHECK_INTERVAL).await;
-        }
-        node.stop.send_replace(StopPhase::Ending);
-        tokio::time::sleep(STOP_CHECK_INTERVAL).await;
-        if !is_busy(node) || node.now() >= deadline {
-            return;
-        }
-    }
-}
-
-fn is_busy(node: &RoutedNode) -> bool {
-    let report = node.gate_report();
-    node.in_flight_count.get() > 0 || report.running_count + report.waiting_count > 0
-}
