Let a stopping node call its own backend server until its connections close

1.54 s after a request to stop a node tells all others to send it no more calls, and dropped its own backend server from its own choice with the same record.

The own record now keeps for the own choice the state that the backend server has reported, so a server that leaves or dies during the stop is left as at any other time.

--- a/crates/kumquatquayd/src/routed/members.rs
+++ b/crates/kumquatquayd/src/routed/members.rs
@@ -5,8 +5,8 @@
 use kumquatquay_core::{
     Announcement, BackendInput, Input,
     routed::{
-        LifeState, RegisterBootstrap, RegisterPageSummary, RegisterPosition, RegisterStep,
-        StoreReaders, register_position,
+        LifeReport, LifeState, RegisterBootstrap, RegisterPageSummary, RegisterPosition,
+        RegisterStep, StoreReaders, register_position,
     },
 };
 use kumquatquay_wire::{MemberState, MeshKey};
@@ -39,11 +39,7 @@
     let Some(current) = lives.current() else {
         return;
     };
-    let state = match current.state {
-        LifeState::Serving if current.warm_up_left.is_zero() => MemberState::Serving,
-        LifeState::Serving => MemberState::Warming,
-        LifeState::Draining | LifeState::Gone => MemberState::Draining,
-    };
+    let state = member_state(current);
     node.run_failures.borrow_mut().on_life(&current.life);
     let mut gate = node.gate.borrow_mut();
     gate.rate_limit_mut().on_life(&current.life);
@@ -62,13 +58,22 @@
     node.engine.handle(BackendInput::Announced(announcement));
 }
 
+/// State in the membership of a host whose backend server has reported this.
+fn member_state(report: &LifeReport) -> MemberState {
+    match report.state {
+        LifeState::Serving if report.warm_up_left.is_zero() => MemberState::Serving,
+        LifeState::Serving => MemberState::Warming,
+        LifeState::Draining | LifeState::Gone => MemberState::Draining,
+    }
+}
+
 /// Updates the load balancer when the members change.
 pub(crate) async fn follow_members(node: Rc<RoutedNode>) {
     let mut seen = None;
     loop {
-        let changed = node.engine.members_changed();
-        if seen != Some(changed) {
-            seen = Some(changed);
+        let current = (node.engine.members_changed(), own_state_at_stop(&node));
+        if seen != Some(current) {
+            seen = Some(current);
             refresh_members(&node);
         }
         node.backend.close_expired();
@@ -88,8 +93,18 @@
     }
 }
 
+/// State of the backend server of this host for the calls of this host, once this node stops; `None` before.
+///
+/// Other nodes are told that this one takes no calls any more. But it still reaches that server, and may be the only
+/// node that does.
+fn own_state_at_stop(node: &RoutedNode) -> Option<MemberState> {
+    let lives = node.lives.borrow();
+    let current = lives.current().filter(|_| node.is_stopping())?;
+    Some(member_state(current))
+}
+
 fn refresh_members(node: &RoutedNode) {
-    let members = node.engine.members();
+    let mut members = node.engine.members();
     let is_present = |state| state != MemberState::Gone;
     let present_count = members
         .iter()
@@ -117,6 +132,12 @@
     let local_readers = StoreReaders::in_data_centre(&settings.data_centre, members.iter());
     let local_readers = local_readers.into_iter().map(|reader| reader.peer);
     node.local_readers.replace(local_readers.collect());
+    if let Some(state) = own_state_at_stop(node) {
+        let mut members = members.iter_mut();
+        if let Some(member) = members.find(|member| member.control == own) {
+            member.state = state;
+        }
+    }
     let mut load_balancer = node.load_balancer.borrow_mut();
     load_balancer.rebuild(&node.settings.data_centre, members.iter());
 }
