Answer whole requests behind one another before a stopping node closes their connection

A stopping node put `Connection: close` on the answer to the last request that it had started ahead of its turn. Whole requests behind it, such as filings, which aren't started ahead, were in its memory and were dropped with the connection: of four pipelined filings one was answered. Their callers can't tell whether these ran.

Whatever was read whole is answered now before the connection closes. What arrives after the request to stop stays unread in the socket, as before; only the end of the stream is noticed there, so that callers who leave are still seen. A connection is closed early only between two requests.

--- a/crates/kumquatquayd/src/routed/caller_connection.rs
+++ b/crates/kumquatquayd/src/routed/caller_connection.rs
@@ -22,7 +22,7 @@
     caller_identity::find_route,
     entry::CallerBody,
     http_io::{BufferedBody, CallerAddress},
-    node::{RoutedNode, StopPhase},
+    node::RoutedNode,
     request_frame::{Framing, RequestFrame, frame_request, has_head_end, parse_complete_request},
     started_request::{HeldBytesGuard, InFlightGuard, StartedRequest},
 };
@@ -136,6 +136,8 @@
     ReadAhead(usize),
     /// Neither forwards nor buffers bytes.
     Wait,
+    /// Leaves all bytes in the socket, and only notices the end of its stream.
+    AwaitEnd,
 }
 
 /// Where the request and its answer come from when the HTTP library has read a head.
@@ -148,6 +150,14 @@
     Streamed,
 }
 
+/// Whether there is a whole request behind the one that is forwarded or answered, and behind those that were
+/// started.
+fn has_whole_request(state: &PipelineState) -> bool {
+    let unread = &state.unread[state.started_bytes..];
+    let is_whole = |frame: RequestFrame| frame.size_bytes() <= unread.len() as u64;
+    matches!(frame_request(unread), Framing::Known(frame) if is_whole(frame))
+}
+
 impl CallerConnection {
     pub(crate) fn new(node: Rc<RoutedNode>, caller: Option<SocketAddr>) -> Rc<Self> {
         let phase = if node.is_on(Mechanism::Pipelining) {
@@ -200,6 +210,8 @@
                 }
                 // The HTTP library wants more bytes of a request that seemed to be complete.
                 Phase::Forwarded => self.disable_pipelining(&mut state),
+                // What arrives now is left unread, since the connection closes soon.
+                Phase::Answering if self.node.is_stopping() => return ReadAction::AwaitEnd,
                 Phase::Answering => {
                     self.start_buffered(&mut state);
                     return match READ_AHEAD_LIMIT_BYTES.saturating_sub(unread_bytes) {
@@ -354,7 +366,7 @@
     fn may_read_ahead(&self, state: &PipelineState) -> bool {
         state.unread.len() > state.started_bytes
             && state.missing.may_be_complete(&state.unread)
-            && self.node.stop_phase() == StopPhase::Serving
+            && !self.node.is_stopping()
             && self.node.held_answers.get().has_room_for_pipelined()
             && state.pipeline.can_read_ahead(self.held_bytes.get())
     }
@@ -423,13 +435,16 @@
     pub(crate) fn on_answered(&self, answer: &Response<BufferedBody>) -> bool {
         *self.writing.borrow_mut() = Some(HeldBytesGuard::new(&self.node, answer));
         let mut state = self.state.borrow_mut();
-        state.phase = match state.phase {
-            Phase::Answering => Phase::Idle,
-            // The HTTP library reads the rest of the body, or closes the connection.
-            _ => Phase::PassThrough,
+        // Otherwise the HTTP library reads the rest of the body, or closes the connection.
+        let is_read_whole = state.phase == Phase::Answering;
+        state.phase = if is_read_whole {
+            Phase::Idle
+        } else {
+            Phase::PassThrough
         };
-        let is_stopping = self.node.stop_phase() > StopPhase::Serving;
-        state.pipeline.on_answered(is_stopping)
+        let has_other = is_read_whole && has_whole_request(&state);
+        let wants_close = self.node.is_stopping() && !has_other;
+        state.pipeline.on_answered(wants_close)
     }
 
     /// Ends the accounting of the answer, since all of its bytes are written.
@@ -451,9 +466,16 @@
         *self.writing.borrow_mut() = None;
     }
 
-    /// Whether no started request waits for the HTTP library to read it.
-    pub(crate) fn is_pipeline_empty(&self) -> bool {
-        self.state.borrow().pipeline.started_count() == 0
+    /// Whether the connection may be closed when the HTTP library has answered the request that it has read:
+    /// no other request has been read whole, and none may be read meanwhile.
+    pub(crate) fn may_close(&self) -> bool {
+        let state = self.state.borrow();
+        match state.phase {
+            Phase::Idle | Phase::PassThrough => {
+                state.pipeline.started_count() == 0 && !has_whole_request(&state)
+            }
+            Phase::Forwarding { .. } | Phase::Forwarded | Phase::Answering => false,
+        }
     }
 
     /// Whether the caller has closed the connection.
--- a/crates/kumquatquayd/src/routed/pipelining.rs
+++ b/crates/kumquatquayd/src/routed/pipelining.rs
@@ -76,8 +76,8 @@
     tokio::select! {
         _ = &mut connection => {}
         () = closing => {
-            // Otherwise the connection closes after the last answer that is in progress.
-            if caller_connection.is_pipeline_empty() {
+            // Otherwise the connection closes after the last answer to what was read.
+            if caller_connection.may_close() {
                 Pin::new(&mut connection).graceful_shutdown();
             }
             // Errors on a caller's connection concern only the caller.
@@ -232,6 +232,18 @@
         Poll::Ready(Ok(buffer.filled().len()))
     }
 
+    /// Waits for the end of the socket's stream, unless there are bytes before it.
+    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut byte = [MaybeUninit::uninit()];
+        let mut buffer = ReadBuf::uninit(&mut byte);
+        let peeked_bytes = std::task::ready!(self.stream.poll_peek(context, &mut buffer))?;
+        if peeked_bytes > 0 {
+            return Poll::Pending;
+        }
+        self.caller_connection.on_end();
+        Poll::Ready(Ok(()))
+    }
+
     /// Forwards bytes from the socket directly to the HTTP library.
     fn poll_forward_directly(
         &mut self,
@@ -267,6 +279,7 @@
                     return Poll::Ready(Ok(()));
                 }
                 ReadAction::Wait => return Poll::Pending,
+                ReadAction::AwaitEnd => return io.poll_end(context),
                 ReadAction::Read => READ_CHUNK_BYTES,
                 ReadAction::ReadAhead(room_bytes) => room_bytes,
             };
