Answer the calls of a node with intents when its grace is over

A node with intents let its grace run out, said `grace_ran_out` and ended its tasks: callers whose calls were under way saw their connections end, and work in its queue ended without a word on whether it ran.

The core now ends each call with what is known of it before it tells the process to stop: not run while nothing was sent, unknown while an attempt is under way, and for operations what their claim says. Queued work is refused as not run, a call that arrives after that as well. The listeners have a second to write these answers, as before. A command of an operator that waits for the log gets the answer that it would get after a minute.

Found by reading, without a run that shows it: three answers of the node itself that stand for a lost outcome bore `kumquatquay-outcome: not-run`. They say `unknown` now.

--- a/crates/kumquatquay-core/src/call/arrival.rs
+++ b/crates/kumquatquay-core/src/call/arrival.rs
@@ -17,6 +17,7 @@
 use crate::{
     Blackboard, CallArrived, CallId, CallOrigin, Counter, Moment, Output, Refusal,
     configuration::{self, Classification},
+    membership,
     operations::OperationCall,
     overload::{self, Ledger, ServiceId},
     quarantine::{self, Verdict},
@@ -50,6 +51,10 @@
         refuse_unregistered(board, id, refusals::node_full(), out);
         return;
     }
+    if membership::has_stopped(board) {
+        refuse_unregistered(board, id, refusals::node_stops(), out);
+        return;
+    }
     let call = new_call(board, now, arrived);
     if matches!(call.arrived.origin, CallOrigin::Outside { .. }) {
         configuration::observe_call(board, &call.caller, &call.arrived.service);
--- a/crates/kumquatquay-core/src/call/call_table.rs
+++ b/crates/kumquatquay-core/src/call/call_table.rs
@@ -109,6 +109,13 @@
         self.calls.len()
     }
 
+    /// Returns all calls, ordered by id.
+    pub(super) fn ids(&self) -> Vec<CallId> {
+        let mut ids: Vec<_> = self.calls.keys().copied().collect();
+        ids.sort_unstable();
+        ids
+    }
+
     /// Returns the calls whose deadline passed more than [`EXPIRY_GRACE`] ago, ordered by id.
     pub(super) fn expired(&self, now: Duration) -> Vec<CallId> {
         let calls = self.calls.iter();
--- a/crates/kumquatquay-core/src/call/ending.rs
+++ b/crates/kumquatquay-core/src/call/ending.rs
@@ -440,6 +440,27 @@
     }
 }
 
+/// Ends all calls when the grace period of this node is over; the caller of each learns what is known of it.
+pub(crate) fn finish_all(board: &mut Blackboard, now: Moment, out: &mut Vec<Output>) {
+    for id in board.calls.ids() {
+        let Some(call) = board.calls.calls.get(&id) else {
+            continue;
+        };
+        let ending = CallEnding::Refuse(refusals::grace_over(outcome_so_far(board, call)));
+        finish(board, now, id, ending, out);
+    }
+}
+
+/// Outcome of a call that is ended now.
+fn outcome_so_far(board: &Blackboard, call: &Call) -> Outcome {
+    let unanswered = match (&call.attempt, &call.operation) {
+        (Some(_), _) => Outcome::Unknown,
+        (None, Some(operation)) => operations::outcome_if_not_sent(board, operation),
+        (None, None) => Outcome::NotRun,
+    };
+    combine_outcomes(call.outcome, unanswered)
+}
+
 /// Returns the unspent retries of a call that another node sent to this node as the home of an
 /// operation.
 fn return_unspent_retries(
--- a/crates/kumquatquay-core/src/call/mod.rs
+++ b/crates/kumquatquay-core/src/call/mod.rs
@@ -10,4 +10,4 @@
 pub(crate) use attempt::resume;
 pub(crate) use call_table::{Call, CallTable};
 pub(crate) use controller::{on_input, on_tick};
-pub(crate) use ending::cancel_for_work;
+pub(crate) use ending::{cancel_for_work, finish_all};
--- a/crates/kumquatquay-core/src/call/refusals.rs
+++ b/crates/kumquatquay-core/src/call/refusals.rs
@@ -23,6 +23,22 @@
     )
 }
 
+pub(super) fn node_stops() -> Refusal {
+    not_run(RefusalReason::Leaving, "this node is stopping")
+}
+
+/// For a call that is under way when the grace period of its node is over.
+pub(super) fn grace_over(outcome: Outcome) -> Refusal {
+    if outcome == Outcome::NotRun {
+        return node_stops();
+    }
+    without_retry_after(
+        RefusalReason::Broken,
+        outcome,
+        "this node stopped before there was an answer",
+    )
+}
+
 pub(super) fn retries_exhausted() -> Refusal {
     not_run(
         RefusalReason::RetriesSpent,
--- a/crates/kumquatquay-core/src/gate/admission.rs
+++ b/crates/kumquatquay-core/src/gate/admission.rs
@@ -155,8 +155,21 @@
 
 /// Refuses all queued work, because the backend server is gone.
 pub(super) fn refuse_all(board: &mut Blackboard, out: &mut Vec<Output>) {
+    refuse_queue(board, NO_BACKEND_SERVER, out);
+}
+
+/// Refuses all queued work, because this node ends.
+pub(crate) fn refuse_all_at_end(board: &mut Blackboard, out: &mut Vec<Output>) {
+    refuse_queue(board, LEAVING, out);
+}
+
+fn refuse_queue(
+    board: &mut Blackboard,
+    reason: (RefusalReason, &'static str),
+    out: &mut Vec<Output>,
+) {
     for (id, work) in board.gate.queue.withdraw_all() {
-        refuse(board, id, &work, NO_BACKEND_SERVER, out);
+        refuse(board, id, &work, reason, out);
     }
 }
 
--- a/crates/kumquatquay-core/src/gate/mod.rs
+++ b/crates/kumquatquay-core/src/gate/mod.rs
@@ -9,6 +9,7 @@
 mod gate_table;
 mod work;
 
+pub(crate) use admission::refuse_all_at_end;
 use caller_limits::CallerLimits;
 use concurrency_limit::ConcurrencyLimit;
 pub(crate) use controller::{on_backend, on_input, on_tick};
--- a/crates/kumquatquay-core/src/membership/draining.rs
+++ b/crates/kumquatquay-core/src/membership/draining.rs
@@ -5,7 +5,7 @@
 use kumquatquay_wire::{ControlBody, MemberState, OperatorReply};
 
 use super::{gossip, merge, sender};
-use crate::{Blackboard, Moment, Note, Output};
+use crate::{Blackboard, Moment, Note, Output, call, gate};
 
 /// How long a node that stops keeps running at least, even if nothing is under way.
 ///
@@ -79,8 +79,14 @@
     out.push(Output::Note(Note::info("stopping", detail)));
 }
 
+/// Whether the stop is complete, so that nothing that arrives now would be answered in time.
+pub(crate) fn has_stopped(board: &Blackboard) -> bool {
+    let stop = board.membership.drain_state.stop.as_ref();
+    stop.is_some_and(|stop| stop.is_done)
+}
+
 /// Completes a stop once nothing is under way and [`MIN_DRAIN_TIME`] has passed, or once the
-/// grace period is over.
+/// grace period is over. What is still under way then gets its final answer.
 pub(super) fn on_tick(board: &mut Blackboard, now: Moment, out: &mut Vec<Output>) {
     let under_way_count = under_way_count(board);
     let Some(stop) = board.membership.drain_state.stop.as_mut() else {
@@ -100,6 +106,8 @@
         let detail = format!("the grace period ended with {under_way_count} requests under way");
         out.push(Output::Note(Note::warn("grace_ran_out", detail)));
     }
+    call::finish_all(board, now, out);
+    gate::refuse_all_at_end(board, out);
     merge::change_own(board, now, |own| own.state = MemberState::Gone);
     send_departure(board, now, out);
     out.push(Output::StopNow {
--- a/crates/kumquatquay-core/src/membership/mod.rs
+++ b/crates/kumquatquay-core/src/membership/mod.rs
@@ -24,7 +24,7 @@
 pub(crate) use candidate::Candidate;
 pub(crate) use controller::{on_backend, on_bulk, on_datagram, on_seeds, on_tick};
 pub(crate) use data_centre_view::DataCentreView;
-pub(crate) use draining::{drain, on_stopping, undrain};
+pub(crate) use draining::{drain, has_stopped, on_stopping, undrain};
 pub(crate) use member_table::MemberTable;
 pub(crate) use seed_log::{on_log, owns};
 pub(crate) use sender::{send_crash_rumours, send_other_rumours};
--- a/crates/kumquatquay-core/tests/leaving.rs
+++ b/crates/kumquatquay-core/tests/leaving.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, SystemTime};
 
 use kumquatquay_core::{
-    Announcement, AttemptEnded, AttemptResult, BackendInput, CallArrived, CallInput, CallOrigin,
-    Input, Moment, Node, NodeSettings, Output, RefusalReason, StartAttempt, WorkInput, WorkResult,
+    Announcement, AttemptEnded, AttemptResult, BackendInput, CallArrived, CallEnding, CallInput,
+    CallOrigin, Input, Moment, Node, NodeSettings, Output, RefusalReason, StartAttempt, WorkInput,
+    WorkResult,
 };
 use kumquatquay_wire::{MemberState, MeshKey, Outcome};
 
@@ -66,6 +67,15 @@
 
     /// A call from outside that comes out at this host's own backend server.
     fn call(&mut self) -> StartAttempt {
+        self.arrive();
+        let mut starts = self.outputs.iter().filter_map(|output| match output {
+            Output::StartAttempt(start) => Some(start.clone()),
+            _ => None,
+        });
+        starts.next().expect("an attempt starts")
+    }
+
+    fn arrive(&mut self) {
         self.handle(Input::Call(CallInput::Arrived(CallArrived {
             call: 1,
             origin: CallOrigin::Outside {
@@ -83,11 +93,6 @@
             operation_id: None,
             is_resend: false,
         })));
-        let mut starts = self.outputs.iter().filter_map(|output| match output {
-            Output::StartAttempt(start) => Some(start.clone()),
-            _ => None,
-        });
-        starts.next().expect("an attempt starts")
     }
 
     fn work(&mut self, work: u64, start: &StartAttempt) {
@@ -102,6 +107,29 @@
         })
     }
 
+    /// Calls that were refused, with reason and outcome.
+    fn refused_calls(&self) -> Vec<(u64, RefusalReason, Outcome)> {
+        let refused = self.outputs.iter().filter_map(|output| match output {
+            Output::FinishCall {
+                call,
+                ending: CallEnding::Refuse(refusal),
+            } => Some((*call, refusal.reason, refusal.outcome)),
+            _ => None,
+        });
+        refused.collect()
+    }
+
+    /// Work that was refused as not run.
+    fn refused_work(&self) -> Vec<u64> {
+        let refused = self.outputs.iter().filter_map(|output| match output {
+            Output::RefuseWork { work, refusal, .. } if refusal.outcome == Outcome::NotRun => {
+                Some(*work)
+            }
+            _ => None,
+        });
+        refused.collect()
+    }
+
     fn is_noted(&self, event: &str) -> bool {
         self.outputs.iter().any(|output| match output {
             Output::Note(note) => note.event == event,
@@ -194,3 +222,51 @@
     host.run(2 * SECOND);
     assert_eq!(host.stopped(), Some(0));
 }
+
+/// Guards against calls that end without an answer when the grace is over: one that may run is told so.
+#[test]
+fn a_call_under_way_is_answered_when_the_grace_is_over() {
+    let mut host = Host::new();
+    let start = host.call();
+    host.work(2, &start);
+    host.handle(Input::Stopping { grace: 5 * SECOND });
+    host.run(6 * SECOND);
+    assert_eq!(
+        host.refused_calls(),
+        [(start.call, RefusalReason::Broken, Outcome::Unknown)]
+    );
+}
+
+/// Guards against work of other nodes that waits in the queue until the node ends, and whose outcome nobody knows then.
+#[test]
+fn queued_work_is_refused_when_the_grace_is_over() {
+    let mut host = Host::new();
+    let start = host.call();
+    for work in 2..10 {
+        host.work(work, &start);
+    }
+    let mut started = host.outputs.iter().filter_map(|output| match output {
+        Output::RunWork(run) => Some(run.work),
+        _ => None,
+    });
+    let is_started: Vec<u64> = started.by_ref().collect();
+    host.handle(Input::Stopping { grace: 5 * SECOND });
+    host.run(6 * SECOND);
+    let mut all = [is_started, host.refused_work()].concat();
+    all.sort_unstable();
+    assert_eq!(all, Vec::from_iter(2..10));
+}
+
+/// Guards against calls that are read after the stop is complete, and end with the node.
+#[test]
+fn a_call_after_the_stop_is_refused_as_not_run() {
+    let mut host = Host::new();
+    host.handle(Input::Stopping { grace: 5 * SECOND });
+    host.run(6 * SECOND);
+    host.outputs.clear();
+    host.arrive();
+    assert_eq!(
+        host.refused_calls(),
+        [(1, RefusalReason::Leaving, Outcome::NotRun)]
+    );
+}
--- a/crates/kumquatquayd/src/http/mod.rs
+++ b/crates/kumquatquayd/src/http/mod.rs
@@ -14,5 +14,7 @@
     TIMEOUT_MS, connection_options, forward_headers, header_text, is_for_connection,
 };
 pub(crate) use peer_client::{PeerClient, PeerFailure};
-pub(crate) use refusal_response::{copy_refusal_headers, plain_response, refusal_response};
+pub(crate) use refusal_response::{
+    copy_refusal_headers, lost_response, plain_response, refusal_response,
+};
 pub(crate) use trace_headers::{TraceHeaders, write_trace_headers};
--- a/crates/kumquatquayd/src/http/refusal_response.rs
+++ b/crates/kumquatquayd/src/http/refusal_response.rs
@@ -73,16 +73,30 @@
     }
 }
 
-/// A short answer in JSON or plain text; never run.
+/// A short answer in JSON or plain text to a request that has not run.
 pub(crate) fn plain_response(
     status: StatusCode,
     content_type: &'static str,
     text: impl Into<Bytes>,
+) -> Response<RelayBody> {
+    own_response(status, content_type, text, Outcome::NotRun)
+}
+
+/// A short answer in plain text to a request that may have run.
+pub(crate) fn lost_response(status: StatusCode, text: &'static str) -> Response<RelayBody> {
+    own_response(status, "text/plain", text, Outcome::Unknown)
+}
+
+fn own_response(
+    status: StatusCode,
+    content_type: &'static str,
+    text: impl Into<Bytes>,
+    outcome: Outcome,
 ) -> Response<RelayBody> {
     Response::builder()
         .status(status)
         .header(header::CONTENT_TYPE, content_type)
-        .header(OUTCOME, Outcome::NotRun.to_string())
+        .header(OUTCOME, outcome.to_string())
         .body(whole(text.into()))
-        .expect("the headers of a plain answer are valid")
+        .expect("the headers of an own answer are valid")
 }
--- a/crates/kumquatquayd/src/operator_commands.rs
+++ b/crates/kumquatquayd/src/operator_commands.rs
@@ -47,12 +47,15 @@
         operator,
         command,
     });
-    let reply = match tokio::time::timeout(COMMAND_TIMEOUT, receiver).await {
-        Ok(Ok(reply)) => reply,
-        Ok(Err(_)) | Err(_) => OperatorReply::Refused {
-            message: String::from("the node gave no answer in time; ask for the status"),
-        },
+    let reply = tokio::select! {
+        biased;
+        reply = receiver => reply.ok(),
+        () = tokio::time::sleep(COMMAND_TIMEOUT) => None,
+        _ = engine.stopped() => None,
     };
+    let reply = reply.unwrap_or_else(|| OperatorReply::Refused {
+        message: String::from("the node gave no answer in time; ask for the status"),
+    });
     encode(&reply)
 }
 
--- a/crates/kumquatquayd/src/serve/call_driver.rs
+++ b/crates/kumquatquayd/src/serve/call_driver.rs
@@ -21,7 +21,7 @@
     engine::CallEvent,
     http::{
         HOST_BETWEEN_NODES, OUTCOME, PeerFailure, RelayBody, RequestBody, copy_refusal_headers,
-        forward_headers, header_text, plain_response, refusal_response, relayed,
+        forward_headers, header_text, lost_response, refusal_response, relayed,
     },
 };
 
@@ -75,7 +75,7 @@
     let response = Continued::new(&context.tasks, driver.run(), abandon).await;
     response.unwrap_or_else(|| {
         let text = "the node failed while it drove the call\n";
-        plain_response(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", text)
+        lost_response(StatusCode::INTERNAL_SERVER_ERROR, text)
     })
 }
 
@@ -232,7 +232,7 @@
             Answer::Whole(parts, body) => (parts, crate::http::whole_body(body)),
             Answer::None => {
                 let text = "the answer was lost in the node\n";
-                return plain_response(StatusCode::BAD_GATEWAY, "text/plain", text);
+                return lost_response(StatusCode::BAD_GATEWAY, text);
             }
         };
         let mut response = Response::new(body);
--- a/crates/kumquatquayd/src/serve/work_driver.rs
+++ b/crates/kumquatquayd/src/serve/work_driver.rs
@@ -14,7 +14,7 @@
     engine::WorkEvent,
     http::{
         BackendClient, BackendFailure, HOST_BETWEEN_NODES, NOT_RUN, RelayBody, RequestBody,
-        forward_headers, header_text, plain_response, refusal_response, tracked,
+        forward_headers, header_text, lost_response, plain_response, refusal_response, tracked,
         write_trace_headers,
     },
 };
@@ -53,7 +53,7 @@
     let response = Continued::new(&context.tasks, driver.run(), cancel).await;
     response.unwrap_or_else(|| {
         let text = "the work was given up\n";
-        plain_response(StatusCode::BAD_GATEWAY, "text/plain", text)
+        lost_response(StatusCode::BAD_GATEWAY, text)
     })
 }
 
--- a/crates/kumquatquayd/tests/stop.rs
+++ b/crates/kumquatquayd/tests/stop.rs
@@ -130,3 +130,20 @@
     assert_ne!(answer.status, StatusCode::OK);
     assert_eq!(answer.header("kumquatquay-outcome"), Some("unknown"));
 }
+
+/// Guards against callers of a node that stops whose connections end without an answer when the grace is over.
+#[tokio::test]
+async fn the_callers_of_a_stopping_node_are_answered() {
+    let held = Held::start().await;
+    let ingress = node(settings(), None).await;
+    let entry = node(settings(), Some(&ingress)).await;
+    announce(&ingress, "archive", held.address).await;
+    until_known(&entry, "archive").await;
+    let request = get(&entry, "archive", "/").method("POST");
+    let flight = tokio::spawn(send(request.body(text("filing")).unwrap()));
+    until(|| held.started_count() == 1).await;
+    entry.stop(Duration::from_millis(10)).await;
+    let answer = flight.await.unwrap();
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(answer.header("kumquatquay-outcome"), Some("unknown"));
+}
