Count servers that end at one moment once against what ran beside the request to blame

The fifth crash with a score quarantines in any case.

A crash now has a score for a request that shares its blame only if a run of it began after the last crash of it was known. One that is alone at a crash keeps the score, so two servers that end under it alone refuse it as before; all crashes go on to count towards isolation and the one gate.

Evidence: a test in virtual time, six servers that end at one moment under one request, beside an innocent one: all seven gates refused it, none does now, and the one to blame is refused at its next crash. Two requests that always end servers together are refused within six crashes, before and after.

--- a/crates/kumquatquay-core/src/quarantine/attribution.rs
+++ b/crates/kumquatquay-core/src/quarantine/attribution.rs
@@ -278,9 +278,11 @@
     fingerprint: Fingerprint,
     /// Whether a run of it was isolated.
     is_isolated: bool,
-    /// Whether no crash of it became known since that run began. Several gates may run it at the same moment,
+    /// Whether no crash of it became known since a run of it began. Several gates may run it at the same moment,
     /// and lose their servers under others.
     knew_all: bool,
+    /// Whether that run was isolated.
+    knew_all_isolated: bool,
     ran_lately: bool,
 }
 
@@ -289,12 +291,16 @@
     ///
     /// A path that many send is in flight at each crash, and has just run well. Whether it is to blame shows
     /// only by a crash under the one run that is allowed of it.
+    ///
+    /// A crash beside others of the same moment says nothing more of a request that shares the blame: all of
+    /// them may have come under the request that it ran beside.
     fn weighed(&self, score_milli: u16) -> u16 {
-        let is_alone = self.knew_all && score_milli >= Evidence::ALONE_SCORE_MILLI;
+        let is_alone = score_milli >= Evidence::ALONE_SCORE_MILLI;
         match (self.ran_lately, is_alone) {
-            (false, _) => score_milli,
-            (true, true) => Evidence::RAN_WELL_SCORE_MILLI,
-            (true, false) => 0,
+            (false, true) => score_milli,
+            (false, false) if self.knew_all => score_milli,
+            (true, true) if self.knew_all_isolated => Evidence::RAN_WELL_SCORE_MILLI,
+            _ => 0,
         }
     }
 }
@@ -307,18 +313,22 @@
     out: &mut Vec<Output>,
 ) -> Vec<Suspect> {
     let table = &board.quarantine;
-    let isolated = in_flight.iter().filter(|request| request.is_isolated);
-    let knew_all = isolated.clone().filter(|request| {
+    let knew_all = |request: &InFlightRequest| {
         let entry = table.get(request.fingerprint);
         entry.is_none_or(|entry| entry.last_crash_known_at() <= request.started)
-    });
-    let fingerprints_of = |request: &InFlightRequest| request.fingerprint;
-    let knew_all: BTreeSet<Fingerprint> = knew_all.map(fingerprints_of).collect();
-    let isolated: BTreeSet<Fingerprint> = isolated.map(fingerprints_of).collect();
+    };
+    let fingerprints_of = |is_one: &dyn Fn(&InFlightRequest) -> bool| -> BTreeSet<Fingerprint> {
+        let requests = in_flight.iter().filter(|request| is_one(request));
+        requests.map(|request| request.fingerprint).collect()
+    };
+    let isolated = fingerprints_of(&|request| request.is_isolated);
+    let with_news = fingerprints_of(&knew_all);
+    let isolated_with_news = fingerprints_of(&|request| request.is_isolated && knew_all(request));
     let suspect = |fingerprint| Suspect {
         fingerprint,
         is_isolated: isolated.contains(&fingerprint),
-        knew_all: knew_all.contains(&fingerprint),
+        knew_all: with_news.contains(&fingerprint),
+        knew_all_isolated: isolated_with_news.contains(&fingerprint),
         ran_lately: table.recent_runs.contains(now.monotonic, fingerprint),
     };
     let fingerprints = fingerprints_latest_first(in_flight).into_iter();
--- a/crates/kumquatquay-core/tests/crashing_runs/one_service.rs
+++ b/crates/kumquatquay-core/tests/crashing_runs/one_service.rs
@@ -480,3 +480,46 @@
         }
     }
 }
+
+/// Guards against an innocent request that is refused since many servers end at one moment under another one: its
+/// runs there began before any of these crashes was known, so they are one piece of evidence.
+#[test]
+fn an_innocent_request_at_many_ends_of_one_moment_is_not_refused() {
+    let gates_count = 7;
+    let mut gates = Gates::start_large(51, gates_count, 0);
+    let innocent = FIRST_INNOCENT;
+    let ends = 0..gates_count - 1;
+    let works: Vec<_> = ends
+        .map(|gate| gates.begin_all(gate, &[innocent, CRASHING]))
+        .collect();
+    for (gate, works) in works.iter().enumerate() {
+        gates.end_server(gate, works);
+        gates.mesh.run(Duration::from_millis(5));
+    }
+    gates.mesh.run(Duration::from_millis(200));
+    let last = gates_count - 1;
+    gates.fail(last, innocent);
+    gates.crash(last, &[CRASHING]);
+    gates.mesh.run(Duration::from_millis(200));
+    assert!(gates.are_refused(CRASHING));
+    let verdicts = gates.verdicts(innocent);
+    assert!(!verdicts.contains(&RunVerdict::Refuse), "{verdicts:?}");
+}
+
+/// Guards against a mend of the above that spares two requests which both end servers, always together.
+#[test]
+fn two_requests_that_always_end_servers_together_are_refused() {
+    let mut gates = Gates::start(51);
+    let mut refused_after = None;
+    for crash in 0..8 {
+        let gate = crash % 4;
+        let begun = gates.crash(gate, &[CRASHING, OTHER_CRASHING]);
+        if begun == 0 {
+            refused_after = Some(crash);
+            break;
+        }
+        gates.revive(gate);
+    }
+    let refused_after = refused_after.expect("both are refused in the end");
+    assert!(refused_after <= 6, "{refused_after} servers ended");
+}
