--- a/crates/kumquatquayd/tests/stop.rs
+++ b/crates/kumquatquayd/tests/stop.rs
@@ -14,8 +14,11 @@
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::Full;
-use support::{PATIENCE, announce, backend, get, node, send, settings, text, until, until_known};
-use tokio::sync::Semaphore;
+use kumquatquayd::RunningNode;
+use support::{
+    Answer, PATIENCE, announce, backend, get, node, send, settings, text, until, until_known,
+};
+use tokio::{sync::Semaphore, task::JoinHandle};
 
 /// A backend server that answers when the test lets it.
 struct Held {
@@ -113,20 +116,40 @@
     stop.await.unwrap();
 }
 
+/// A filing that is under way at a backend server which never answers.
+struct HeldFiling {
+    ingress: RunningNode,
+    entry: RunningNode,
+    flight: JoinHandle<Answer>,
+    _held: Held,
+}
+
+impl HeldFiling {
+    async fn start() -> Self {
+        let held = Held::start().await;
+        let ingress = node(settings(), None).await;
+        let entry = node(settings(), Some(&ingress)).await;
+        announce(&ingress, "archive", held.address).await;
+        until_known(&entry, "archive").await;
+        let request = get(&entry, "archive", "/").method("POST");
+        let flight = tokio::spawn(send(request.body(text("filing")).unwrap()));
+        until(|| held.started_count() == 1).await;
+        Self {
+            ingress,
+            entry,
+            flight,
+            _held: held,
+        }
+    }
+}
+
 // A backend server never answers. The stop ends when its grace has run out, and
 // the caller learns that nobody knows whether its filing ran.
 #[tokio::test]
 async fn the_grace_bounds_a_stop() {
-    let held = Held::start().await;
-    let ingress = node(settings(), None).await;
-    let entry = node(settings(), Some(&ingress)).await;
-    announce(&ingress, "archive", held.address).await;
-    until_known(&entry, "archive").await;
-    let request = get(&entry, "archive", "/").method("POST");
-    let flight = tokio::spawn(send(request.body(text("filing")).unwrap()));
-    until(|| held.started_count() == 1).await;
-    ingress.stop(Duration::from_millis(10)).await;
-    let answer = flight.await.unwrap();
+    let filing = HeldFiling::start().await;
+    filing.ingress.stop(Duration::from_millis(10)).await;
+    let answer = filing.flight.await.unwrap();
     assert_ne!(answer.status, StatusCode::OK);
     assert_eq!(answer.header("kumquatquay-outcome"), Some("unknown"));
 }
@@ -134,16 +157,9 @@
 /// Guards against callers of a node that stops whose connections end without an answer when the grace is over.
 #[tokio::test]
 async fn the_callers_of_a_stopping_node_are_answered() {
-    let held = Held::start().await;
-    let ingress = node(settings(), None).await;
-    let entry = node(settings(), Some(&ingress)).await;
-    announce(&ingress, "archive", held.address).await;
-    until_known(&entry, "archive").await;
-    let request = get(&entry, "archive", "/").method("POST");
-    let flight = tokio::spawn(send(request.body(text("filing")).unwrap()));
-    until(|| held.started_count() == 1).await;
-    entry.stop(Duration::from_millis(10)).await;
-    let answer = flight.await.unwrap();
+    let filing = HeldFiling::start().await;
+    filing.entry.stop(Duration::from_millis(10)).await;
+    let answer = filing.flight.await.unwrap();
     assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
     assert_eq!(answer.header("kumquatquay-outcome"), Some("unknown"));
 }
