--- a/crates/kumquatquay-core/src/call/attempt.rs
+++ b/crates/kumquatquay-core/src/call/attempt.rs
@@ -4,7 +4,11 @@
 
 use kumquatquay_wire::{OperationRef, RequestContext};
 
-use super::{call_table::Attempt, ending::finish, refusals};
+use super::{
+    call_table::Attempt,
+    ending::{finish, outcome_so_far},
+    refusals,
+};
 use crate::{
     Blackboard, CallEnding, CallId, Counter, Moment, Output, StartAttempt,
     operations::{self, OperationStep},
@@ -109,10 +113,7 @@
     let Some(call) = board.calls.calls.get(&id) else {
         return;
     };
-    refusal.outcome = match &call.operation {
-        Some(operation) => operations::outcome_if_not_sent(board, operation),
-        None => call.outcome,
-    };
+    refusal.outcome = outcome_so_far(board, call);
     finish(board, now, id, CallEnding::Refuse(refusal), out);
 }
 
--- a/crates/kumquatquay-core/src/call/ending.rs
+++ b/crates/kumquatquay-core/src/call/ending.rs
@@ -451,14 +451,13 @@
     }
 }
 
-/// Outcome of a call that is ended now.
-fn outcome_so_far(board: &Blackboard, call: &Call) -> Outcome {
-    let unanswered = match (&call.attempt, &call.operation) {
+/// Outcome of a call that this node ends now.
+pub(super) fn outcome_so_far(board: &Blackboard, call: &Call) -> Outcome {
+    match (&call.attempt, &call.operation) {
         (Some(_), _) => Outcome::Unknown,
         (None, Some(operation)) => operations::outcome_if_not_sent(board, operation),
-        (None, None) => Outcome::NotRun,
-    };
-    combine_outcomes(call.outcome, unanswered)
+        (None, None) => call.outcome,
+    }
 }
 
 /// Returns the unspent retries of a call that another node sent to this node as the home of an
--- a/crates/kumquatquay-core/src/quarantine/attribution.rs
+++ b/crates/kumquatquay-core/src/quarantine/attribution.rs
@@ -1,6 +1,6 @@
 //! Attributes deaths of the backend server of this host to the requests that it was running.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use kumquatquay_wire::{Crash, CrashReport, Evidence, Fingerprint, Outcome, ServiceName};
 
@@ -166,7 +166,7 @@
         let earlier = entry.evidence_at(now.monotonic, &service);
         let score_milli = repeated
             .score_milli(earlier.crashes_count)
-            .filter(|_| suspect.is_isolated);
+            .filter(|_| suspect.runs.is_isolated);
         let crash = Crash {
             score_milli: suspect.weighed(score_milli.unwrap_or(score_of_each)),
             ..crash.clone()
@@ -273,16 +273,22 @@
     Some(new.into_iter().chain(recent).collect())
 }
 
-/// A request that may be to blame for a death.
-struct Suspect {
-    fingerprint: Fingerprint,
-    /// Whether a run of it was isolated.
+/// The runs of one request that were in flight at a death.
+#[derive(Clone, Copy, Debug, Default)]
+struct RunsAtDeath {
+    /// Whether one of them was isolated.
     is_isolated: bool,
-    /// Whether no crash of it became known since a run of it began. Several gates may run it at the same moment,
-    /// and lose their servers under others.
+    /// Whether no crash of the request became known since one of them began. Several gates may run it at the same
+    /// moment, and lose their servers under others.
     knew_all: bool,
-    /// Whether that run was isolated.
+    /// Whether that one was isolated.
     knew_all_isolated: bool,
+}
+
+/// A request that may be to blame for a death.
+struct Suspect {
+    fingerprint: Fingerprint,
+    runs: RunsAtDeath,
     ran_lately: bool,
 }
 
@@ -298,8 +304,8 @@
         let is_alone = score_milli >= Evidence::ALONE_SCORE_MILLI;
         match (self.ran_lately, is_alone) {
             (false, true) => score_milli,
-            (false, false) if self.knew_all => score_milli,
-            (true, true) if self.knew_all_isolated => Evidence::RAN_WELL_SCORE_MILLI,
+            (false, false) if self.runs.knew_all => score_milli,
+            (true, true) if self.runs.knew_all_isolated => Evidence::RAN_WELL_SCORE_MILLI,
             _ => 0,
         }
     }
@@ -313,22 +319,18 @@
     out: &mut Vec<Output>,
 ) -> Vec<Suspect> {
     let table = &board.quarantine;
-    let knew_all = |request: &InFlightRequest| {
+    let mut runs: BTreeMap<Fingerprint, RunsAtDeath> = BTreeMap::new();
+    for request in &in_flight {
         let entry = table.get(request.fingerprint);
-        entry.is_none_or(|entry| entry.last_crash_known_at() <= request.started)
-    };
-    let fingerprints_of = |is_one: &dyn Fn(&InFlightRequest) -> bool| -> BTreeSet<Fingerprint> {
-        let requests = in_flight.iter().filter(|request| is_one(request));
-        requests.map(|request| request.fingerprint).collect()
-    };
-    let isolated = fingerprints_of(&|request| request.is_isolated);
-    let with_news = fingerprints_of(&knew_all);
-    let isolated_with_news = fingerprints_of(&|request| request.is_isolated && knew_all(request));
+        let knew_all = entry.is_none_or(|entry| entry.last_crash_known_at() <= request.started);
+        let of_request = runs.entry(request.fingerprint).or_default();
+        of_request.is_isolated |= request.is_isolated;
+        of_request.knew_all |= knew_all;
+        of_request.knew_all_isolated |= knew_all && request.is_isolated;
+    }
     let suspect = |fingerprint| Suspect {
         fingerprint,
-        is_isolated: isolated.contains(&fingerprint),
-        knew_all: with_news.contains(&fingerprint),
-        knew_all_isolated: isolated_with_news.contains(&fingerprint),
+        runs: runs.get(&fingerprint).copied().unwrap_or_default(),
         ran_lately: table.recent_runs.contains(now.monotonic, fingerprint),
     };
     let fingerprints = fingerprints_latest_first(in_flight).into_iter();
--- a/crates/kumquatquayd/src/routed/attempt.rs
+++ b/crates/kumquatquayd/src/routed/attempt.rs
@@ -9,8 +9,8 @@
 };
 
 use super::{
-    gate_slot::MIN_RUN_TIME_RATIO, link::send_call, link_answer::LinkAnswer,
-    local_run::run_locally, node::RoutedNode, outgoing_call::OutgoingCall,
+    link::send_call, link_answer::LinkAnswer, local_run::run_locally, node::RoutedNode,
+    outgoing_call::OutgoingCall,
 };
 
 /// Reports to the load balancer when an attempt is dropped before it has an answer.
@@ -96,17 +96,7 @@
     head: CallHead<'_>,
 ) -> LinkAnswer {
     if endpoint.peer != node.links_address() {
-        let min_run_time = endpoint.mean_run_time.mul_f64(MIN_RUN_TIME_RATIO);
-        let may_have_run = &call.may_have_run;
-        return send_call(
-            node,
-            endpoint.peer,
-            head,
-            &call.payload,
-            min_run_time,
-            may_have_run,
-        )
-        .await;
+        return send_call(node, call, endpoint, head).await;
     }
     let confirmed = async {
         call.may_have_run.set();
--- a/crates/kumquatquayd/src/routed/caller_connection.rs
+++ b/crates/kumquatquayd/src/routed/caller_connection.rs
@@ -442,8 +442,8 @@
         } else {
             Phase::PassThrough
         };
-        let has_other = is_read_whole && has_whole_request(&state);
-        let wants_close = self.node.is_stopping() && !has_other;
+        let has_other = || is_read_whole && has_whole_request(&state);
+        let wants_close = self.node.is_stopping() && !has_other();
         state.pipeline.on_answered(wants_close)
     }
 
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -35,8 +35,9 @@
     },
 };
 
-/// Retry-After while no configuration is known, or none that is proved to be the newest.
-const NOT_CONFIGURED_RETRY: Duration = Duration::from_millis(300);
+/// Retry-After of a refusal for which no route gives one: while no configuration is known, or none that is
+/// proved to be the newest, and at the end of a shutdown.
+const UNROUTED_RETRY: Duration = Duration::from_millis(300);
 
 /// Size up to which a body is copied out of its receive buffer.
 const COPIED_BODY_LIMIT_BYTES: usize = 4 * 1024;
@@ -44,9 +45,6 @@
 /// The body of a caller's request: still being received, or already in memory.
 pub(crate) type CallerBody = Either<Incoming, BufferedBody>;
 
-/// `Retry-After` of a request that gets its final answer before its route is known.
-const STOPPED_RETRY: Duration = Duration::from_millis(300);
-
 /// Serves one request: admits it, forwards it and returns the response. Whatever the request waits for, it gets
 /// its final answer when the grace period of a shutdown is used up.
 pub(crate) async fn serve_entry(
@@ -70,7 +68,7 @@
     }
     node.metrics.count("refused", "stopping");
     let status = StatusCode::SERVICE_UNAVAILABLE;
-    local_answer(status, Some(STOPPED_RETRY), "this node stops\n")
+    local_answer(status, Some(UNROUTED_RETRY), "this node stops\n")
 }
 
 async fn serve_request(
@@ -203,7 +201,7 @@
     node.metrics.count("refused", refusal.name());
     log_unidentified(node, metadata, refusal);
     let may_return = refusal.status() == StatusCode::SERVICE_UNAVAILABLE;
-    let retry = may_return.then_some(NOT_CONFIGURED_RETRY);
+    let retry = may_return.then_some(UNROUTED_RETRY);
     local_answer(refusal.status(), retry, refusal.text())
 }
 
@@ -274,7 +272,7 @@
     loop {
         let Some(call) = build_call(request, identified) else {
             node.metrics.count("refused", "no_destination");
-            let retry = Some(NOT_CONFIGURED_RETRY);
+            let retry = Some(UNROUTED_RETRY);
             let status = StatusCode::SERVICE_UNAVAILABLE;
             return RequestAdmission::Refused(local_answer(status, retry, "no destination\n"));
         };
--- a/crates/kumquatquayd/src/routed/gate_slot.rs
+++ b/crates/kumquatquayd/src/routed/gate_slot.rs
@@ -48,15 +48,11 @@
 
     /// Waits until it is too late for the call to start.
     async fn too_late(&self, node: &RoutedNode) {
-        if !node.is_stopping() {
-            let wait = self.latest_start(node).saturating_sub(node.now());
-            tokio::select! {
-                () = tokio::time::sleep(wait) => return,
-                () = node.stop_requested() => {}
-            }
+        let wait = || tokio::time::sleep(self.latest_start(node).saturating_sub(node.now()));
+        tokio::select! {
+            () = wait() => {}
+            () = node.stop_requested(), if !node.is_stopping() => wait().await,
         }
-        let wait = self.latest_start(node).saturating_sub(node.now());
-        tokio::time::sleep(wait).await;
     }
 }
 
--- a/crates/kumquatquayd/src/routed/http_io.rs
+++ b/crates/kumquatquayd/src/routed/http_io.rs
@@ -81,10 +81,9 @@
         let _ = connection.await;
         return;
     }
-    let mut stop = node.stop.subscribe();
     tokio::select! {
         _ = connection.as_mut() => return,
-        _ = stop.wait_for(|phase| *phase >= StopPhase::Closing) => {}
+        () = node.stop_reached(StopPhase::Closing) => {}
     }
     connection.as_mut().graceful_shutdown();
     // Errors on a caller's connection concern only the caller.
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -11,7 +11,7 @@
 
 use kumquatquay_core::{
     quota::Loan,
-    routed::{LinkAction, LinkHealth, Mechanism},
+    routed::{LinkAction, LinkHealth, Mechanism, PickedEndpoint},
 };
 use kumquatquay_wire::{
     WireError,
@@ -28,9 +28,11 @@
     configuration_exchange::{
         on_configuration, on_sync_answer, on_sync_state, ping_frame, send_configuration,
     },
+    gate_slot::MIN_RUN_TIME_RATIO,
     link_answer::{LinkAnswer, MayHaveRun},
     link_frames::{FrameWriter, read_frames},
     node::RoutedNode,
+    outgoing_call::OutgoingCall,
     quotas::{on_loan, on_quota_answer},
 };
 
@@ -112,32 +114,35 @@
 /// Dropping the future cancels the call at the other node.
 pub(crate) async fn send_call(
     node: &Rc<RoutedNode>,
-    peer: SocketAddr,
-    mut call: CallHead<'_>,
-    payload: &Payload,
-    min_run_time: Duration,
-    may_have_run: &MayHaveRun,
+    call: &OutgoingCall,
+    endpoint: &PickedEndpoint,
+    mut head: CallHead<'_>,
 ) -> LinkAnswer {
-    let link = link_to(node, peer, payload.body.len());
+    let OutgoingCall {
+        payload,
+        may_have_run,
+        ..
+    } = call;
+    let link = link_to(node, endpoint.peer, payload.body.len());
     if !link.frames.has_room() {
         return LinkAnswer::not_run(NotRunReason::Unsent);
     }
-    call.number = next_call_number(node);
-    let number = call.number;
-    let needs_commit = call.needs_commit;
+    head.number = next_call_number(node);
+    let number = head.number;
+    let needs_commit = head.needs_commit;
     if !needs_commit {
         may_have_run.set();
     }
     let (sender, mut receiver) = oneshot::channel();
     let now = node.now();
     let sent_at = node.boot_time_at_most(now);
-    let end_bytes = link.frames.push_with(&FrameHead::Call(call), payload);
+    let end_bytes = link.frames.push_with(&FrameHead::Call(head), payload);
     let pending = PendingCall {
         answer: sender,
         sent_at,
         end_bytes,
         needs_commit,
-        min_run_time,
+        min_run_time: endpoint.mean_run_time.mul_f64(MIN_RUN_TIME_RATIO),
         may_have_run: may_have_run.clone(),
     };
     link.pending.borrow_mut().insert(number, pending);
--- a/crates/kumquatquayd/src/routed/pipelining.rs
+++ b/crates/kumquatquayd/src/routed/pipelining.rs
@@ -63,7 +63,6 @@
     };
     let mut connection =
         http1_server(caller_connection.head_limit_bytes()).serve_connection(io, service);
-    let mut stop = node.stop.subscribe();
     // A connection that was accepted while the node closes connections gets a refusal. If it
     // was just closed, its caller wouldn't learn when to retry.
     let is_late = node.stop_phase() >= StopPhase::Closing;
@@ -71,7 +70,7 @@
         if is_late {
             std::future::pending::<()>().await;
         }
-        let _ = stop.wait_for(|phase| *phase >= StopPhase::Closing).await;
+        node.stop_reached(StopPhase::Closing).await;
     };
     tokio::select! {
         _ = &mut connection => {}
--- a/crates/kumquatquayd/src/routed/shutdown.rs
+++ b/crates/kumquatquayd/src/routed/shutdown.rs
@@ -28,10 +28,10 @@
         "the node was requested to stop");
     node.answers_due_at.set(Some(schedule.answer_at));
     node.stop.send_replace(StopPhase::Leaving);
-    sleep_until(node, schedule.announce_at).await;
+    wait_while(node, schedule.announce_at, || true).await;
     let grace = schedule.answer_at.saturating_sub(node.boot_time());
     node.engine.handle(Input::Stopping { grace });
-    sleep_until(node, schedule.close_at).await;
+    wait_while(node, schedule.close_at, || true).await;
     node.stop.send_replace(StopPhase::Closing);
     if !wait_until_idle(node, schedule.answer_at).await {
         give_last_answers(node, schedule.last_answers_time).await;
@@ -39,16 +39,18 @@
     log::info!(event = "stopped", cut = node.in_flight_count.get() as u64; "the node has stopped");
 }
 
-/// Sleeps until a moment of the clock that includes suspended time. The timers of the runtime don't include
-/// it, so they are used for short intervals only.
-async fn sleep_until(node: &RoutedNode, moment: Duration) {
-    loop {
-        let left = moment.saturating_sub(node.boot_time());
+/// Waits while something is so, until a moment of the clock that includes suspended time at most; returns whether
+/// it was so until then. The timers of the runtime don't include that time, so they are used for short
+/// intervals only.
+async fn wait_while(node: &RoutedNode, until: Duration, is_so: impl Fn() -> bool) -> bool {
+    while is_so() {
+        let left = until.saturating_sub(node.boot_time());
         if left.is_zero() {
-            return;
+            return true;
         }
         tokio::time::sleep(left.min(STOP_CHECK_INTERVAL)).await;
     }
+    false
 }
 
 /// Waits until no work is in progress and the bytes of the last answer are written; `false` if that takes
@@ -58,12 +60,8 @@
 /// cut off at the end of the process while their runs go on elsewhere.
 async fn wait_until_idle(node: &RoutedNode, deadline: Duration) -> bool {
     loop {
-        while is_busy(node) {
-            let left = deadline.saturating_sub(node.boot_time());
-            if left.is_zero() {
-                return false;
-            }
-            tokio::time::sleep(left.min(STOP_CHECK_INTERVAL)).await;
+        if wait_while(node, deadline, || is_busy(node)).await {
+            return false;
         }
         node.stop.send_replace(StopPhase::Ending);
         tokio::time::sleep(STOP_CHECK_INTERVAL).await;
@@ -77,13 +75,11 @@
 ///
 /// The time for it begins now, not when it was planned: after a pause of the process nothing would be left of it.
 async fn give_last_answers(node: &RoutedNode, time: Duration) {
-    let until = node.now() + time;
     log::warn!(event = "grace_used_up", in_flight = node.in_flight_count.get() as u64;
         "requests that are still in progress get their final answers");
     node.stop.send_replace(StopPhase::Expired);
-    while is_busy(node) && node.now() < until {
-        tokio::time::sleep(STOP_CHECK_INTERVAL.min(until - node.now())).await;
-    }
+    let written = wait_while(node, Duration::MAX, || is_busy(node));
+    let _ = tokio::time::timeout(time, written).await;
 }
 
 fn is_busy(node: &RoutedNode) -> bool {
@@ -128,7 +124,8 @@
         }
     }
 
-    async fn stop_reached(&self, phase: StopPhase) {
+    /// Waits until the shutdown has reached a phase.
+    pub(super) async fn stop_reached(&self, phase: StopPhase) {
         let mut stop = self.stop.subscribe();
         // The node holds the sender.
         let _ = stop.wait_for(|reached| *reached >= phase).await;
