--- a/crates/kumquatquay-core/tests/leaving.rs
+++ b/crates/kumquatquay-core/tests/leaving.rs
@@ -119,10 +119,16 @@
         refused.collect()
     }
 
-    /// Work that was refused as not run.
+    /// Work that was refused because this host leaves, as not run.
     fn refused_work(&self) -> Vec<u64> {
         let refused = self.outputs.iter().filter_map(|output| match output {
-            Output::RefuseWork { work, refusal, .. } if refusal.outcome == Outcome::NotRun => {
+            Output::RefuseWork {
+                work,
+                refusal,
+                context,
+            } => {
+                let told = (refusal.reason, refusal.outcome, context.is_leaving);
+                assert_eq!(told, (RefusalReason::Leaving, Outcome::NotRun, true));
                 Some(*work)
             }
             _ => None,
@@ -190,14 +196,7 @@
     let start = host.call();
     host.handle(Input::Stopping { grace: 5 * SECOND });
     host.work(3, &start);
-    let refusals = host.outputs.iter().filter_map(|output| match output {
-        Output::RefuseWork {
-            refusal, context, ..
-        } => Some((refusal.reason, refusal.outcome, context.is_leaving)),
-        _ => None,
-    });
-    let refusals: Vec<_> = refusals.collect();
-    assert_eq!(refusals, [(RefusalReason::Leaving, Outcome::NotRun, true)]);
+    assert_eq!(host.refused_work(), [3]);
 }
 
 /// The backend server announces every second that it serves, also while its host
