--- a/review/standins-2/src/caller.rs
+++ b/review/standins-2/src/caller.rs
@@ -45,6 +45,8 @@
     pub id: &'a str,
     pub deadline_ms: u64,
     pub body: &'a [u8],
+    /// Key of the caller, if it shows one.
+    pub key: Option<&'a str>,
 }
 
 /// Sends a request on a connection that is kept, or on a new one; the connection is kept if
@@ -57,11 +59,14 @@
     let Ok(mut connection) = connection else {
         return Outcome::Unconnected;
     };
-    let fields = [
+    let mut fields = vec![
         ("Host", String::from("pits.example")),
         ("Kumquatquay-Attempt-Id", request.id.to_string()),
         ("Kumquatquay-Deadline-Ms", request.deadline_ms.to_string()),
     ];
+    if let Some(key) = request.key {
+        fields.push(("Authorization", format!("Bearer {key}")));
+    }
     let line = format!("{} {} HTTP/1.1", request.method, request.path);
     if connection
         .write(&encode(&line, &fields, request.body))
--- a/review/standins-2/src/endless.rs
+++ b/review/standins-2/src/endless.rs
@@ -50,8 +50,11 @@
 /// One of so many requests of the one server is answered so: a share of 0.05.
 const ENDLESS_INTERVAL_COUNT: u64 = 20;
 
-/// How long the server does so.
+/// When the server begins to do so, for how long, and how often.
+const TROUBLE_AT: Duration = Duration::from_secs(8);
 const TROUBLE: Duration = Duration::from_millis(5_000);
+const TROUBLE_INTERVAL: Duration = Duration::from_secs(13);
+const TROUBLES_COUNT: u32 = 3;
 
 /// Requests on kept connections that a machine may lose by the rule.
 const MOST_LOST: usize = 3;
@@ -120,14 +123,15 @@
         }
     }
     let started = Instant::now();
-    let trouble_at = Duration::from_secs(8);
-    let end_at = trouble_at + TROUBLE + Duration::from_secs(5);
+    let end_at = TROUBLE_AT + TROUBLE_INTERVAL * TROUBLES_COUNT;
     let mut peak_mb = BTreeMap::new();
     let mut kills = Vec::new();
     let mut restarts: Vec<(usize, Instant)> = Vec::new();
     while started.elapsed() < end_at {
         let since = started.elapsed();
-        let is_on = has_trouble && since >= trouble_at && since < trouble_at + TROUBLE;
+        let is_on = (0..TROUBLES_COUNT)
+            .map(|number| TROUBLE_AT + TROUBLE_INTERVAL * number)
+            .any(|at| has_trouble && since >= at && since < at + TROUBLE);
         if is_troubled.swap(is_on, Ordering::SeqCst) != is_on {
             record.say(format!(
                 "backend server of host {TROUBLED_HOST} sends bodies without end: {is_on}"
@@ -211,6 +215,7 @@
         id: &id,
         deadline_ms: 6_000,
         body: if is_filing { b"settlement" } else { b"" },
+        key: None,
     };
     let outcome = send(kept, entry, &request);
     record.line(format!(
--- a/review/standins-2/src/extra.rs
+++ b/review/standins-2/src/extra.rs
@@ -113,6 +113,7 @@
                         id: &id,
                         deadline_ms: 5_000,
                         body: b"filing",
+                        key: None,
                     };
                     let sent_ms = record.now_ms();
                     let outcome = send(&mut kept, entry, &request);
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -38,6 +38,7 @@
 /// What every script needs.
 pub struct Stage {
     pub record: Record,
+    pub store: Store,
     pub runs: Arc<Mutex<Vec<Run>>>,
     pub store_address: SocketAddr,
     net: [u8; 2],
@@ -57,6 +58,7 @@
         store.put("keyed.op", "config", CONFIGURATION.as_bytes());
         Ok(Self {
             record,
+            store,
             runs: Arc::default(),
             store_address,
             net,
@@ -80,6 +82,7 @@
             service: service.to_string(),
             zone: Self::zone(host).to_string(),
             store: self.store_address,
+            more: String::new(),
         };
         NodeProcess::new(plan, &self.scratch, &self.record)
     }
--- a/review/standins-2/src/leaving.rs
+++ b/review/standins-2/src/leaving.rs
@@ -91,6 +91,7 @@
                     id: &id,
                     deadline_ms: 5_000,
                     body: b"filing",
+                    key: None,
                 };
                 let outcome = send(&mut None, entry, &request);
                 record.say(format!(
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -10,6 +10,7 @@
 mod leaving;
 mod node;
 mod record;
+mod restored;
 mod store;
 mod upstream;
 
@@ -62,6 +63,7 @@
         "endless" => endless::play(&stage, has_trouble),
         "extra" => extra::play(&stage, has_trouble),
         "leaving" => leaving::play(&stage, has_trouble),
+        "restored" => restored::play(&stage, has_trouble),
         _ => Ok(Verdict::CouldNotRun("no such script")),
     }
 }
--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -30,6 +30,8 @@
     pub service: String,
     pub zone: String,
     pub store: SocketAddr,
+    /// Settings beside those that all have.
+    pub more: String,
 }
 
 /// A node's process.
@@ -59,6 +61,7 @@
             service,
             zone,
             store,
+            more,
         } = &self.plan;
         let bootstrap = self.starts == 0;
         format!(
@@ -87,7 +90,7 @@
              terms.bounds.loss_slack_ms=200\nterms.bounds.config_deadline_ms=2000\n\
              terms.bounds.rollback_slack_ms=250\nterms.bounds.max_stretch_ms=5000\n\
              terms.bounds.budget_ratio=0.2\nterms.bounds.budget_window_s=10\n\
-             terms.bounds.budget_extra=49\nterms.bounds.recover_s=15\n"
+             terms.bounds.budget_extra=49\nterms.bounds.recover_s=15\n{more}"
         )
     }
 
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, TcpListener},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -19,8 +22,15 @@
 struct Shared {
     topics: Mutex<Topics>,
     added: Condvar,
+    /// One less than the era that all answers tell.
+    era: AtomicU64,
+    /// While it is away it closes all connections, and answers nothing.
+    is_away: AtomicBool,
 }
 
+/// What a store had at some moment.
+pub struct Copy(Topics);
+
 /// A running store.
 #[derive(Clone)]
 pub struct Store {
@@ -40,6 +50,24 @@
         Ok(Self { shared })
     }
 
+    /// A copy of all that it has.
+    pub fn copy(&self) -> Copy {
+        Copy(self.shared.topics.lock().unwrap().clone())
+    }
+
+    /// It is away from now on.
+    pub fn go_away(&self) {
+        self.shared.is_away.store(true, Ordering::SeqCst);
+        self.shared.added.notify_all();
+    }
+
+    /// It is back from a copy, in the next era.
+    pub fn come_back_from(&self, copy: Copy) {
+        *self.shared.topics.lock().unwrap() = copy.0;
+        self.shared.era.fetch_add(1, Ordering::SeqCst);
+        self.shared.is_away.store(false, Ordering::SeqCst);
+    }
+
     /// Writes a record as an operator does.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
         let mut content = vec![key.len() as u8];
@@ -61,8 +89,13 @@
 
     fn serve(&self, mut connection: Connection) {
         while let Ok(Some(request)) = connection.read() {
+            let era = self.era.load(Ordering::SeqCst);
             let answer = self.answer(&request);
-            if connection.write(&answer).is_err() {
+            let is_over = era != self.era.load(Ordering::SeqCst);
+            if is_over || self.is_away.load(Ordering::SeqCst) {
+                return;
+            }
+            if connection.write(&with_era(&answer, era)).is_err() {
                 return;
             }
         }
@@ -138,7 +171,7 @@
                 return encode("HTTP/1.1 410 Gone", &[], br#"{"first":0}"#);
             }
             let left = until.saturating_duration_since(Instant::now());
-            if count > from || left.is_zero() {
+            if count > from || left.is_zero() || self.is_away.load(Ordering::SeqCst) {
                 break;
             }
             topics = self.added.wait_timeout(topics, left).unwrap().0;
@@ -155,6 +188,14 @@
     }
 }
 
+/// Adds the era to the head of an answer.
+fn with_era(answer: &[u8], era: u64) -> Vec<u8> {
+    let line_end = answer.windows(2).position(|two| two == b"\r\n");
+    let (line, rest) = answer.split_at(line_end.unwrap_or_default() + 2);
+    let field = format!("Store-Era: {}\r\n", era + 1);
+    [line, field.as_bytes(), rest].concat()
+}
+
 fn ok_json(body: &str) -> Vec<u8> {
     let json = ("Content-Type", String::from("application/json"));
     encode("HTTP/1.1 200 OK", &[json], body.as_bytes())
--- a/review/standins-2/src/upstream.rs
+++ b/review/standins-2/src/upstream.rs
@@ -405,6 +405,7 @@
         self.endless.fetch_add(1, Ordering::SeqCst);
         let chunk = vec![b'x'; 64 * 1024];
         let mut sent_bytes = 0_u64;
+        let mut due_at = Instant::now();
         loop {
             if connection.write(&chunk).is_err() || self.is_gone.load(Ordering::SeqCst) {
                 break;
@@ -412,8 +413,8 @@
             sent_bytes += chunk.len() as u64;
             let streams = u64::from(self.endless.load(Ordering::SeqCst)).max(1);
             let share = (self.plan.link_bytes_per_s / streams).min(ENDLESS_BYTES_PER_S);
-            let pause = chunk.len() as f64 / share as f64;
-            thread::sleep(Duration::from_secs_f64(pause));
+            due_at += Duration::from_secs_f64(chunk.len() as f64 / share as f64);
+            thread::sleep(due_at.saturating_duration_since(Instant::now()));
         }
         self.endless.fetch_sub(1, Ordering::SeqCst);
         self.record.line(format!(
