review: the size of a chunk that never ends stops its node

A backend server ends the head of an answer and goes on with zeros, the size of a chunk, at the speed of its machine's link. Its node does nothing else for about three seconds: readiness checks, callers of other services and time-outs get no answer.

Cause: the body is collected in a task on the node's only thread, and nothing bounds what one poll of the connection reads.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.."
 [ -x target/release/kumquatquayd ] && [ -x target/review-2/release/review-2 ] || exit 2
-exec target/review-2/release/review-2 leaving review/6/record.txt
+exec target/review-2/release/review-2 stall review/6/record.txt
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -11,6 +11,7 @@
 mod node;
 mod record;
 mod restored;
+mod stall;
 mod store;
 mod upstream;
 
@@ -64,6 +65,7 @@
         "extra" => extra::play(&stage, has_trouble),
         "leaving" => leaving::play(&stage, has_trouble),
         "restored" => restored::play(&stage, has_trouble),
+        "stall" => stall::play(&stage, has_trouble),
         _ => Ok(Verdict::CouldNotRun("no such script")),
     }
 }
--- a/review/standins-2/src/upstream.rs
+++ b/review/standins-2/src/upstream.rs
@@ -45,6 +45,9 @@
     /// Works so many milliseconds, then sends a head and a body without an end, until the
     /// caller closes.
     Endless(u64),
+    /// Works so many milliseconds, then sends a head and the size of a chunk that never ends: zeros, until
+    /// the caller closes.
+    EndlessSize(u64),
 }
 
 /// A run of a request.
@@ -366,9 +369,9 @@
                 is_written
             }
             Action::Shed => unreachable!("a shed request doesn't run"),
-            Action::Endless(ms) => {
+            Action::Endless(ms) | Action::EndlessSize(ms) => {
                 if self.work(connection, ms) {
-                    self.send_without_end(connection, id, &fields);
+                    self.send_without_end(connection, id, &fields, action);
                 }
                 false
             }
@@ -396,14 +399,24 @@
         }
     }
 
-    fn send_without_end(&self, connection: &mut Connection, id: &str, fields: &[(&str, String)]) {
+    fn send_without_end(
+        &self,
+        connection: &mut Connection,
+        id: &str,
+        fields: &[(&str, String)],
+        action: Action,
+    ) {
+        let (framing, byte, most_bytes_per_s) = match action {
+            Action::EndlessSize(_) => ("Transfer-Encoding: chunked\r\n", b'0', u64::MAX),
+            _ => ("", b'x', ENDLESS_BYTES_PER_S),
+        };
         let head = encode("HTTP/1.1 200 OK", fields, b"");
-        let head = String::from_utf8_lossy(&head).replace("Content-Length: 0\r\n", "");
+        let head = String::from_utf8_lossy(&head).replace("Content-Length: 0\r\n", framing);
         if connection.write(head.as_bytes()).is_err() {
             return;
         }
         self.endless.fetch_add(1, Ordering::SeqCst);
-        let chunk = vec![b'x'; 64 * 1024];
+        let chunk = vec![byte; 64 * 1024];
         let mut sent_bytes = 0_u64;
         let mut due_at = Instant::now();
         loop {
@@ -412,13 +425,13 @@
             }
             sent_bytes += chunk.len() as u64;
             let streams = u64::from(self.endless.load(Ordering::SeqCst)).max(1);
-            let share = (self.plan.link_bytes_per_s / streams).min(ENDLESS_BYTES_PER_S);
+            let share = (self.plan.link_bytes_per_s / streams).min(most_bytes_per_s);
             due_at += Duration::from_secs_f64(chunk.len() as f64 / share as f64);
             thread::sleep(due_at.saturating_duration_since(Instant::now()));
         }
         self.endless.fetch_sub(1, Ordering::SeqCst);
         self.record.line(format!(
-            "{} {}: {id}: the caller closed after {sent_bytes} bytes of a body without end",
+            "{} {}: {id}: the caller closed after {sent_bytes} bytes without end",
             self.plan.ip, self.instance
         ));
     }
