review: end the nodes of a script whatever happens to its stand-ins

The scripts go through review/play-2.sh, which ends the processes that the stand-ins have started also when these are killed, and uses a temporary folder of its own.

--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fs::{self, File},
+    io::Write,
     net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -34,6 +35,16 @@
     pub more: String,
 }
 
+/// Notes a process for the script that ends it if the stand-ins can't.
+fn note_process(id: u32) {
+    let Some(path) = std::env::var_os("REVIEW_PROCESSES") else {
+        return;
+    };
+    if let Ok(mut file) = File::options().append(true).open(path) {
+        let _ = writeln!(file, "{id}");
+    }
+}
+
 /// A node's process.
 pub struct NodeProcess {
     pub plan: NodePlan,
@@ -112,6 +123,7 @@
             .stdout(log)
             .spawn()?;
         self.starts += 1;
+        note_process(child.id());
         self.record
             .say(format!("{name}: node process {} starts", child.id()));
         self.child = Some(child);
