Hold all bodies of a node within one budget of memory

Cause: each answer had a limit of its own, a fourth of the memory, and nothing counted the sum. The class: a limit for each, where what is limited is shared. Beside it, pieces of a body kept the buffers that they came in, and large bodies were copied between socket and link.

An answer that doesn't fit has the longest one given up that is still read; requests that don't fit are refused with a 503, which is true. Large frames of links take their memory first as well.

--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -27,6 +27,7 @@
 mod log_read;
 mod machine_slowdown;
 mod mechanisms;
+mod memory_budget;
 mod offered_load;
 mod outlier_detector;
 mod pooled_estimates;
@@ -73,6 +74,7 @@
 pub use log_read::{LogAnswer, LogPage, LogPosition, LogRead, LogStep};
 pub use machine_slowdown::MachineSlowdown;
 pub use mechanisms::{Mechanism, Mechanisms, UnknownMechanism};
+pub use memory_budget::{BodyId, BodyKind, Growth, MemoryBudget};
 pub use outlier_detector::OutlierChange;
 pub use register_bootstrap::{
     RegisterBootstrap, RegisterPageSummary, RegisterPosition, RegisterStep, register_position,
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -24,6 +24,7 @@
 mod log_read;
 mod machine_slowdown;
 mod mechanisms;
+mod memory_budget;
 mod mixed_deadlines;
 mod rate_limited_service;
 mod register_bootstrap;
--- a/crates/kumquatquay-wire/src/routed/frame.rs
+++ b/crates/kumquatquay-wire/src/routed/frame.rs
@@ -1,6 +1,6 @@
 //! Frames on the link between two nodes.
 
-use std::{borrow::Cow, net::SocketAddr};
+use std::{borrow::Cow, fmt, net::SocketAddr};
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -15,6 +15,9 @@
 /// Number of a call on a link; each of the two nodes numbers the calls that it sends.
 pub type CallNumber = u64;
 
+/// Size from which on a frame is read into memory of its own, in bytes.
+const LARGE_FRAME_BYTES: usize = 32 * 1024;
+
 /// Size of the three lengths at the start of a frame, in bytes.
 const LENGTHS_BYTES: usize = 12;
 
@@ -22,7 +25,10 @@
 const FRAME_LIMIT_BYTES: usize = 80 * 1024 * 1024;
 
 /// Maximum size of the body of a frame, in bytes; the rest is left for its head and fields.
-pub const BODY_LIMIT_BYTES: usize = FRAME_LIMIT_BYTES - 1024 * 1024;
+pub const BODY_LIMIT_BYTES: usize = FRAME_LIMIT_BYTES - HEAD_LIMIT_BYTES;
+
+/// Maximum size of the head and the fields of a frame whose body is dropped, in bytes.
+const HEAD_LIMIT_BYTES: usize = 1024 * 1024;
 
 /// Head of a frame; header fields and a body may follow it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -323,16 +329,20 @@
 
 /// Encodes a frame and appends it to `out`.
 pub fn encode_frame(head: &FrameHead<'_>, payload: &Payload, out: &mut Vec<u8>) {
+    encode_frame_start(head, payload, out);
+    out.extend_from_slice(&payload.body);
+}
+
+/// Encodes a frame without its body, which has to follow, and appends it to `out`.
+pub fn encode_frame_start(head: &FrameHead<'_>, payload: &Payload, out: &mut Vec<u8>) {
     let start = out.len();
     out.extend_from_slice(&[0; LENGTHS_BYTES]);
     let buffer = std::mem::take(out);
     *out = postcard::to_extend(head, buffer).expect("a wire type always encodes");
     let head_bytes = out.len() - start - LENGTHS_BYTES;
     let fields = payload.fields.as_bytes();
-    out.reserve(fields.len() + payload.body.len());
     out.extend_from_slice(fields);
-    out.extend_from_slice(&payload.body);
-    let frame_bytes = out.len() - start;
+    let frame_bytes = out.len() - start + payload.body.len();
     for (index, length) in [frame_bytes, head_bytes, fields.len()]
         .into_iter()
         .enumerate()
@@ -347,8 +357,11 @@
 pub struct Frame<'a> {
     /// Head, header fields and body.
     bytes: &'a [u8],
+    /// The same if it was read into memory of its own.
+    shared: Option<&'a Bytes>,
     head_bytes: usize,
     fields_bytes: usize,
+    is_body_dropped: bool,
 }
 
 impl<'a> Frame<'a> {
@@ -370,8 +383,10 @@
         }
         let frame = bytes.get(LENGTHS_BYTES..frame_bytes).map(|bytes| Self {
             bytes,
+            shared: None,
             head_bytes,
             fields_bytes,
+            is_body_dropped: false,
         });
         Ok(frame.map(|frame| (frame, frame_bytes)))
     }
@@ -385,32 +400,42 @@
         postcard::from_bytes(&self.bytes[..self.head_bytes]).map_err(|_| WireError::Malformed)
     }
 
-    /// Returns the body.
+    /// Whether the body was dropped, since there was no memory for it.
+    pub fn is_body_dropped(&self) -> bool {
+        self.is_body_dropped
+    }
+
+    /// Returns the body; empty if it was dropped.
     pub fn body(&self) -> &'a [u8] {
         &self.bytes[self.head_bytes + self.fields_bytes..]
     }
 
-    /// Copies the header fields and the body.
+    /// Returns the header fields and the body: a copy, unless the frame has memory of its own.
     ///
     /// # Errors
     ///
     /// [`WireError`] if the header fields can't be read; the link can't be used any more.
     pub fn payload(&self) -> Result<Payload, WireError> {
-        let rest = &self.bytes[self.head_bytes..];
-        parse_payload(Bytes::copy_from_slice(rest), self.fields_bytes)
+        let rest = self.to_bytes().slice(self.head_bytes..);
+        parse_payload(rest, self.fields_bytes)
     }
 
-    /// Copies the frame.
+    /// Returns the frame with its bytes: a copy, unless the frame has memory of its own.
     ///
     /// # Errors
     ///
     /// [`WireError`] if the header fields can't be read; the link can't be used any more.
     pub fn to_owned_frame(&self) -> Result<OwnedFrame, WireError> {
-        let mut bytes = Bytes::copy_from_slice(self.bytes);
+        let mut bytes = self.to_bytes();
         let head = bytes.split_to(self.head_bytes);
         let payload = parse_payload(bytes, self.fields_bytes)?;
         Ok(OwnedFrame { head, payload })
     }
+
+    fn to_bytes(self) -> Bytes {
+        let copy = || Bytes::copy_from_slice(self.bytes);
+        self.shared.map_or_else(copy, Bytes::clone)
+    }
 }
 
 fn parse_payload(mut bytes: Bytes, fields_bytes: usize) -> Result<Payload, WireError> {
@@ -438,17 +463,24 @@
     }
 }
 
+/// Memory for a large frame: turns its bytes into shared ones once they are complete.
+pub type FrameMemory = Box<dyn FnOnce(Vec<u8>) -> Bytes>;
+
 /// Splits the byte stream of a link into frames.
 ///
-/// It holds memory only while a frame is incomplete, since a node has hundreds of links.
+/// It holds memory only while a frame is incomplete, since a node has hundreds of links. A large frame
+/// is read into memory that is taken for it first; if there is none, its body is dropped.
 #[derive(Debug, Default)]
 pub struct FrameReader {
     /// Start of an incomplete frame.
     partial: Vec<u8>,
+    /// An incomplete large frame, if the next bytes belong to one.
+    large: Option<LargeFrame>,
 }
 
 impl FrameReader {
-    /// Reads the next bytes of the link and calls `on_frame` for each complete frame.
+    /// Reads the next bytes of the link and calls `on_frame` for each complete frame. `take_memory` is
+    /// called with the size of each large one.
     ///
     /// # Errors
     ///
@@ -457,24 +489,144 @@
     pub fn read(
         &mut self,
         bytes: &[u8],
+        mut take_memory: impl FnMut(usize) -> Option<FrameMemory>,
         mut on_frame: impl FnMut(Frame<'_>) -> Result<(), WireError>,
     ) -> Result<(), WireError> {
+        let mut bytes = bytes;
+        if let Some(large) = &mut self.large {
+            bytes = large.read(bytes);
+            if !large.is_complete() {
+                return Ok(());
+            }
+            if let Some(large) = self.large.take() {
+                large.finish(&mut on_frame)?;
+            }
+        }
         if self.partial.is_empty() {
             let consumed_bytes = read_complete_frames(bytes, &mut on_frame)?;
-            self.partial = bytes[consumed_bytes..].to_vec();
+            return self.keep_rest(&bytes[consumed_bytes..], &mut take_memory);
+        }
+        let mut partial = std::mem::take(&mut self.partial);
+        partial.extend_from_slice(bytes);
+        let consumed_bytes = read_complete_frames(&partial, &mut on_frame)?;
+        if consumed_bytes == 0 && !is_start_of_large(&partial) {
+            self.partial = partial;
             return Ok(());
         }
-        self.partial.extend_from_slice(bytes);
-        let consumed_bytes = read_complete_frames(&self.partial, &mut on_frame)?;
-        if consumed_bytes > 0 {
-            self.partial = self.partial[consumed_bytes..].to_vec();
+        self.keep_rest(&partial[consumed_bytes..], &mut take_memory)
+    }
+
+    /// Keeps the start of an incomplete frame.
+    fn keep_rest(
+        &mut self,
+        rest: &[u8],
+        take_memory: &mut impl FnMut(usize) -> Option<FrameMemory>,
+    ) -> Result<(), WireError> {
+        if is_start_of_large(rest) {
+            let mut large = LargeFrame::begin(rest, take_memory)?;
+            large.read(rest);
+            self.large = Some(large);
+        } else {
+            self.partial = rest.to_vec();
         }
         Ok(())
     }
 
     /// Size of the memory that it holds, in bytes.
     pub fn held_bytes(&self) -> usize {
-        self.partial.capacity()
+        let large_bytes = self
+            .large
+            .as_ref()
+            .map_or(0, |large| large.bytes.capacity());
+        self.partial.capacity() + large_bytes
+    }
+}
+
+/// Whether bytes begin with the lengths of a large frame.
+fn is_start_of_large(bytes: &[u8]) -> bool {
+    bytes.len() >= LENGTHS_BYTES
+        && length_at(bytes, 0).is_some_and(|frame_bytes| frame_bytes > LARGE_FRAME_BYTES)
+}
+
+/// A large frame that is being read.
+struct LargeFrame {
+    /// What is kept of it: all, or all but its body.
+    bytes: Vec<u8>,
+    kept_bytes: usize,
+    unread_bytes: usize,
+    head_bytes: usize,
+    fields_bytes: usize,
+    /// `None` if there is none for the body.
+    memory: Option<FrameMemory>,
+}
+
+impl LargeFrame {
+    /// Takes the memory for the frame whose lengths begin `bytes`.
+    fn begin(
+        bytes: &[u8],
+        take_memory: &mut impl FnMut(usize) -> Option<FrameMemory>,
+    ) -> Result<Self, WireError> {
+        // Checks the lengths; the frame itself is incomplete.
+        Frame::parse_first(bytes)?;
+        let lengths = [0, 4, 8].map(|offset| length_at(bytes, offset).unwrap_or_default());
+        let [frame_bytes, head_bytes, fields_bytes] = lengths;
+        let memory = take_memory(frame_bytes);
+        let kept_bytes = match memory {
+            Some(_) => frame_bytes,
+            None => LENGTHS_BYTES + head_bytes + fields_bytes,
+        };
+        if memory.is_none() && kept_bytes > HEAD_LIMIT_BYTES {
+            return Err(WireError::TooLong);
+        }
+        Ok(Self {
+            bytes: Vec::with_capacity(kept_bytes),
+            kept_bytes,
+            unread_bytes: frame_bytes,
+            head_bytes,
+            fields_bytes,
+            memory,
+        })
+    }
+
+    /// Reads bytes of the frame; returns those behind it.
+    fn read<'b>(&mut self, bytes: &'b [u8]) -> &'b [u8] {
+        let (own, behind) = bytes.split_at(self.unread_bytes.min(bytes.len()));
+        self.unread_bytes -= own.len();
+        let room_bytes = self.kept_bytes - self.bytes.len();
+        self.bytes
+            .extend_from_slice(&own[..room_bytes.min(own.len())]);
+        behind
+    }
+
+    fn is_complete(&self) -> bool {
+        self.unread_bytes == 0
+    }
+
+    fn finish(
+        self,
+        on_frame: &mut impl FnMut(Frame<'_>) -> Result<(), WireError>,
+    ) -> Result<(), WireError> {
+        let is_body_dropped = self.memory.is_none();
+        let bytes = match self.memory {
+            Some(share) => share(self.bytes),
+            None => Bytes::from(self.bytes),
+        };
+        let bytes = bytes.slice(LENGTHS_BYTES..);
+        on_frame(Frame {
+            bytes: &bytes,
+            shared: Some(&bytes),
+            head_bytes: self.head_bytes,
+            fields_bytes: self.fields_bytes,
+            is_body_dropped,
+        })
+    }
+}
+
+impl fmt::Debug for LargeFrame {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut formatter = formatter.debug_struct("LargeFrame");
+        formatter.field("unread_bytes", &self.unread_bytes);
+        formatter.finish_non_exhaustive()
     }
 }
 
--- a/crates/kumquatquay-wire/src/routed/mod.rs
+++ b/crates/kumquatquay-wire/src/routed/mod.rs
@@ -23,8 +23,9 @@
 };
 pub use fields::{Field, Fields};
 pub use frame::{
-    AnswerHead, BODY_LIMIT_BYTES, CallHead, CallNumber, Frame, FrameHead, FrameReader, KnownLimit,
-    LinkOutcome, NotRunReason, OwnedFrame, Payload, RepeatCause, UnknownReason, encode_frame,
+    AnswerHead, BODY_LIMIT_BYTES, CallHead, CallNumber, Frame, FrameHead, FrameMemory, FrameReader,
+    KnownLimit, LinkOutcome, NotRunReason, OwnedFrame, Payload, RepeatCause, UnknownReason,
+    encode_frame, encode_frame_start,
 };
 pub use gate_report::{GateReport, RateReport};
 pub use quota::{HALVES_COUNT, QuotaVerdict, SLICES_COUNT, SliceSets};
--- a/crates/kumquatquay-wire/tests/frames.rs
+++ b/crates/kumquatquay-wire/tests/frames.rs
@@ -3,7 +3,10 @@
 use bytes::Bytes;
 use kumquatquay_wire::{
     WireError,
-    routed::{Fields, FrameHead, FrameReader, Payload, RouteEstimate, ServiceDemand, encode_frame},
+    routed::{
+        Fields, FrameHead, FrameMemory, FrameReader, Payload, RouteEstimate, ServiceDemand,
+        encode_frame,
+    },
 };
 use quickcheck::quickcheck;
 
@@ -26,10 +29,24 @@
     }
 }
 
+/// Memory without a limit.
+fn any_memory(_frame_bytes: usize) -> Option<FrameMemory> {
+    Some(Box::new(Bytes::from))
+}
+
 /// Takes in bytes of a link; all frames that are whole by that.
 fn read(reader: &mut FrameReader, bytes: &[u8]) -> Result<Vec<Numbered>, WireError> {
+    read_within(reader, bytes, any_memory)
+}
+
+/// [`read`], with what memory there is for large frames.
+fn read_within(
+    reader: &mut FrameReader,
+    bytes: &[u8],
+    take_memory: fn(usize) -> Option<FrameMemory>,
+) -> Result<Vec<Numbered>, WireError> {
     let mut frames = Vec::new();
-    reader.read(bytes, |frame| {
+    reader.read(bytes, take_memory, |frame| {
         let FrameHead::Cancel { number } = frame.head()? else {
             return Err(WireError::Malformed);
         };
@@ -58,6 +75,41 @@
     assert_eq!(reader.held_bytes(), 0);
 }
 
+/// Guards against uploads over links that exceed the memory of their node: the body of one for which there
+/// is none is dropped, its head tells whose it was, and the frames behind it are read.
+#[test]
+fn a_body_without_memory_is_dropped_and_the_next_frames_are_read() {
+    let mut bytes = Vec::new();
+    Numbered::with_body(1, vec![7; 360_000]).encode(&mut bytes);
+    Numbered::with_body(2, vec![8; 100]).encode(&mut bytes);
+    let mut reader = FrameReader::default();
+    let mut frames = Vec::new();
+    for piece in bytes.chunks(16_000) {
+        frames.extend(read_within(&mut reader, piece, |_| None).unwrap());
+        assert!(reader.held_bytes() < 16_000);
+    }
+    let expected = [(1, Vec::new()), (2, vec![8; 100])];
+    assert_eq!(
+        frames,
+        expected.map(|(number, body)| Numbered::with_body(number, body))
+    );
+}
+
+/// Guards against bodies that take twice their size, one part in a buffer and one in a copy of it.
+#[test]
+fn a_large_frame_is_read_into_the_memory_that_was_taken_for_it() {
+    let body = vec![7; 360_000];
+    let mut bytes = Vec::new();
+    Numbered::with_body(1, body.clone()).encode(&mut bytes);
+    let mut reader = FrameReader::default();
+    let mut frames = Vec::new();
+    for piece in bytes.chunks(16_000) {
+        frames.extend(read(&mut reader, piece).unwrap());
+        assert!(reader.held_bytes() <= bytes.len());
+    }
+    assert_eq!(frames, [Numbered::with_body(1, body)]);
+}
+
 /// A frame names lengths that its bytes don't have, or that lie beyond its end.
 #[test]
 fn lengths_that_lie_are_refused_or_waited_for() {
@@ -109,9 +161,10 @@
 }
 
 quickcheck! {
-    /// However the bytes of a link are cut, the same frames come out in order.
-    fn frames_come_out_whole(bodies: Vec<Vec<u8>>, cuts: Vec<u8>) -> bool {
-        let bodies = bodies.into_iter().enumerate();
+    /// However the bytes of a link are cut, the same frames come out in order, large ones among them.
+    fn frames_come_out_whole(bodies: Vec<Vec<u8>>, large: Vec<u16>, cuts: Vec<u8>) -> bool {
+        let large = large.into_iter().map(|length| vec![b'l'; usize::from(length)]);
+        let bodies = bodies.into_iter().chain(large).enumerate();
         let frames = bodies.map(|(number, body)| Numbered::with_body(number as u64, body));
         let frames: Vec<Numbered> = frames.collect();
         let mut bytes = Vec::new();
--- a/crates/kumquatquayd/src/routed/backend_pool.rs
+++ b/crates/kumquatquayd/src/routed/backend_pool.rs
@@ -10,13 +10,16 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request};
-use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use kumquatquay_core::routed::CarriedAttempts;
+use kumquatquay_core::routed::{BodyKind, CarriedAttempts};
 use tokio::{net::TcpStream, task::AbortHandle};
 
-use super::http_io::BufferedBody;
+use super::{
+    body_memory::BodyMemory,
+    body_reader::{BodyReadError, read_whole_body},
+    http_io::BufferedBody,
+};
 
 /// Timeout of a connection attempt. The backend server is on this host, so a connection is made or
 /// refused at once.
@@ -44,6 +47,8 @@
     address: SocketAddr,
     /// Size limit of an answer's body.
     answer_limit_bytes: usize,
+    /// Memory for those bodies.
+    memory: BodyMemory,
     idle: Rc<RefCell<Vec<Connection>>>,
     created_at: Instant,
 }
@@ -87,8 +92,10 @@
     ConnectionRefused,
     /// No connection could be made or the request could not be written, so it did not run.
     Unsent,
-    /// The connection failed after the request was sent, or the answer was invalid or too large.
+    /// The connection failed after the request was sent, or the answer was invalid.
     ConnectionBroken,
+    /// The answer was longer than the node accepts or has memory for.
+    AnswerTooLong,
 }
 
 /// A complete answer, and the connection on which it arrived.
@@ -125,10 +132,11 @@
 }
 
 impl BackendPool {
-    pub(crate) fn new(address: SocketAddr, answer_limit_bytes: usize) -> Self {
+    pub(crate) fn new(address: SocketAddr, answer_limit_bytes: usize, memory: BodyMemory) -> Self {
         Self {
             address,
             answer_limit_bytes,
+            memory,
             idle: Rc::default(),
             created_at: Instant::now(),
         }
@@ -231,20 +239,28 @@
         let answer =
             answer.map_err(|mut error| (SendError::ConnectionBroken, error.take_message()))?;
         let (head, body) = answer.into_parts();
-        // An endless body would exhaust the memory.
-        let body = Limited::new(body, self.answer_limit_bytes).collect().await;
+        let limit_bytes = self.answer_limit_bytes;
+        let body = read_whole_body(body, BodyKind::Answer, limit_bytes, &self.memory).await;
         let body = body.map_err(|error| {
             log::debug!(event = "backend_answer_unread"; "{error}");
-            (SendError::ConnectionBroken, None)
+            (error_of_reading(error), None)
         })?;
         let answered_at = self.created_at.elapsed();
         connection.carried.on_answered(answered_at, pooled.attempt);
         Ok(BackendAnswer {
             status: head.status.as_u16(),
             headers: head.headers,
-            body: body.to_bytes(),
+            body,
             connection,
             idle: Rc::clone(&self.idle),
         })
     }
 }
+
+/// Why an answer has not been read.
+fn error_of_reading(error: BodyReadError) -> SendError {
+    match error {
+        BodyReadError::Broken => SendError::ConnectionBroken,
+        BodyReadError::TooLong | BodyReadError::NoMemory => SendError::AnswerTooLong,
+    }
+}
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -9,15 +9,16 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, request::Parts};
-use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
+use http_body_util::{Either, Full};
 use hyper::body::Incoming;
-use kumquatquay_core::routed::{Mechanism, RetryAfter, RouteEntry, request_priority};
+use kumquatquay_core::routed::{BodyKind, Mechanism, RetryAfter, RouteEntry, request_priority};
 use kumquatquay_wire::routed::{
     LinkOutcome, NotRunReason, Payload, RouteSettings, UnknownReason, WorkspaceSettings,
 };
 
 use super::{
     admission::{Admission, PendingRequest, admit, is_internal, refuse_temporarily, trace},
+    body_reader::{BodyReadError, read_whole_body},
     caller_identity::{Identified, IdentityRefusal, identify, identify_without_waiting},
     crash_guard::{QUARANTINE_RETRY_AFTER, is_quarantined, may_run_elsewhere, quarantined},
     forwarding::forward,
@@ -39,9 +40,6 @@
 /// proved to be the newest, and at the end of a shutdown.
 const UNROUTED_RETRY: Duration = Duration::from_millis(300);
 
-/// Size up to which a body is copied out of its receive buffer.
-const COPIED_BODY_LIMIT_BYTES: usize = 4 * 1024;
-
 /// The body of a caller's request: still being received, or already in memory.
 pub(crate) type CallerBody = Either<Incoming, BufferedBody>;
 
@@ -95,12 +93,11 @@
         // Backend servers and other nodes must not see the key.
         (node.dialect.remove_caller_identity)(&mut parts.headers);
     }
-    let body = match read_body(body, table.limits().body_limit_bytes).await {
+    let limit_bytes = table.limits().body_limit_bytes;
+    let body = read_whole_body(body, BodyKind::Request, limit_bytes, &node.body_memory);
+    let body = match body.await {
         Ok(body) => body,
-        Err(status) => {
-            node.metrics.count("refused", "body");
-            return local_answer(status, None, "the body is too long or broken\n");
-        }
+        Err(error) => return refuse_body(node, &route, error),
     };
     let token = match &identified.workspace {
         None => None,
@@ -232,6 +229,30 @@
     )
 }
 
+/// Refuses a request whose body was not read; it has not run.
+fn refuse_body(
+    node: &RoutedNode,
+    route: &RouteEntry,
+    error: BodyReadError,
+) -> Response<BufferedBody> {
+    let (status, why) = match error {
+        BodyReadError::TooLong => (StatusCode::PAYLOAD_TOO_LARGE, "body"),
+        BodyReadError::Broken => (StatusCode::BAD_REQUEST, "body"),
+        BodyReadError::NoMemory => (StatusCode::SERVICE_UNAVAILABLE, "no_memory"),
+    };
+    node.metrics.count("refused", why);
+    if error != BodyReadError::NoMemory {
+        return local_answer(status, None, "the body is too long or broken\n");
+    }
+    if node.metrics.take_log_permit(node.now()) {
+        log::warn!(event = "no_memory", held_bytes = node.body_memory.held_bytes(),
+            route = route.settings.name.as_str();
+            "a request was refused: there is no memory for its body now");
+    }
+    let retry = Some(retry_after(node, &route.settings));
+    local_answer(status, retry, "no memory for the body now\n")
+}
+
 /// Counts a failed call of the backend server of this host. The run that made it is expected to
 /// fail as well and to make no further calls.
 fn count_failed_call(node: &RoutedNode, call: &OutgoingCall) {
@@ -358,23 +379,6 @@
     received_at + metadata.time_left.map_or(timeout, |left| left.min(timeout))
 }
 
-async fn read_body(body: CallerBody, limit_bytes: usize) -> Result<Bytes, StatusCode> {
-    match Limited::new(body, limit_bytes).collect().await {
-        Ok(body) => Ok(detach(body.to_bytes())),
-        Err(error) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(_) => Err(StatusCode::BAD_REQUEST),
-    }
-}
-
-/// Copies a short body out of its receive buffer, so that the connection can reuse the buffer.
-/// Otherwise it would allocate another one for the duration of the call.
-fn detach(body: Bytes) -> Bytes {
-    if body.len() > COPIED_BODY_LIMIT_BYTES {
-        return body;
-    }
-    Bytes::copy_from_slice(&body)
-}
-
 fn build_response(
     node: &RoutedNode,
     call: &OutgoingCall,
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -11,7 +11,7 @@
 
 use kumquatquay_core::{
     quota::Loan,
-    routed::{LinkAction, LinkHealth, Mechanism, PickedEndpoint},
+    routed::{BodyKind, LinkAction, LinkHealth, Mechanism, PickedEndpoint},
 };
 use kumquatquay_wire::{
     WireError,
@@ -259,7 +259,7 @@
     let (read, write) = stream.into_split();
     let take = |frame: Frame<'_>| on_frame(node, link, &frame);
     tokio::select! {
-        read = read_frames(read, take) => read,
+        read = read_frames(read, BodyKind::Answer, &node.body_memory, take) => read,
         written = link.frames.run(write) => written,
         () = link.end.notified() => Err(io::Error::new(io::ErrorKind::TimedOut, "peer is silent")),
     }
@@ -267,6 +267,9 @@
 
 fn on_frame(node: &Rc<RoutedNode>, link: &Rc<Link>, frame: &Frame<'_>) -> Result<(), WireError> {
     match frame.head()? {
+        FrameHead::Answer(answer) if frame.is_body_dropped() => {
+            on_unread_answer(node, link, answer.number);
+        }
         FrameHead::Answer(answer) => on_answer(node, link, answer, frame.payload()?),
         FrameHead::Granted { number } => on_granted(node, link, number),
         FrameHead::Pong {
@@ -277,6 +280,7 @@
             on_sync_answer(node, &link.frames, sync_state, asked);
         }
         FrameHead::Ping { sync_state, .. } => on_sync_state(node, &link.frames, sync_state),
+        FrameHead::Configuration if frame.is_body_dropped() => {}
         FrameHead::Configuration => on_configuration(node, frame.body()),
         FrameHead::ConfigurationRequest => send_configuration(node, &link.frames),
         FrameHead::Loan {
@@ -400,6 +404,16 @@
     }
 }
 
+/// Ends a call for whose answer there was no memory. It has run, and what it gave is lost.
+fn on_unread_answer(node: &RoutedNode, link: &Link, number: CallNumber) {
+    node.metrics.count("link", "no_memory_for_answer");
+    if let Some(pending) = link.pending.borrow_mut().remove(&number) {
+        let _ = pending
+            .answer
+            .send(LinkAnswer::unknown(UnknownReason::Garbled));
+    }
+}
+
 /// Pings another node; the answer tells how far it follows the configuration.
 pub(crate) fn send_ping(node: &Rc<RoutedNode>, peer: SocketAddr) {
     let link = link_to(node, peer, 0);
--- a/crates/kumquatquayd/src/routed/link_frames.rs
+++ b/crates/kumquatquayd/src/routed/link_frames.rs
@@ -2,15 +2,20 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::VecDeque,
     future::poll_fn,
     io,
     pin::Pin,
     task::{Context, Poll, ready},
 };
 
+use bytes::Bytes;
+use kumquatquay_core::routed::BodyKind;
 use kumquatquay_wire::{
     WireError,
-    routed::{Frame, FrameHead, FrameReader, Payload, encode_frame},
+    routed::{
+        Frame, FrameHead, FrameMemory, FrameReader, Payload, encode_frame, encode_frame_start,
+    },
 };
 use tokio::{
     io::{AsyncRead, AsyncWriteExt, ReadBuf},
@@ -18,7 +23,10 @@
     sync::Notify,
 };
 
-use super::buffer_pool::{return_buffer, take_buffer, with_read_buffer};
+use super::{
+    body_memory::BodyMemory,
+    buffer_pool::{return_buffer, take_buffer, with_read_buffer},
+};
 
 /// Limit for queued bytes towards a peer that doesn't read; beyond it no call is queued.
 const UNWRITTEN_LIMIT_BYTES: usize = 16 * 1024 * 1024;
@@ -27,16 +35,82 @@
 /// written; beyond it no call of the peer is run.
 const UNWRITTEN_ANSWERS_LIMIT_BYTES: usize = 1024 * 1024;
 
+/// Size from which on a body isn't copied into the queue.
+const SHARED_BODY_BYTES: usize = 16 * 1024;
+
 /// Queue of frames that are to be written to a connection.
 #[derive(Debug, Default)]
 pub(crate) struct FrameWriter {
-    unwritten: RefCell<Vec<u8>>,
+    unwritten: RefCell<Unwritten>,
     wake: Notify,
     queued_bytes: Cell<u64>,
     written_bytes: Cell<u64>,
     is_closed: Cell<bool>,
 }
 
+/// Bytes that are to be written.
+#[derive(Debug, Default)]
+struct Unwritten {
+    /// What comes first.
+    parts: VecDeque<UnwrittenPart>,
+    /// Frames behind it.
+    last: Vec<u8>,
+    bytes: usize,
+}
+
+#[derive(Debug)]
+enum UnwrittenPart {
+    /// Frames, the last of them without its body.
+    Frames(Vec<u8>),
+    /// The body of the last frame, in the memory in which it was received.
+    Body(Bytes),
+}
+
+impl Unwritten {
+    /// Adds a frame; returns its size.
+    fn push(&mut self, head: &FrameHead<'_>, payload: &Payload) -> usize {
+        if self.last.capacity() == 0 {
+            self.last = take_buffer();
+        }
+        let before_bytes = self.last.len();
+        let mut frame_bytes = 0;
+        if payload.body.len() < SHARED_BODY_BYTES {
+            encode_frame(head, payload, &mut self.last);
+        } else {
+            encode_frame_start(head, payload, &mut self.last);
+            frame_bytes += payload.body.len();
+        }
+        frame_bytes += self.last.len() - before_bytes;
+        if payload.body.len() >= SHARED_BODY_BYTES {
+            let frames = std::mem::take(&mut self.last);
+            self.parts.push_back(UnwrittenPart::Frames(frames));
+            let body = payload.body.clone();
+            self.parts.push_back(UnwrittenPart::Body(body));
+        }
+        self.bytes += frame_bytes;
+        frame_bytes
+    }
+
+    /// Takes what is to be written next.
+    fn pop(&mut self) -> Option<UnwrittenPart> {
+        let part = self.parts.pop_front().or_else(|| {
+            let frames = std::mem::take(&mut self.last);
+            (!frames.is_empty()).then_some(UnwrittenPart::Frames(frames))
+        })?;
+        self.bytes -= part.as_bytes().len();
+        Some(part)
+    }
+}
+
+impl UnwrittenPart {
+    fn as_bytes(&self) -> &[u8] {
+        match self {
+            Self::Frames(frames) => frames,
+            Self::Body(body) => body,
+        }
+    }
+}
+
 impl FrameWriter {
     /// Queues a frame without payload; returns its end as a position in the byte stream.
     pub(crate) fn push(&self, head: &FrameHead<'_>) -> u64 {
@@ -45,26 +119,20 @@
 
     /// Queues a frame; returns its end as a position in the byte stream.
     pub(crate) fn push_with(&self, head: &FrameHead<'_>, payload: &Payload) -> u64 {
-        let mut unwritten = self.unwritten.borrow_mut();
-        if unwritten.capacity() == 0 {
-            *unwritten = take_buffer();
-        }
-        let before = unwritten.len();
-        encode_frame(head, payload, &mut unwritten);
-        let added = (unwritten.len() - before) as u64;
-        self.queued_bytes.set(self.queued_bytes.get() + added);
+        let added_bytes = self.unwritten.borrow_mut().push(head, payload) as u64;
+        self.queued_bytes.set(self.queued_bytes.get() + added_bytes);
         self.wake.notify_one();
         self.queued_bytes.get()
     }
 
     /// Whether there is room for another frame.
     pub(super) fn has_room(&self) -> bool {
-        !self.is_closed.get() && self.unwritten.borrow().len() < UNWRITTEN_LIMIT_BYTES
+        !self.is_closed.get() && self.unwritten.borrow().bytes < UNWRITTEN_LIMIT_BYTES
     }
 
     /// Whether calls of the peer may run: their answers have to wait behind the queued bytes.
     pub(super) fn has_room_for_answers(&self) -> bool {
-        self.unwritten.borrow().len() < UNWRITTEN_ANSWERS_LIMIT_BYTES
+        self.unwritten.borrow().bytes < UNWRITTEN_ANSWERS_LIMIT_BYTES
     }
 
     /// Whether the byte stream has been written up to a position.
@@ -81,12 +149,12 @@
     /// write.
     pub(crate) async fn run(&self, mut connection: OwnedWriteHalf) -> io::Result<()> {
         loop {
-            let chunk = std::mem::take(&mut *self.unwritten.borrow_mut());
-            if chunk.is_empty() {
+            let next = self.unwritten.borrow_mut().pop();
+            let Some(part) = next else {
                 self.wake.notified().await;
                 continue;
-            }
-            let mut rest = chunk.as_slice();
+            };
+            let mut rest = part.as_bytes();
             while !rest.is_empty() {
                 let written = connection.write(rest).await?;
                 if written == 0 {
@@ -96,36 +164,52 @@
                     .set(self.written_bytes.get() + written as u64);
                 rest = &rest[written..];
             }
-            return_buffer(chunk);
+            if let UnwrittenPart::Frames(frames) = part {
+                return_buffer(frames);
+            }
         }
     }
 }
 
-/// Reads frames and passes each to `on_frame`, until the connection ends or fails.
+/// Reads frames and passes each to `on_frame`, until the connection ends or fails. Large ones take memory
+/// for bodies of this kind; those for which there is none come without their bodies.
 pub(crate) async fn read_frames(
     mut connection: OwnedReadHalf,
+    kind: BodyKind,
+    memory: &BodyMemory,
     mut on_frame: impl FnMut(Frame<'_>) -> Result<(), WireError>,
 ) -> io::Result<()> {
     let mut reader = FrameReader::default();
-    let mut read =
-        |context: &mut Context<'_>| read_some(context, &mut connection, &mut reader, &mut on_frame);
+    let take_memory = |frame_bytes| memory_for_frame(memory, kind, frame_bytes);
+    let mut read = |context: &mut Context<'_>| {
+        let mut read_bytes = |bytes: &[u8]| reader.read(bytes, take_memory, &mut on_frame);
+        read_some(context, &mut connection, &mut read_bytes)
+    };
     while poll_fn(&mut read).await? > 0 {}
     Ok(())
 }
 
-/// Reads available bytes and passes the completed frames to `on_frame`; returns the number of bytes
-/// read.
+/// Takes memory for a large frame, if there is any.
+fn memory_for_frame(
+    memory: &BodyMemory,
+    kind: BodyKind,
+    frame_bytes: usize,
+) -> Option<FrameMemory> {
+    let lease = memory.lease_whole(kind, frame_bytes)?;
+    Some(Box::new(move |bytes| lease.into_bytes(bytes)))
+}
+
+/// Reads available bytes and passes them on; returns their number.
 fn read_some(
     context: &mut Context<'_>,
     connection: &mut OwnedReadHalf,
-    reader: &mut FrameReader,
-    on_frame: impl FnMut(Frame<'_>) -> Result<(), WireError>,
+    on_bytes: &mut impl FnMut(&[u8]) -> Result<(), WireError>,
 ) -> Poll<io::Result<usize>> {
     with_read_buffer(|buffer| {
         let mut buffer = ReadBuf::new(buffer);
         ready!(Pin::new(connection).poll_read(context, &mut buffer))?;
         let bytes = buffer.filled();
-        reader.read(bytes, on_frame).map_err(io::Error::other)?;
+        on_bytes(bytes).map_err(io::Error::other)?;
         Poll::Ready(Ok(bytes.len()))
     })
 }
--- a/crates/kumquatquayd/src/routed/link_server.rs
+++ b/crates/kumquatquayd/src/routed/link_server.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use kumquatquay_core::routed::BodyKind;
 use kumquatquay_wire::{
     WireError,
     routed::{
@@ -138,7 +139,7 @@
     let (read, write) = stream.into_split();
     let take = |frame: Frame<'_>| on_frame(&node, &link, &frame);
     let ended = tokio::select! {
-        read = read_frames(read, take) => read,
+        read = read_frames(read, BodyKind::Request, &node.body_memory, take) => read,
         written = link.frames.run(write) => written,
     };
     if let Err(error) = ended {
@@ -155,7 +156,11 @@
     match frame.head()? {
         FrameHead::Call(call) => {
             on_sync_state(node, &link.frames, call.sync_state);
-            if link.frames.has_room_for_answers() {
+            if frame.is_body_dropped() {
+                node.metrics.count("link", "no_memory_for_call");
+                let refusal = LinkAnswer::not_run(NotRunReason::Full);
+                send_answer(node, link, call.number, call.route, &refusal);
+            } else if link.frames.has_room_for_answers() {
                 on_call(node, link, call.number, frame.to_owned_frame()?);
             } else {
                 // The peer doesn't read, so answers would pile up in memory.
@@ -187,6 +192,7 @@
             });
         }
         FrameHead::ConfigurationRequest => send_configuration(node, &link.frames),
+        FrameHead::Configuration if frame.is_body_dropped() => {}
         FrameHead::Configuration => on_configuration(node, frame.body()),
         FrameHead::LoanRequest {
             borrower,
--- a/crates/kumquatquayd/src/routed/local_run.rs
+++ b/crates/kumquatquayd/src/routed/local_run.rs
@@ -307,7 +307,24 @@
             node.run_broken.notify_one();
             LinkAnswer::unknown(UnknownReason::BackendBroke)
         }
+        // The server runs on, so no request is suspected of its end.
+        SendError::AnswerTooLong => {
+            log_long_answer(node, timed);
+            LinkAnswer::unknown(UnknownReason::Garbled)
+        }
+    }
+}
+
+/// Logs an answer that was given up for its length.
+fn log_long_answer(node: &RoutedNode, timed: &TimedCall<'_>) {
+    node.metrics.count("garbled", "too_long");
+    if !node.metrics.take_log_permit(node.now()) {
+        return;
     }
+    let call = timed.call;
+    log::warn!(event = "answer_too_long", request = call.attempt, route = call.route,
+        service = call.service, held_bytes = node.body_memory.held_bytes();
+        "an answer of the backend server was given up: it is longer than this node accepts or has memory for");
 }
 
 /// Logs a run whose connection broke. The fingerprint shows which of them were the same request, and the
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -14,6 +14,8 @@
 mod backend_death;
 mod backend_pool;
 mod backend_run;
+mod body_memory;
+mod body_reader;
 mod buffer_pool;
 mod call_fingerprint;
 mod call_workers;
