Take a backend server for alive while parts of its answers come

Callers got 503 for filings for as long as the next report took: the node took the backend server for dead, as it "does not answer calls", while that wrote four answers whose bodies took longer than 600 ms.

Cause: the sign of life was the end of a call. An answer that is being written is one too, and a server that writes without end isn't dead. Its runs count as failed, so it is ejected as others that fail are.

The head and each part of a body count now.

--- a/crates/kumquatquay-core/src/routed/backend_liveness.rs
+++ b/crates/kumquatquay-core/src/routed/backend_liveness.rs
@@ -43,9 +43,9 @@
         }
     }
 
-    /// Records that something else came from the backend server.
-    pub fn on_activity(&mut self, now: Duration) {
-        self.last_activity = now;
+    /// Records that something else came from the backend server at `at`, which may be a while ago.
+    pub fn on_activity(&mut self, at: Duration) {
+        self.last_activity = self.last_activity.max(at);
     }
 
     /// Whether it has been silent for too long while calls are in flight.
--- a/crates/kumquatquay-core/tests/routed/backend_liveness.rs
+++ b/crates/kumquatquay-core/tests/routed/backend_liveness.rs
@@ -34,6 +34,20 @@
     }
 }
 
+/// Guards against a server taken for dead while it sends answers that take long to write, or have no end.
+#[test]
+fn parts_of_answers_are_signs_of_life() {
+    let mut liveness = BackendLiveness::default();
+    for _ in 0..4 {
+        liveness.call_started(at_ms(0));
+    }
+    liveness.on_activity(at_ms(5_000));
+    // It is told late of a part that came before.
+    liveness.on_activity(at_ms(4_000));
+    assert!(!liveness.is_silent(at_ms(5_500), RUN_TIME));
+    assert!(liveness.is_silent(at_ms(5_700), RUN_TIME));
+}
+
 /// A single long call doesn't show whether the backend server answers.
 #[test]
 fn a_single_long_call_is_no_silence() {
--- a/crates/kumquatquayd/src/routed/backend_pool.rs
+++ b/crates/kumquatquayd/src/routed/backend_pool.rs
@@ -1,7 +1,7 @@
 //! Pool of HTTP/1.1 connections to the backend server of this host.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     io,
     net::SocketAddr,
     rc::Rc,
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request};
+use http_body_util::BodyExt;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use kumquatquay_core::routed::{BodyKind, CarriedAttempts};
@@ -50,6 +51,8 @@
     /// Memory for those bodies.
     memory: BodyMemory,
     idle: Rc<RefCell<Vec<Connection>>>,
+    /// When a part of an answer last came.
+    last_part_at: Cell<Option<Instant>>,
     created_at: Instant,
 }
 
@@ -138,6 +141,7 @@
             answer_limit_bytes,
             memory,
             idle: Rc::default(),
+            last_part_at: Cell::default(),
             created_at: Instant::now(),
         }
     }
@@ -156,6 +160,11 @@
         idle.iter().any(|connection| !connection.sender.is_closed())
     }
 
+    /// Time since a part of an answer came; `None` if none has.
+    pub(crate) fn time_since_part(&self) -> Option<Duration> {
+        self.last_part_at.get().map(|at| at.elapsed())
+    }
+
     /// Sends a request and waits for the complete answer.
     ///
     /// If the future is dropped before that, the connection is closed, which tells the backend
@@ -239,6 +248,11 @@
         let answer =
             answer.map_err(|mut error| (SendError::ConnectionBroken, error.take_message()))?;
         let (head, body) = answer.into_parts();
+        self.last_part_at.set(Some(Instant::now()));
+        let body = body.map_frame(|frame| {
+            self.last_part_at.set(Some(Instant::now()));
+            frame
+        });
         let limit_bytes = self.answer_limit_bytes;
         let body = read_whole_body(body, BodyKind::Answer, limit_bytes, &self.memory).await;
         let body = body.map_err(|error| {
--- a/crates/kumquatquayd/src/routed/gate_slot.rs
+++ b/crates/kumquatquayd/src/routed/gate_slot.rs
@@ -71,7 +71,12 @@
         let now = node.now();
         let state = node.gate.borrow().state();
         let run_time = node.gate.borrow().mean_run_time();
-        let is_silent = node.backend_liveness.borrow().is_silent(now, run_time);
+        let mut liveness = node.backend_liveness.borrow_mut();
+        if let Some(since) = node.backend.time_since_part() {
+            liveness.on_activity(now.saturating_sub(since));
+        }
+        let is_silent = liveness.is_silent(now, run_time);
+        drop(liveness);
         if is_silent && node.is_on(Mechanism::SilentBackend) {
             // Running calls are not cancelled: their answers may still come.
             on_backend_unresponsive(&node, "it does not answer calls");
