Bound what one poll of a connection reads, and what an answer has beside its body

Cause: the HTTP library reads on while the socket has bytes. Sizes of chunks and interim answers have no limit there; header lines, extensions and trailers have, which is why only the first two stopped nodes. Ruled out: work for each piece of a body (bodies in pieces end at every piece), and starving by wake-ups (nothing else ran at all).

A poll reads 32 KB and one buffer more at most, on all HTTP connections of a node on routes. What an answer has beside its body is bounded, so such a connection is closed at once. Both outcomes are unknown, and none of them suspects a request or takes the server for dead.

--- a/crates/kumquatquayd/src/routed/backend_pool.rs
+++ b/crates/kumquatquayd/src/routed/backend_pool.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     io,
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -19,6 +20,7 @@
 use super::{
     body_memory::BodyMemory,
     body_reader::{BodyReadError, read_whole_body},
+    bounded_read::{BoundedStream, ReadMeter},
     http_io::BufferedBody,
 };
 
@@ -39,6 +41,13 @@
 /// whether the request ran. A recently used connection is not about to be closed.
 const AT_MOST_ONCE_IDLE_LIMIT: Duration = Duration::from_millis(250);
 
+/// Size of the read buffer of a connection, and so of the longest head of an answer.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Bytes of an answer beside its body, at most: its head, interim answers before it, and what separates
+/// the chunks of a body beyond what their bytes pay for. A read buffer of body bytes may count as well.
+const OVERHEAD_LIMIT_BYTES: usize = 2 * READ_BUFFER_BYTES;
+
 /// Idle connections in the pool, at most.
 const IDLE_LIMIT_COUNT: usize = 512;
 
@@ -70,6 +79,7 @@
 struct Connection {
     sender: SendRequest<BufferedBody>,
     task: AbortHandle,
+    meter: Rc<ReadMeter>,
     carried: CarriedAttempts,
     idle_since: Instant,
     expires_at: Instant,
@@ -97,7 +107,8 @@
     Unsent,
     /// The connection failed after the request was sent, or the answer was invalid.
     ConnectionBroken,
-    /// The answer was longer than the node accepts or has memory for.
+    /// The answer was longer than the node accepts or has memory for, or had too many bytes beside its
+    /// body.
     AnswerTooLong,
 }
 
@@ -222,16 +233,22 @@
             Ok(Err(_)) | Err(_) => return Err(SendError::Unsent),
         };
         let _ = stream.set_nodelay(true);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let meter = ReadMeter::with_overhead_limit(OVERHEAD_LIMIT_BYTES);
+        let stream = BoundedStream::new(stream, Rc::clone(&meter));
+        let mut handshake = http1::Builder::new();
+        handshake.max_buf_size(READ_BUFFER_BYTES);
+        let handshake = handshake.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| SendError::Unsent)?;
+        let task_meter = Rc::clone(&meter);
         let task = tokio::task::spawn_local(async move {
             // An error is reported to the request in progress on the connection.
-            let _ = connection.await;
+            let _ = task_meter.drive(pin!(connection)).await;
         });
         let now = Instant::now();
         Ok(Connection {
             sender,
             task: task.abort_handle(),
+            meter,
             carried: CarriedAttempts::default(),
             idle_since: now,
             expires_at: now,
@@ -244,20 +261,25 @@
         request: Request<BufferedBody>,
         pooled: PooledRequest<'_>,
     ) -> Result<BackendAnswer, (SendError, Option<Request<BufferedBody>>)> {
+        let meter = Rc::clone(&connection.meter);
+        meter.begin_message();
         let answer = connection.sender.try_send_request(request).await;
-        let answer =
-            answer.map_err(|mut error| (SendError::ConnectionBroken, error.take_message()))?;
+        let answer = answer.map_err(|mut error| {
+            let unsent = error.take_message();
+            (error_of_reading(BodyReadError::Broken, &meter), unsent)
+        })?;
         let (head, body) = answer.into_parts();
         self.last_part_at.set(Some(Instant::now()));
         let body = body.map_frame(|frame| {
             self.last_part_at.set(Some(Instant::now()));
+            meter.on_body(frame.data_ref().map_or(0, Bytes::len));
             frame
         });
         let limit_bytes = self.answer_limit_bytes;
         let body = read_whole_body(body, BodyKind::Answer, limit_bytes, &self.memory).await;
         let body = body.map_err(|error| {
             log::debug!(event = "backend_answer_unread"; "{error}");
-            (error_of_reading(error), None)
+            (error_of_reading(error, &meter), None)
         })?;
         let answered_at = self.created_at.elapsed();
         connection.carried.on_answered(answered_at, pooled.attempt);
@@ -272,9 +294,11 @@
 }
 
 /// Why an answer has not been read.
-fn error_of_reading(error: BodyReadError) -> SendError {
+fn error_of_reading(error: BodyReadError, meter: &ReadMeter) -> SendError {
     match error {
-        BodyReadError::Broken => SendError::ConnectionBroken,
-        BodyReadError::TooLong | BodyReadError::NoMemory => SendError::AnswerTooLong,
+        BodyReadError::Broken if !meter.is_exceeded() => SendError::ConnectionBroken,
+        BodyReadError::Broken | BodyReadError::TooLong | BodyReadError::NoMemory => {
+            SendError::AnswerTooLong
+        }
     }
 }
--- a/crates/kumquatquayd/src/routed/http_io.rs
+++ b/crates/kumquatquayd/src/routed/http_io.rs
@@ -11,7 +11,10 @@
 use kumquatquay_wire::routed::Fields;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::node::{RoutedNode, StopPhase};
+use super::{
+    bounded_read::{BoundedStream, ReadMeter},
+    node::{RoutedNode, StopPhase},
+};
 use crate::http::{connection_options, is_for_connection};
 
 /// Body that is held in memory completely.
@@ -72,22 +75,23 @@
         let answer = serve(Rc::clone(&node), request);
         async { Ok::<_, std::convert::Infallible>(answer.await) }
     });
-    let connection =
-        http1_server(node.head_limit_bytes()).serve_connection(TokioIo::new(stream), service);
+    let meter = Rc::<ReadMeter>::default();
+    let stream = TokioIo::new(BoundedStream::new(stream, Rc::clone(&meter)));
+    let connection = http1_server(node.head_limit_bytes()).serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
     if node.stop_phase() >= StopPhase::Closing {
         // Its request is refused. If the connection was just closed, its caller wouldn't learn
         // when to retry.
-        let _ = connection.await;
+        let _ = meter.drive(connection).await;
         return;
     }
     tokio::select! {
-        _ = connection.as_mut() => return,
+        _ = meter.drive(connection.as_mut()) => return,
         () = node.stop_reached(StopPhase::Closing) => {}
     }
     connection.as_mut().graceful_shutdown();
     // Errors on a caller's connection concern only the caller.
-    let _ = connection.await;
+    let _ = meter.drive(connection).await;
 }
 
 /// Settings for the server side of an HTTP/1.1 connection.
--- a/crates/kumquatquayd/src/routed/mod.rs
+++ b/crates/kumquatquayd/src/routed/mod.rs
@@ -16,6 +16,7 @@
 mod backend_run;
 mod body_memory;
 mod body_reader;
+mod bounded_read;
 mod buffer_pool;
 mod call_fingerprint;
 mod call_workers;
@@ -62,6 +63,7 @@
 mod store_polling;
 mod store_restore;
 
+pub use bounded_read::{BoundedStream, ReadMeter};
 pub use interface::{
     AnswerMetadata, BackendReport, ConfigurationRead, CrashesRead, Dialect, ForwardedMetadata,
     ObservedEras, PlatformStore, RegisterPage, RequestMetadata, StoreError, StoreFuture,
--- a/crates/kumquatquayd/src/routed/pipelining.rs
+++ b/crates/kumquatquayd/src/routed/pipelining.rs
@@ -26,6 +26,7 @@
 };
 
 use super::{
+    bounded_read::ReadMeter,
     caller_connection::{CallerConnection, ReadAction, RequestSource},
     entry::{CallerBody, serve_entry},
     http_io::{BufferedBody, http1_server, local_answer},
@@ -56,8 +57,10 @@
         let answer = answer(Rc::clone(&answering), turn, request);
         async { Ok::<_, Infallible>(answer.await) }
     });
+    let meter = Rc::<ReadMeter>::default();
     let io = CallerIo {
         stream,
+        meter: Rc::clone(&meter),
         caller_connection: Rc::clone(&caller_connection),
         write_timer: None,
     };
@@ -73,14 +76,14 @@
         node.stop_reached(StopPhase::Closing).await;
     };
     tokio::select! {
-        _ = &mut connection => {}
+        _ = meter.drive(Pin::new(&mut connection)) => {}
         () = closing => {
             // Otherwise the connection closes after the last answer to what was read.
             if caller_connection.may_close() {
                 Pin::new(&mut connection).graceful_shutdown();
             }
             // Errors on a caller's connection concern only the caller.
-            let _ = (&mut connection).await;
+            let _ = meter.drive(Pin::new(&mut connection)).await;
         }
     }
     let stream = connection.into_parts().io.stream;
@@ -190,6 +193,7 @@
 /// Socket of a caller as the HTTP library sees it: one request at a time.
 struct CallerIo {
     stream: TcpStream,
+    meter: Rc<ReadMeter>,
     caller_connection: Rc<CallerConnection>,
     /// Runs while the caller accepts no bytes.
     write_timer: Option<Pin<Box<Sleep>>>,
@@ -217,6 +221,17 @@
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
+    /// Reads from the socket, within the bounds for one poll of the connection.
+    fn poll_socket(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        std::task::ready!(self.meter.poll_turn(context));
+        std::task::ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        Poll::Ready(self.meter.on_read(buffer.filled().len()))
+    }
+
     /// Buffers up to `limit_bytes` from the socket; returns how many were read.
     fn poll_buffer(
         &mut self,
@@ -226,7 +241,7 @@
         let mut chunk = [const { MaybeUninit::uninit() }; READ_CHUNK_BYTES];
         let room = &mut chunk[..limit_bytes.min(READ_CHUNK_BYTES)];
         let mut buffer = ReadBuf::uninit(room);
-        std::task::ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer))?;
+        std::task::ready!(self.poll_socket(context, &mut buffer))?;
         self.caller_connection.on_read(buffer.filled());
         Poll::Ready(Ok(buffer.filled().len()))
     }
@@ -252,7 +267,7 @@
         let mut chunk = [const { MaybeUninit::uninit() }; READ_CHUNK_BYTES];
         let room = &mut chunk[..cursor.remaining().min(READ_CHUNK_BYTES)];
         let mut buffer = ReadBuf::uninit(room);
-        std::task::ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer))?;
+        std::task::ready!(self.poll_socket(context, &mut buffer))?;
         if buffer.filled().is_empty() {
             self.caller_connection.on_end();
         }
