--- a/crates/kumquatquay-core/src/routed/freshness_proof.rs
+++ b/crates/kumquatquay-core/src/routed/freshness_proof.rs
@@ -117,7 +117,7 @@
         if self.restore.as_ref().is_some_and(|known| era <= known.era) {
             return;
         }
-        let settled = self.settled.filter(|(settled, _)| *settled >= era);
+        let settled = self.settled.filter(|(settled, _)| *settled == era);
         let rewritten_at = settled.map_or(rewritten_at, |(_, at)| at.min(rewritten_at));
         self.restore = Some(Restore {
             era,
@@ -130,13 +130,16 @@
 
     /// The store says that a node saw the time pass in which operators write again what was lost
     /// before this era.
+    ///
+    /// It says nothing of other eras: a store can't have been told of a later one than its own, and
+    /// a record that names one would make the reads after each restore count at once.
     pub fn on_era_settled(&mut self, now: Duration, era: StoreEra) {
-        if self.settled.is_some_and(|(settled, _)| settled >= era) {
+        if self.settled.is_some_and(|(settled, _)| settled == era) {
             return;
         }
         self.settled = Some((era, now));
         if let Some(restore) = &mut self.restore
-            && restore.era <= era
+            && restore.era == era
         {
             restore.rewritten_at = restore.rewritten_at.min(now);
         }
--- a/crates/kumquatquay-core/src/routed/log_read.rs
+++ b/crates/kumquatquay-core/src/routed/log_read.rs
@@ -246,7 +246,7 @@
             Stage::Resume { from } | Stage::History { from, .. } => from,
             Stage::Newest { .. } | Stage::Ended { .. } | Stage::Outdated => return,
         };
-        self.advance_to(position, from + offsets_count, end);
+        self.advance_to(position, from.saturating_add(offsets_count), end);
     }
 
     fn on_offset_unavailable(&mut self, position: &mut LogPosition, oldest_offset: Option<u64>) {
--- a/crates/kumquatquay-core/tests/routed/freshness_proof.rs
+++ b/crates/kumquatquay-core/tests/routed/freshness_proof.rs
@@ -282,6 +282,25 @@
     assert_eq!(age_ms(&proof, 1_600), Some(100));
 }
 
+/// Guards against a record of the store that names a settled era beyond all others: with it, keys that were taken
+/// away would work after each restore.
+#[test]
+fn an_era_that_is_not_the_stores_settles_none() {
+    for first in [true, false] {
+        let mut proof = FreshnessProof::default();
+        if first {
+            proof.on_era_settled(at(900), u64::MAX);
+        }
+        proof.on_first_era(at(1_000), 5);
+        if !first {
+            proof.on_era_settled(at(1_100), u64::MAX);
+        }
+        assert!(!proof.is_era_settled(at(1_200)));
+        proof.on_era_settled(at(1_300), 5);
+        assert!(proof.is_era_settled(at(1_400)));
+    }
+}
+
 #[test]
 fn an_era_may_be_settled_before_a_node_learns_of_it() {
     let mut proof = FreshnessProof::default();
--- a/crates/kumquatquayd/src/routed/store_restore.rs
+++ b/crates/kumquatquayd/src/routed/store_restore.rs
@@ -146,6 +146,10 @@
                     let now = self.boot_time();
                     self.proof.borrow_mut().on_era_settled(now, era);
                 }
+                if settled > (store.eras)().highest {
+                    let text = "the era that is kept as settled is later than that of the store";
+                    self.log_ignored_era("settled_ahead", text);
+                }
             }
             Err(error) => log::debug!(event = "settled_era_unread"; "{error}"),
         }
@@ -155,7 +159,7 @@
     /// start later without others that know it.
     pub(crate) fn keep_settled_era(self: &Rc<Self>, store: &PlatformStore, era: Option<StoreEra>) {
         let kept = &self.store_restore.kept_settled;
-        let is_needed = self.settings.bounds.revoke.is_some() && era > kept.get();
+        let is_needed = self.settings.bounds.revoke.is_some() && era != kept.get();
         let Some(era) = era.filter(|_| is_needed && self.store_readers.get().is_reader) else {
             return;
         };
