Follow a backend server after a report with an odd number

A report with a number near 2^64 was the last one that counted until the server's next start, since all others were "late": its slots and warm-up weren't followed, and once it had been taken for dead no report brought it back.

A report is late by seconds.

The core's test failed before (a report after a presumed death changed nothing).

--- a/crates/kumquatquay-core/src/routed/backend_lives.rs
+++ b/crates/kumquatquay-core/src/routed/backend_lives.rs
@@ -9,6 +9,10 @@
 /// restarts.
 const LIVES_LIMIT_COUNT: usize = 256;
 
+/// By how much the number of a report that comes late is lower, at most. It is late by seconds, and
+/// even if it is a time in nanoseconds, that is less than this: a day.
+const LATE_SEQUENCE_RANGE: u64 = 100_000_000_000_000;
+
 /// A report of a backend server about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LifeReport {
@@ -547,15 +551,23 @@
 
 impl Life {
     /// Whether the known report is newer than this one.
+    ///
+    /// If the number of the known one is far higher, it was odd. Taken for the newest, it would be the
+    /// last report that counts: the backend server would not be followed any more.
     fn is_newer_than(&self, report: &LifeReport) -> bool {
         let known = self.report.as_ref();
-        known.is_some_and(|known| report.sequence < known.sequence)
+        known.is_some_and(|known| {
+            let later = known.sequence.saturating_sub(report.sequence);
+            (1..=LATE_SEQUENCE_RANGE).contains(&later)
+        })
     }
 
     /// Stores a report; a life that leaves stays draining, whatever the report says.
     fn set_report(&mut self, now: Duration, mut report: LifeReport) {
-        if let Some(known) = &self.report {
-            report.sequence = report.sequence.max(known.sequence);
+        if self.is_newer_than(&report)
+            && let Some(known) = &self.report
+        {
+            report.sequence = known.sequence;
         }
         if report.state == LifeState::Serving {
             self.serving_reported_at = Some(now);
--- a/crates/kumquatquay-core/tests/routed/backend_lives.rs
+++ b/crates/kumquatquay-core/tests/routed/backend_lives.rs
@@ -79,6 +79,26 @@
     assert_eq!(current(&lives), Some("new"));
 }
 
+/// Guards against a backend server that isn't followed any more, after one of its reports had an odd number.
+#[test]
+fn a_report_with_an_odd_number_is_not_the_last_one_that_counts() {
+    let mut lives = BackendLives::default();
+    for sequence in [1, u64::MAX, 2] {
+        let applied = lives.on_report(
+            at_ms(sequence % 10),
+            report("a", sequence, LifeState::Serving),
+        );
+        assert!(applied.is_ok());
+    }
+    assert!(lives.on_dead());
+    let applied = lives.on_report(at_ms(20), report("a", 3, LifeState::Serving));
+    assert_eq!(applied, Ok(true));
+    // Reports that are late are still told by their numbers.
+    let mut late = report("a", 2, LifeState::Serving);
+    late.slots_count = 7;
+    assert_eq!(lives.on_report(at_ms(30), late), Ok(false));
+}
+
 #[test]
 fn a_leaving_life_accepts_calls_during_the_drain_only() {
     let mut lives = BackendLives::default();
