Log a configuration of another node for which there was no memory

A frame that lost its body was passed over without a word. Without the body it is malformed, which is logged as any other that can't be read (configuration_refused, from node); the node asks again when it next hears of the version.

--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -280,7 +280,6 @@
             on_sync_answer(node, &link.frames, sync_state, asked);
         }
         FrameHead::Ping { sync_state, .. } => on_sync_state(node, &link.frames, sync_state),
-        FrameHead::Configuration if frame.is_body_dropped() => {}
         FrameHead::Configuration => on_configuration(node, frame.body()),
         FrameHead::ConfigurationRequest => send_configuration(node, &link.frames),
         FrameHead::Loan {
--- a/crates/kumquatquayd/src/routed/link_server.rs
+++ b/crates/kumquatquayd/src/routed/link_server.rs
@@ -192,7 +192,6 @@
             });
         }
         FrameHead::ConfigurationRequest => send_configuration(node, &link.frames),
-        FrameHead::Configuration if frame.is_body_dropped() => {}
         FrameHead::Configuration => on_configuration(node, frame.body()),
         FrameHead::LoanRequest {
             borrower,
