--- a/crates/kumquatquayd/src/routed/bounded_read.rs
+++ b/crates/kumquatquayd/src/routed/bounded_read.rs
@@ -16,8 +16,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Bytes that are read within one poll of a connection, at most, and one read more. Parsing them takes
-/// about two milliseconds if they are the worst.
+/// Bytes after which a poll of a connection reads no more.
 const TURN_BYTES: usize = 32 * 1024;
 
 /// Bytes of a message beside its body that may come for each byte of the body: a chunk of one byte takes
--- a/crates/kumquatquayd/tests/bounded_read.rs
+++ b/crates/kumquatquayd/tests/bounded_read.rs
@@ -22,7 +22,7 @@
 /// Size of the read buffer of the HTTP library.
 const BUFFER_BYTES: usize = 64 * 1024;
 
-/// Bytes that may be parsed in one poll. At 50 ns each, twice what the worst of them took, it lasts 5 ms.
+/// Bytes that may be read in one poll: those of a turn, and one read of a whole buffer.
 const POLL_LIMIT_BYTES: usize = 100_000;
 
 /// A peer that always has more bytes.
