Read callers' sockets through the stream that bounds reads

A caller's socket had the bound on what one poll reads written a second time, beside BoundedStream, which reads every other connection; it uses that now, and the meter's steps are private to it. A link's queue asked twice whether a body is short enough to be copied; once is enough. No behaviour changes.

--- a/crates/kumquatquayd/src/routed/bounded_read.rs
+++ b/crates/kumquatquayd/src/routed/bounded_read.rs
@@ -63,7 +63,7 @@
     }
 
     /// Whether this poll may read more. If not, the task is polled again after others.
-    pub fn poll_turn(&self, context: &mut Context<'_>) -> Poll<()> {
+    fn poll_turn(&self, context: &mut Context<'_>) -> Poll<()> {
         if self.turn_bytes.get() > 0 {
             return Poll::Ready(());
         }
@@ -76,7 +76,7 @@
     /// # Errors
     ///
     /// If the message has too many bytes beside its body.
-    pub fn on_read(&self, bytes: usize) -> io::Result<()> {
+    fn on_read(&self, bytes: usize) -> io::Result<()> {
         self.turn_bytes
             .set(self.turn_bytes.get().saturating_sub(bytes));
         self.overhead_bytes
@@ -113,6 +113,16 @@
     pub fn new(stream: S, meter: Rc<ReadMeter>) -> Self {
         Self { stream, meter }
     }
+
+    /// Returns the stream itself, whose reads aren't bounded.
+    pub fn get_ref(&self) -> &S {
+        &self.stream
+    }
+
+    /// Returns the stream itself, whose reads aren't bounded any more.
+    pub fn into_inner(self) -> S {
+        self.stream
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for BoundedStream<S> {
--- a/crates/kumquatquayd/src/routed/link_frames.rs
+++ b/crates/kumquatquayd/src/routed/link_frames.rs
@@ -13,9 +13,7 @@
 use kumquatquay_core::routed::BodyKind;
 use kumquatquay_wire::{
     WireError,
-    routed::{
-        Frame, FrameHead, FrameMemory, FrameReader, Payload, encode_frame, encode_frame_start,
-    },
+    routed::{Frame, FrameHead, FrameMemory, FrameReader, Payload, encode_frame_start},
 };
 use tokio::{
     io::{AsyncRead, AsyncWriteExt, ReadBuf},
@@ -73,15 +71,11 @@
             self.last = take_buffer();
         }
         let before_bytes = self.last.len();
-        let mut frame_bytes = 0;
+        encode_frame_start(head, payload, &mut self.last);
+        let frame_bytes = self.last.len() - before_bytes + payload.body.len();
         if payload.body.len() < SHARED_BODY_BYTES {
-            encode_frame(head, payload, &mut self.last);
+            self.last.extend_from_slice(&payload.body);
         } else {
-            encode_frame_start(head, payload, &mut self.last);
-            frame_bytes += payload.body.len();
-        }
-        frame_bytes += self.last.len() - before_bytes;
-        if payload.body.len() >= SHARED_BODY_BYTES {
             let frames = std::mem::take(&mut self.last);
             self.parts.push_back(UnwrittenPart::Frames(frames));
             let body = payload.body.clone();
--- a/crates/kumquatquayd/src/routed/pipelining.rs
+++ b/crates/kumquatquayd/src/routed/pipelining.rs
@@ -26,7 +26,7 @@
 };
 
 use super::{
-    bounded_read::ReadMeter,
+    bounded_read::{BoundedStream, ReadMeter},
     caller_connection::{CallerConnection, ReadAction, RequestSource},
     entry::{CallerBody, serve_entry},
     http_io::{BufferedBody, http1_server, local_answer},
@@ -59,8 +59,7 @@
     });
     let meter = Rc::<ReadMeter>::default();
     let io = CallerIo {
-        stream,
-        meter: Rc::clone(&meter),
+        stream: BoundedStream::new(stream, Rc::clone(&meter)),
         caller_connection: Rc::clone(&caller_connection),
         write_timer: None,
     };
@@ -86,7 +85,7 @@
             let _ = meter.drive(Pin::new(&mut connection)).await;
         }
     }
-    let stream = connection.into_parts().io.stream;
+    let stream = connection.into_parts().io.stream.into_inner();
     caller_connection.end();
     if !caller_connection.caller_left() {
         linger(stream, caller_connection.has_unread()).await;
@@ -192,8 +191,7 @@
 
 /// Socket of a caller as the HTTP library sees it: one request at a time.
 struct CallerIo {
-    stream: TcpStream,
-    meter: Rc<ReadMeter>,
+    stream: BoundedStream<TcpStream>,
     caller_connection: Rc<CallerConnection>,
     /// Runs while the caller accepts no bytes.
     write_timer: Option<Pin<Box<Sleep>>>,
@@ -221,17 +219,6 @@
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
-    /// Reads from the socket, within the bounds for one poll of the connection.
-    fn poll_socket(
-        &mut self,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        std::task::ready!(self.meter.poll_turn(context));
-        std::task::ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        Poll::Ready(self.meter.on_read(buffer.filled().len()))
-    }
-
     /// Buffers up to `limit_bytes` from the socket; returns how many were read.
     fn poll_buffer(
         &mut self,
@@ -241,7 +228,7 @@
         let mut chunk = [const { MaybeUninit::uninit() }; READ_CHUNK_BYTES];
         let room = &mut chunk[..limit_bytes.min(READ_CHUNK_BYTES)];
         let mut buffer = ReadBuf::uninit(room);
-        std::task::ready!(self.poll_socket(context, &mut buffer))?;
+        std::task::ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer))?;
         self.caller_connection.on_read(buffer.filled());
         Poll::Ready(Ok(buffer.filled().len()))
     }
@@ -250,7 +237,8 @@
     fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let mut byte = [MaybeUninit::uninit()];
         let mut buffer = ReadBuf::uninit(&mut byte);
-        let peeked_bytes = std::task::ready!(self.stream.poll_peek(context, &mut buffer))?;
+        let peeked_bytes =
+            std::task::ready!(self.stream.get_ref().poll_peek(context, &mut buffer))?;
         if peeked_bytes > 0 {
             return Poll::Pending;
         }
@@ -267,7 +255,7 @@
         let mut chunk = [const { MaybeUninit::uninit() }; READ_CHUNK_BYTES];
         let room = &mut chunk[..cursor.remaining().min(READ_CHUNK_BYTES)];
         let mut buffer = ReadBuf::uninit(room);
-        std::task::ready!(self.poll_socket(context, &mut buffer))?;
+        std::task::ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer))?;
         if buffer.filled().is_empty() {
             self.caller_connection.on_end();
         }
