End requests whose bodies stop, and give their memory to others

Callers saw: 503 for every body above 4 KB for as long as some tens of clients left bodies a byte short of their end; 50 of 1 MB kept their memory for 40 s and more. Cause: the memory of a body is taken before it is read, and nothing ended the wait for its rest.

- A body has to arrive before the request's deadline and its route's timeout.
Otherwise the answer is 408, which is true: it has not run.
- A request that finds no memory takes that of the one that has been arriving for longest, if for a second or more.
The one that gives way gets a 503.
- A chunked body was joined into a second buffer that nobody counted.

BodyMemory is called NodeMemory from now on, since connections will be counted there too.

--- a/crates/kumquatquay-core/src/routed/memory_budget.rs
+++ b/crates/kumquatquay-core/src/routed/memory_budget.rs
@@ -1,11 +1,19 @@
-//! Memory of the bodies that a node holds.
+//! Memory of the bodies and callers' connections that a node holds.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
-/// Share of the memory of a node that bodies may take. The rest is for the program, its tables, the
-/// buffers of its connections, and bodies that are too short to be counted.
+/// Share of the memory of a node that bodies may take. The rest is for callers' connections, the program and
+/// its tables.
 const BODIES_RATIO: f64 = 0.6;
 
+/// Share of the memory for requests that those may still hold which are given up. Until they have released it,
+/// more is held than is counted as kept.
+const GIVEN_UP_RATIO: f64 = 0.03;
+
+/// How long a request may take to arrive until its memory is given to another one that has none. Those of
+/// ordinary callers take less.
+const RECEIVING_TIME: Duration = Duration::from_secs(1);
+
 /// Share of the memory for bodies that the bodies of requests may take, so that answers fit beside them.
 const REQUESTS_RATIO: f64 = 0.8;
 
@@ -32,16 +40,18 @@
     Refused,
 }
 
-/// Bytes of all bodies that a node holds, from before they are read until the last use of them ends.
+/// Memory that a node spends on others: bodies, from before they are read until the last use of them ends,
+/// and callers' connections.
 ///
-/// It protects the node from what others send: uploads, and answers of backend servers in trouble that
-/// have no end. Each of them is within its own limit, but several at once would take more memory than
-/// there is, and the end of the node would break off all its requests.
+/// It protects the node from what others send: uploads, answers of backend servers in trouble that have no
+/// end, and callers who open many connections or stop in the middle of a request. Each of them is within its
+/// own limit, but together they would take more memory than there is, and the end of the node would break
+/// off all its requests.
 ///
-/// Bodies of requests are refused if they don't fit, since their requests haven't run. An answer can't
-/// be refused like that. If one doesn't fit, the longest answer that is still being read is given up,
-/// unless it is no longer than this one: of a few answers without an end and many short ones the
-/// latter are read whole.
+/// The body of a request that doesn't fit takes the place of the one that has been arriving for longest, if
+/// that is too long; else it is refused. Neither request has run. An answer can't be refused like that. If one
+/// doesn't fit, the longest answer that is still being read is given up, unless it is no longer than this
+/// one: of a few answers without an end and many short ones the latter are read whole.
 #[derive(Clone, Debug)]
 pub struct MemoryBudget {
     limit_bytes: usize,
@@ -52,11 +62,14 @@
     requests_bytes: usize,
     /// Bytes of bodies that are given up, and whose readers have yet to release them.
     given_up_bytes: usize,
+    /// Those of them that belong to requests.
+    given_up_requests_bytes: usize,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct HeldBody {
     kind: BodyKind,
+    begun_at: Duration,
     bytes: usize,
     stage: Stage,
 }
@@ -71,7 +84,8 @@
 impl MemoryBudget {
     /// Creates the budget of a node with this much memory.
     pub fn new(memory_bytes: usize) -> Self {
-        let limit_bytes = (memory_bytes as f64 * BODIES_RATIO) as usize;
+        let share = |ratio: f64| (memory_bytes as f64 * ratio) as usize;
+        let limit_bytes = share(BODIES_RATIO);
         Self {
             limit_bytes,
             requests_limit_bytes: (limit_bytes as f64 * REQUESTS_RATIO) as usize,
@@ -80,14 +94,16 @@
             held_bytes: 0,
             requests_bytes: 0,
             given_up_bytes: 0,
+            given_up_requests_bytes: 0,
         }
     }
 
     /// Adds a body of which nothing is held yet.
-    pub fn add(&mut self, kind: BodyKind) -> BodyId {
+    pub fn add(&mut self, kind: BodyKind, now: Duration) -> BodyId {
         self.last_id += 1;
         let body = HeldBody {
             kind,
+            begun_at: now,
             bytes: 0,
             stage: Stage::Reading,
         };
@@ -96,32 +112,30 @@
     }
 
     /// Decides whether more bytes of a body may be held, and counts them if so.
-    pub fn grow(&mut self, id: BodyId, bytes: usize) -> Growth {
+    pub fn grow(&mut self, id: BodyId, bytes: usize, now: Duration) -> Growth {
         let Some(body) = self.bodies.get(&id).copied() else {
             return Growth::Refused;
         };
         if body.stage == Stage::GivenUp {
             return Growth::Refused;
         }
-        let is_request = body.kind == BodyKind::Request;
-        if is_request && self.requests_bytes.saturating_add(bytes) > self.requests_limit_bytes {
-            return Growth::Refused;
-        }
-        let excess_bytes = self.excess_bytes(bytes);
+        let excess_bytes = self.excess_bytes(body.kind, bytes);
         if excess_bytes == 0 {
             self.count(id, bytes);
             return Growth::Granted;
         }
-        let least_bytes = excess_bytes.max(body.bytes.saturating_add(bytes));
-        let Some(longest) = self
-            .longest_answer()
-            .filter(|(_, held)| *held > least_bytes)
-        else {
+        let in_place_of = match body.kind {
+            BodyKind::Request => self.overdue_request(id, excess_bytes, now),
+            BodyKind::Answer => {
+                self.longest_answer(excess_bytes.max(body.bytes.saturating_add(bytes)))
+            }
+        };
+        let Some(other) = in_place_of else {
             return Growth::Refused;
         };
-        self.give_up(longest.0);
+        self.give_up(other);
         self.count(id, bytes);
-        Growth::GrantedInPlaceOf(longest.0)
+        Growth::GrantedInPlaceOf(other)
     }
 
     /// The body is read whole, and isn't given up any more.
@@ -138,13 +152,17 @@
         let Some(body) = self.bodies.remove(&id) else {
             return;
         };
+        let is_request = body.kind == BodyKind::Request;
         self.held_bytes -= body.bytes;
-        if body.kind == BodyKind::Request {
+        if is_request {
             self.requests_bytes -= body.bytes;
         }
         if body.stage == Stage::GivenUp {
             self.given_up_bytes -= body.bytes;
         }
+        if body.stage == Stage::GivenUp && is_request {
+            self.given_up_requests_bytes -= body.bytes;
+        }
     }
 
     /// Bytes of all bodies, also of those that are given up and not removed yet.
@@ -157,27 +175,67 @@
         self.limit_bytes
     }
 
-    /// By how much further bytes would exceed the limit.
-    fn excess_bytes(&self, bytes: usize) -> usize {
-        let kept_bytes = self.held_bytes - self.given_up_bytes;
-        kept_bytes
-            .saturating_add(bytes)
-            .saturating_sub(self.limit_bytes)
+    /// By how much further bytes of a body would exceed the limits.
+    fn excess_bytes(&self, kind: BodyKind, bytes: usize) -> usize {
+        let excess_bytes = |kept_bytes: usize, limit_bytes: usize| {
+            let needed_bytes = kept_bytes.saturating_add(bytes);
+            needed_bytes.saturating_sub(limit_bytes)
+        };
+        let of_all_bytes = excess_bytes(self.kept_bytes(), self.limit_bytes);
+        let of_requests_bytes = excess_bytes(self.kept_requests_bytes(), self.requests_limit_bytes);
+        match kind {
+            BodyKind::Answer => of_all_bytes,
+            BodyKind::Request => of_all_bytes.max(of_requests_bytes),
+        }
     }
 
-    fn longest_answer(&self) -> Option<(BodyId, usize)> {
+    /// Bytes of bodies that aren't given up.
+    fn kept_bytes(&self) -> usize {
+        self.held_bytes - self.given_up_bytes
+    }
+
+    /// Bytes of requests that aren't given up.
+    fn kept_requests_bytes(&self) -> usize {
+        self.requests_bytes - self.given_up_requests_bytes
+    }
+
+    /// The request that has been arriving for longest, if that is too long, and of which enough is held.
+    fn overdue_request(&self, but: BodyId, least_bytes: usize, now: Duration) -> Option<BodyId> {
+        let most_bytes = self.requests_limit_bytes as f64 * GIVEN_UP_RATIO;
+        if self.given_up_requests_bytes as f64 > most_bytes {
+            return None;
+        }
+        let mut bodies = self.bodies.iter().filter(|(id, body)| {
+            body.kind == BodyKind::Request
+                && body.stage == Stage::Reading
+                && body.bytes >= least_bytes
+                && **id != but
+        });
+        // Ids rise with the time.
+        let (id, oldest) = bodies.next()?;
+        (oldest.begun_at + RECEIVING_TIME <= now).then_some(*id)
+    }
+
+    /// The longest answer that is being read, if more than this of it is held.
+    fn longest_answer(&self, least_bytes: usize) -> Option<BodyId> {
         let answers = self
             .bodies
             .iter()
             .filter(|(_, body)| body.kind == BodyKind::Answer && body.stage == Stage::Reading);
         let longest = answers.max_by_key(|(_, body)| body.bytes);
-        longest.map(|(id, body)| (*id, body.bytes))
+        longest
+            .filter(|(_, body)| body.bytes > least_bytes)
+            .map(|(id, _)| *id)
     }
 
     fn give_up(&mut self, id: BodyId) {
-        if let Some(body) = self.bodies.get_mut(&id) {
-            body.stage = Stage::GivenUp;
-            self.given_up_bytes += body.bytes;
+        let Some(body) = self.bodies.get_mut(&id) else {
+            return;
+        };
+        body.stage = Stage::GivenUp;
+        self.given_up_bytes += body.bytes;
+        if body.kind == BodyKind::Request {
+            self.given_up_requests_bytes += body.bytes;
         }
     }
 
--- a/crates/kumquatquayd/src/routed/backend_pool.rs
+++ b/crates/kumquatquayd/src/routed/backend_pool.rs
@@ -18,10 +18,10 @@
 use tokio::{net::TcpStream, task::AbortHandle};
 
 use super::{
-    body_memory::BodyMemory,
     body_reader::{BodyReadError, read_whole_body},
     bounded_read::{BoundedStream, ReadMeter},
     http_io::BufferedBody,
+    node_memory::NodeMemory,
 };
 
 /// Timeout of a connection attempt. The backend server is on this host, so a connection is made or
@@ -58,7 +58,7 @@
     /// Size limit of an answer's body.
     answer_limit_bytes: usize,
     /// Memory for those bodies.
-    memory: BodyMemory,
+    memory: NodeMemory,
     idle: Rc<RefCell<Vec<Connection>>>,
     /// When a part of an answer last came.
     last_part_at: Cell<Option<Instant>>,
@@ -146,7 +146,7 @@
 }
 
 impl BackendPool {
-    pub(crate) fn new(address: SocketAddr, answer_limit_bytes: usize, memory: BodyMemory) -> Self {
+    pub(crate) fn new(address: SocketAddr, answer_limit_bytes: usize, memory: NodeMemory) -> Self {
         Self {
             address,
             answer_limit_bytes,
--- a/crates/kumquatquayd/src/routed/body_reader.rs
+++ b/crates/kumquatquayd/src/routed/body_reader.rs
@@ -8,14 +8,16 @@
 use http_body_util::BodyExt;
 use kumquatquay_core::routed::BodyKind;
 
-use super::body_memory::{BodyLease, BodyMemory};
+use super::{
+    body_buffer::BodyBuffer,
+    node_memory::{BodyLease, NodeMemory},
+};
 
 /// Size up to which a body isn't counted. Most are shorter, and the connections that they come on have
 /// larger buffers.
 const UNCOUNTED_BYTES: usize = 4 * 1024;
 
-/// Size of the parts in which a body of unknown length is held until it is whole. Parts of one size take
-/// the place of each other: buffers that grow beside each other would leave gaps that none of them fits.
+/// Largest size of the parts in which a body of unknown length is held until it is whole.
 const PART_BYTES: usize = 256 * 1024;
 
 /// Why a body wasn't read.
@@ -40,7 +42,7 @@
     body: B,
     kind: BodyKind,
     limit_bytes: usize,
-    memory: &BodyMemory,
+    memory: &NodeMemory,
 ) -> Result<Bytes, BodyReadError>
 where
     B: Body<Data = Bytes>,
@@ -62,17 +64,17 @@
     while let Some(piece) = reader.next_piece(body.as_mut()).await? {
         reader.append(&piece)?;
     }
-    Ok(reader.finish())
+    reader.finish()
 }
 
 struct BodyReader<'a> {
-    memory: &'a BodyMemory,
+    memory: &'a NodeMemory,
     kind: BodyKind,
     limit_bytes: usize,
     /// Counts the body, unless it is short.
     lease: Option<BodyLease>,
     /// What was read. All parts but the last one are full.
-    parts: Vec<Vec<u8>>,
+    parts: Vec<BodyBuffer>,
     length_bytes: usize,
 }
 
@@ -121,10 +123,7 @@
             return Err(BodyReadError::TooLong);
         }
         while !piece.is_empty() {
-            let room_bytes = self
-                .parts
-                .last()
-                .map_or(0, |part| part.capacity() - part.len());
+            let room_bytes = self.parts.last().map_or(0, BodyBuffer::room_bytes);
             if room_bytes == 0 {
                 // Short bodies get short parts.
                 let part_bytes = self.length_bytes.max(piece.len());
@@ -133,7 +132,7 @@
             }
             let (now, later) = piece.split_at(room_bytes.min(piece.len()));
             if let Some(part) = self.parts.last_mut() {
-                part.extend_from_slice(now);
+                part.append(now);
             }
             self.length_bytes += now.len();
             piece = later;
@@ -152,23 +151,32 @@
                 return Err(BodyReadError::NoMemory);
             }
         }
-        self.parts.push(Vec::with_capacity(bytes));
+        self.parts.push(BodyBuffer::new(bytes));
         Ok(())
     }
 
-    fn finish(mut self) -> Bytes {
+    fn finish(mut self) -> Result<Bytes, BodyReadError> {
         let body = if self.parts.len() == 1 {
             self.parts.swap_remove(0)
         } else {
-            let mut body = Vec::with_capacity(self.length_bytes);
-            for part in self.parts.drain(..) {
-                body.extend_from_slice(&part);
-            }
-            body
+            self.join()?
         };
-        match self.lease.take() {
+        Ok(match self.lease.take() {
             Some(lease) => lease.into_bytes(body),
-            None => Bytes::from(body),
+            None => Bytes::from_owner(body),
+        })
+    }
+
+    /// Copies the parts into one buffer, which is counted beside them meanwhile.
+    fn join(&mut self) -> Result<BodyBuffer, BodyReadError> {
+        let copy_lease = self.memory.lease(self.kind);
+        if self.lease.is_some() && !copy_lease.grow(self.length_bytes) {
+            return Err(BodyReadError::NoMemory);
+        }
+        let mut body = BodyBuffer::new(self.length_bytes);
+        for part in self.parts.drain(..) {
+            body.append(part.as_ref());
         }
+        Ok(body)
     }
 }
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -15,6 +15,7 @@
 use kumquatquay_wire::routed::{
     LinkOutcome, NotRunReason, Payload, RouteSettings, UnknownReason, WorkspaceSettings,
 };
+use tokio::time::timeout;
 
 use super::{
     admission::{Admission, PendingRequest, admit, is_internal, refuse_temporarily, trace},
@@ -94,11 +95,34 @@
         (node.dialect.remove_caller_identity)(&mut parts.headers);
     }
     let limit_bytes = table.limits().body_limit_bytes;
-    let body = read_whole_body(body, BodyKind::Request, limit_bytes, &node.body_memory);
-    let body = match body.await {
-        Ok(body) => body,
-        Err(error) => return refuse_body(node, &route, error),
+    let body = read_whole_body(body, BodyKind::Request, limit_bytes, &node.memory);
+    // Otherwise a caller who stops in the middle of a body has the node keep its memory.
+    let deadline = deadline_of(&route, &metadata, received_at);
+    let body = match timeout(deadline.saturating_sub(node.now()), body).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => return refuse_body(node, &route, error),
+        Err(_elapsed) => return refuse_late_body(node),
     };
+    let request = ReadRequest {
+        parts,
+        metadata,
+        body,
+        received_at,
+        may_be_of_repeated_run,
+        may_have_run: may_have_run.clone(),
+    };
+    // It takes much more memory than a request may whose body is still to come.
+    Box::pin(serve_read_request(node, request, identified)).await
+}
+
+/// Admits a request that was received completely, forwards it and returns the response.
+async fn serve_read_request(
+    node: &Rc<RoutedNode>,
+    request: ReadRequest,
+    identified: Identified,
+) -> Response<BufferedBody> {
+    let received_at = request.received_at;
+    let route = Arc::clone(&identified.route);
     let token = match &identified.workspace {
         None => None,
         Some(workspace) => {
@@ -106,20 +130,13 @@
             match take_token(node, workspace, max_wait).await {
                 Ok(token) => token,
                 Err(refusal) => {
-                    return refuse_over_quota(node, &metadata, &route, workspace, refusal);
+                    let metadata = &request.metadata;
+                    return refuse_over_quota(node, metadata, &route, workspace, refusal);
                 }
             }
         }
     };
     let token = UnspentToken::new(node, token);
-    let request = ReadRequest {
-        parts,
-        metadata,
-        body,
-        received_at,
-        may_be_of_repeated_run,
-        may_have_run: may_have_run.clone(),
-    };
     let call = match admit_request(node, &request, identified).await {
         RequestAdmission::Admitted(call) => call,
         RequestAdmission::Refused(refusal) => return refusal,
@@ -245,7 +262,7 @@
         return local_answer(status, None, "the body is too long or broken\n");
     }
     if node.metrics.take_log_permit(node.now()) {
-        log::warn!(event = "no_memory", held_bytes = node.body_memory.held_bytes(),
+        log::warn!(event = "no_memory", held_bytes = node.memory.held_bytes(),
             route = route.settings.name.as_str();
             "a request was refused: there is no memory for its body now");
     }
@@ -253,6 +270,13 @@
     local_answer(status, retry, "no memory for the body now\n")
 }
 
+/// Refuses a request whose body didn't come before its deadline; it has not run.
+fn refuse_late_body(node: &RoutedNode) -> Response<BufferedBody> {
+    node.metrics.count("refused", "body_late");
+    let text = "the body didn't come in time\n";
+    local_answer(StatusCode::REQUEST_TIMEOUT, None, text)
+}
+
 /// Counts a failed call of the backend server of this host. The run that made it is expected to
 /// fail as well and to make no further calls.
 fn count_failed_call(node: &RoutedNode, call: &OutgoingCall) {
--- a/crates/kumquatquayd/src/routed/link.rs
+++ b/crates/kumquatquayd/src/routed/link.rs
@@ -259,7 +259,7 @@
     let (read, write) = stream.into_split();
     let take = |frame: Frame<'_>| on_frame(node, link, &frame);
     tokio::select! {
-        read = read_frames(read, BodyKind::Answer, &node.body_memory, take) => read,
+        read = read_frames(read, BodyKind::Answer, &node.memory, take) => read,
         written = link.frames.run(write) => written,
         () = link.end.notified() => Err(io::Error::new(io::ErrorKind::TimedOut, "peer is silent")),
     }
--- a/crates/kumquatquayd/src/routed/link_frames.rs
+++ b/crates/kumquatquayd/src/routed/link_frames.rs
@@ -22,8 +22,8 @@
 };
 
 use super::{
-    body_memory::BodyMemory,
     buffer_pool::{return_buffer, take_buffer, with_read_buffer},
+    node_memory::NodeMemory,
 };
 
 /// Limit for queued bytes towards a peer that doesn't read; beyond it no call is queued.
@@ -170,7 +170,7 @@
 pub(crate) async fn read_frames(
     mut connection: OwnedReadHalf,
     kind: BodyKind,
-    memory: &BodyMemory,
+    memory: &NodeMemory,
     mut on_frame: impl FnMut(Frame<'_>) -> Result<(), WireError>,
 ) -> io::Result<()> {
     let mut reader = FrameReader::default();
@@ -185,7 +185,7 @@
 
 /// Takes memory for a large frame, if there is any.
 fn memory_for_frame(
-    memory: &BodyMemory,
+    memory: &NodeMemory,
     kind: BodyKind,
     frame_bytes: usize,
 ) -> Option<FrameMemory> {
--- a/crates/kumquatquayd/src/routed/link_server.rs
+++ b/crates/kumquatquayd/src/routed/link_server.rs
@@ -139,7 +139,7 @@
     let (read, write) = stream.into_split();
     let take = |frame: Frame<'_>| on_frame(&node, &link, &frame);
     let ended = tokio::select! {
-        read = read_frames(read, BodyKind::Request, &node.body_memory, take) => read,
+        read = read_frames(read, BodyKind::Request, &node.memory, take) => read,
         written = link.frames.run(write) => written,
     };
     if let Err(error) = ended {
--- a/crates/kumquatquayd/src/routed/local_run.rs
+++ b/crates/kumquatquayd/src/routed/local_run.rs
@@ -323,7 +323,7 @@
     }
     let call = timed.call;
     log::warn!(event = "answer_too_long", request = call.attempt, route = call.route,
-        service = call.service, held_bytes = node.body_memory.held_bytes();
+        service = call.service, held_bytes = node.memory.held_bytes();
         "an answer of the backend server was given up: it is longer than this node accepts or has memory for");
 }
 
--- a/crates/kumquatquayd/src/routed/metrics_text.rs
+++ b/crates/kumquatquayd/src/routed/metrics_text.rs
@@ -32,8 +32,8 @@
     let gauges = [
         ("in_flight", node.in_flight_count.get() as u64),
         ("held_answer_bytes", node.held_answers.get().bytes() as u64),
-        ("body_bytes", node.body_memory.held_bytes() as u64),
-        ("body_bytes_most", node.body_memory.most_held_bytes() as u64),
+        ("body_bytes", node.memory.held_bytes() as u64),
+        ("body_bytes_most", node.memory.most_held_bytes() as u64),
         (
             "held_requests",
             node.held_requests.borrow().held_count() as u64,
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -32,11 +32,11 @@
 use super::{
     arrivals::RepeatLog,
     backend_pool::BackendPool,
-    body_memory::BodyMemory,
     call_workers::CallWorkers,
     held_requests::HeldRequests,
     interface::{Dialect, PlatformStore},
     link::Links,
+    node_memory::NodeMemory,
     node_metrics::NodeMetrics,
     quotas::Quotas,
     reported_shutdowns::ShutdownNotices,
@@ -173,8 +173,8 @@
     pub(crate) refused_report_second: Cell<Option<u64>>,
     /// Requests at the entry whose answers haven't been written yet.
     pub(crate) in_flight_count: Cell<usize>,
-    /// Memory of the bodies of requests and answers.
-    pub(crate) body_memory: BodyMemory,
+    /// Memory of the bodies of requests and answers, and of callers' connections.
+    pub(crate) memory: NodeMemory,
     /// Answers at the entry that haven't been written yet.
     pub(crate) held_answers: Cell<HeldAnswers>,
     /// Largest count of nodes in the membership so far, including this one; at least 1.
@@ -260,7 +260,8 @@
         let held_answers = HeldAnswers::new(settings.limits.memory_bytes);
         // A longer answer would break the link that carries it.
         let answer_limit_bytes = held_answers.answer_limit_bytes().min(BODY_LIMIT_BYTES);
-        let body_memory = BodyMemory::new(settings.limits.memory_bytes);
+        let clock = SystemClock::new();
+        let memory = NodeMemory::new(settings.limits.memory_bytes, clock);
         Rc::new(Self {
             store_poller: RefCell::new(store_poller),
             store_poller_wake: Notify::new(),
@@ -268,14 +269,14 @@
             proof: RefCell::default(),
             suspended_offset: Cell::default(),
             proof_updated: Notify::new(),
-            backend: BackendPool::new(settings.backend, answer_limit_bytes, body_memory.clone()),
+            backend: BackendPool::new(settings.backend, answer_limit_bytes, memory.clone()),
             split_phase: random.random(),
             load_balancer: RefCell::new(LoadBalancer::new(settings.mechanisms)),
             settings,
             dialect,
             engine,
             tasks: Tasks::default(),
-            clock: SystemClock::new(),
+            clock,
             random: RefCell::new(random),
             routes: RefCell::default(),
             configuration: RefCell::default(),
@@ -318,7 +319,7 @@
             key_waits_count: Cell::new(0),
             refused_report_second: Cell::new(None),
             in_flight_count: Cell::new(0),
-            body_memory,
+            memory,
             held_answers: Cell::new(held_answers),
             nodes_count: Cell::new(1),
             gates_count: Cell::new(1),
--- a/crates/kumquatquayd/src/routed/body_memory.rs
+++ b/crates/kumquatquayd/src/routed/node_memory.rs
@@ -1,4 +1,4 @@
-//! Counts the memory of bodies for as long as it is held.
+//! Counts the memory that a node spends on others for as long as it is held.
 
 use std::{
     collections::HashMap,
@@ -9,24 +9,28 @@
 use kumquatquay_core::routed::{BodyId, BodyKind, Growth, MemoryBudget};
 use tokio::sync::Notify;
 
+use crate::clock::SystemClock;
+
 /// The memory that all bodies of a node share.
 ///
 /// All of it is used from one thread. It can be sent to others since what is held of a body is released
 /// where its last [`Bytes`] are dropped.
 #[derive(Clone, Debug)]
-pub(crate) struct BodyMemory(Arc<Mutex<State>>);
+pub(crate) struct NodeMemory(Arc<Mutex<State>>);
 
 #[derive(Debug)]
 struct State {
+    clock: SystemClock,
     budget: MemoryBudget,
     /// Readers of bodies, which are notified when they have to give up.
     readers: HashMap<BodyId, Arc<Notify>>,
     most_held_bytes: usize,
 }
 
-impl BodyMemory {
-    pub(crate) fn new(memory_bytes: usize) -> Self {
+impl NodeMemory {
+    pub(crate) fn new(memory_bytes: usize, clock: SystemClock) -> Self {
         Self(Arc::new(Mutex::new(State {
+            clock,
             budget: MemoryBudget::new(memory_bytes),
             readers: HashMap::new(),
             most_held_bytes: 0,
@@ -36,7 +40,8 @@
     /// Begins to count a body.
     pub(crate) fn lease(&self, kind: BodyKind) -> BodyLease {
         let mut state = self.state();
-        let id = state.budget.add(kind);
+        let now = state.clock.monotonic();
+        let id = state.budget.add(kind, now);
         let given_up = Arc::new(Notify::new());
         state.readers.insert(id, Arc::clone(&given_up));
         BodyLease {
@@ -73,7 +78,7 @@
 /// Counts one body until it is dropped.
 #[derive(Debug)]
 pub(crate) struct BodyLease {
-    memory: BodyMemory,
+    memory: NodeMemory,
     id: BodyId,
     given_up: Arc<Notify>,
 }
@@ -82,7 +87,8 @@
     /// Counts more bytes, before they are allocated. Returns whether they may be held.
     pub(crate) fn grow(&self, bytes: usize) -> bool {
         let mut state = self.memory.state();
-        let growth = state.budget.grow(self.id, bytes);
+        let now = state.clock.monotonic();
+        let growth = state.budget.grow(self.id, bytes, now);
         if let Growth::GrantedInPlaceOf(other) = growth
             && let Some(reader) = state.readers.get(&other)
         {
@@ -98,7 +104,10 @@
     }
 
     /// The body is whole; returns bytes that count until the last of them is dropped.
-    pub(crate) fn into_bytes(self, body: Vec<u8>) -> Bytes {
+    pub(crate) fn into_bytes<B>(self, body: B) -> Bytes
+    where
+        B: AsRef<[u8]> + Send + 'static,
+    {
         let mut state = self.memory.state();
         state.budget.on_whole(self.id);
         state.readers.remove(&self.id);
@@ -116,13 +125,13 @@
 }
 
 /// A whole body with its lease.
-struct LeasedBody {
-    body: Vec<u8>,
+struct LeasedBody<B> {
+    body: B,
     _lease: BodyLease,
 }
 
-impl AsRef<[u8]> for LeasedBody {
+impl<B: AsRef<[u8]>> AsRef<[u8]> for LeasedBody<B> {
     fn as_ref(&self) -> &[u8] {
-        &self.body
+        self.body.as_ref()
     }
 }
