Count callers' connections, and bound how many there are and what their sockets hold

Callers saw: a process that ended for lack of memory, whatever its clients sent, as long as they were many and stayed open: 1,400 bodies that lack a byte of 100 took a node of 64 MB to 99 MB, heads without an end to 114 MB, chunks over the limit to 137 MB, of which 69 MB were unread bytes in sockets; and 800 connections that send nothing took 824 descriptors of 400.

Cause: nobody counted connections. Each took 59 KB (debug build): a task of 9.4 KB that was held twice, room for the future of a request (12 KB, twice as well) whether there was one or not, the HTTP library's buffers; and its socket held as much as the kernel let it grow to. Nothing ended a head that doesn't come: header_timeout_ms and idle_timeout_ms were read and not used.

- MemoryBudget counts 48 KB for each connection, up to 0.2 of the memory, and ConnectionTable lets callers have 0.6 of the descriptors.
A new connection takes the place of one that is being closed, whose request arrives for a second or more, that is idle for longest, or whose request has just begun to arrive, in this order; none gives way while a request is being answered.
- Heads and idle connections end after the times of the configuration, the longest that any has allowed, and time in which the node stood still isn't counted.
- Sockets of callers hold 14 KB unread at the most (SO_RCVBUF of 8 KB on the listener), more only while a longer body arrives and memory is plenty, counted until the socket has its usual size again.
- Buffers that read ahead beyond 16 KB and requests that are started ahead of their turn are counted as well.
- Futures are boxed where they would be held twice or without a request; what follows a refused body is discarded slowly, with a shared buffer.
- The settings' descriptors are those of sockets: the platform keeps 200 for files.

Ruled out: a share that connections draw from that of bodies.

--- a/crates/kumquatquay-core/src/routed/memory_budget.rs
+++ b/crates/kumquatquay-core/src/routed/memory_budget.rs
@@ -6,6 +6,14 @@
 /// its tables.
 const BODIES_RATIO: f64 = 0.6;
 
+/// Share of the memory of a node that callers' connections may take. Bodies can't use it either while there
+/// are few: much of what a connection has taken from the heap stays with the process after its end.
+const CONNECTIONS_RATIO: f64 = 0.2;
+
+/// What a caller's connection is counted for: its buffers and tasks, a body that is too short to be counted,
+/// and unread bytes in its socket.
+const CONNECTION_BYTES: usize = 48 * 1024;
+
 /// Share of the memory for requests that those may still hold which are given up. Until they have released it,
 /// more is held than is counted as kept.
 const GIVEN_UP_RATIO: f64 = 0.03;
@@ -56,10 +64,12 @@
 pub struct MemoryBudget {
     limit_bytes: usize,
     requests_limit_bytes: usize,
+    connections_limit_bytes: usize,
     last_id: BodyId,
     bodies: BTreeMap<BodyId, HeldBody>,
     held_bytes: usize,
     requests_bytes: usize,
+    connections_bytes: usize,
     /// Bytes of bodies that are given up, and whose readers have yet to release them.
     given_up_bytes: usize,
     /// Those of them that belong to requests.
@@ -89,15 +99,32 @@
         Self {
             limit_bytes,
             requests_limit_bytes: (limit_bytes as f64 * REQUESTS_RATIO) as usize,
+            connections_limit_bytes: share(CONNECTIONS_RATIO),
             last_id: 0,
             bodies: BTreeMap::new(),
             held_bytes: 0,
             requests_bytes: 0,
+            connections_bytes: 0,
             given_up_bytes: 0,
             given_up_requests_bytes: 0,
         }
     }
 
+    /// Counts another connection of a caller, if it may be held.
+    pub fn add_connection(&mut self) -> bool {
+        let connections_bytes = self.connections_bytes + CONNECTION_BYTES;
+        let is_granted = connections_bytes <= self.connections_limit_bytes;
+        if is_granted {
+            self.connections_bytes = connections_bytes;
+        }
+        is_granted
+    }
+
+    /// A connection of a caller has ended.
+    pub fn remove_connection(&mut self) {
+        self.connections_bytes -= CONNECTION_BYTES;
+    }
+
     /// Adds a body of which nothing is held yet.
     pub fn add(&mut self, kind: BodyKind, now: Duration) -> BodyId {
         self.last_id += 1;
@@ -175,6 +202,16 @@
         self.limit_bytes
     }
 
+    /// Whether at least three quarters of the memory for requests are free.
+    pub fn has_plenty(&self) -> bool {
+        self.kept_requests_bytes() < self.requests_limit_bytes / 4
+    }
+
+    /// Bytes of callers' connections.
+    pub fn connections_bytes(&self) -> usize {
+        self.connections_bytes
+    }
+
     /// By how much further bytes of a body would exceed the limits.
     fn excess_bytes(&self, kind: BodyKind, bytes: usize) -> usize {
         let excess_bytes = |kept_bytes: usize, limit_bytes: usize| {
--- a/crates/kumquatquay-core/src/routed/mod.rs
+++ b/crates/kumquatquay-core/src/routed/mod.rs
@@ -11,6 +11,7 @@
 mod call_graph;
 mod call_tracer;
 mod carried_attempts;
+mod connection_table;
 mod entry_admission;
 mod entry_queue;
 mod era_tracker;
@@ -57,6 +58,7 @@
 pub use call_graph::{CallEdge, CallGraph};
 pub use call_tracer::{CallTracer, RunId};
 pub use carried_attempts::CarriedAttempts;
+pub use connection_table::{ConnectionId, ConnectionStage, ConnectionTable, ConnectionTimes};
 pub use entry_admission::{EntryAdmission, EntryRequest, ServiceWork, Shortage};
 pub use entry_queue::{
     EntryQueue, FlowKey, HoldDecision, HoldKey, HoldRequest, ReleaseReason, ReleasedRequest,
--- a/crates/kumquatquay-core/tests/routed/main.rs
+++ b/crates/kumquatquay-core/tests/routed/main.rs
@@ -7,6 +7,7 @@
 mod call_mesh;
 mod call_tracer;
 mod carried_attempts;
+mod connection_table;
 mod entry_admission;
 mod entry_queue;
 mod era_tracker;
--- a/crates/kumquatquay-core/tests/routed/memory_budget.rs
+++ b/crates/kumquatquay-core/tests/routed/memory_budget.rs
@@ -98,6 +98,26 @@
     assert_eq!(budget.grow(next, CHUNK_BYTES, late), Growth::Refused);
 }
 
+/// Guards against connections that take the memory of bodies, or more than there is.
+#[test]
+fn connections_have_a_share_of_their_own() {
+    let mut budget = MemoryBudget::new(1_000 * MEMORY_BYTES);
+    let mut connections_count = 0;
+    while budget.add_connection() {
+        connections_count += 1;
+    }
+    assert!(connections_count > 0);
+    assert!(budget.connections_bytes() <= 200 * MEMORY_BYTES);
+    let upload = budget.add(BodyKind::Request, NOW);
+    assert_eq!(
+        budget.grow(upload, 480 * MEMORY_BYTES, NOW),
+        Growth::Granted
+    );
+    budget.remove_connection();
+    assert!(budget.add_connection());
+    assert!(!budget.add_connection());
+}
+
 quickcheck! {
     /// Bodies grow, are read whole and end in any order. What isn't given up is within the limit, and
     /// nothing stays counted when all have ended.
--- a/crates/kumquatquayd/src/routed/caller_connection.rs
+++ b/crates/kumquatquayd/src/routed/caller_connection.rs
@@ -15,14 +15,18 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use http::{HeaderMap, Request, Response, Uri};
-use kumquatquay_core::routed::{Mechanism, PipelineLimits, PipelinedRequest, RequestPipeline};
+use kumquatquay_core::routed::{
+    BodyKind, ConnectionStage, Mechanism, PipelineLimits, PipelinedRequest, RequestPipeline,
+};
 use kumquatquay_wire::routed::Repeat;
 
 use super::{
     caller_identity::find_route,
+    caller_slots::CallerSlot,
     entry::CallerBody,
-    http_io::{BufferedBody, CallerAddress},
+    http_io::{BufferedBody, CallerAddress, RECEIVE_BUFFER_BYTES},
     node::RoutedNode,
+    node_memory::BodyLease,
     request_frame::{Framing, RequestFrame, frame_request, has_head_end, parse_complete_request},
     started_request::{HeldBytesGuard, InFlightGuard, StartedRequest},
 };
@@ -40,6 +44,15 @@
 /// requests are started beside them.
 const BUFFERED_BODY_LIMIT_BYTES: u64 = 16 * 1024;
 
+/// Buffered bytes of a connection that aren't counted beyond the connection itself.
+const UNCOUNTED_BUFFER_BYTES: usize = 16 * 1024;
+
+/// What a larger buffer is counted for: its capacity is up to twice what it holds.
+const LARGE_BUFFER_BYTES: usize = 2 * READ_AHEAD_LIMIT_BYTES;
+
+/// What a request that was started ahead of its turn is counted for: its task, head and body.
+const STARTED_REQUEST_BYTES: usize = 32 * 1024;
+
 /// Capacity above which an empty buffer is released.
 const KEPT_BUFFER_BYTES: usize = 4 * 1024;
 
@@ -58,11 +71,20 @@
     writing: RefCell<Option<HeldBytesGuard>>,
     /// Whether the caller has closed the connection.
     caller_left: Cell<bool>,
+    slot: Rc<CallerSlot>,
+    /// Whether no request is being received or answered.
+    is_between_requests: Cell<bool>,
+    /// Counts the larger receive buffer of the socket, until it has its usual size again.
+    window: RefCell<Option<BodyLease>>,
+    /// Size that the receive buffer of the socket is to have from the next read on.
+    receive_buffer_bytes: Cell<Option<usize>>,
 }
 
 struct PipelineState {
     /// Bytes that haven't been forwarded to the HTTP library.
     unread: BytesMut,
+    /// Counts the buffer if it is large.
+    unread_lease: Option<BodyLease>,
     /// Number of these bytes that belong to started requests; they come first.
     started_bytes: usize,
     /// What the first request after those lacked when it was last parsed.
@@ -138,6 +160,8 @@
     Wait,
     /// Leaves all bytes in the socket, and only notices the end of its stream.
     AwaitEnd,
+    /// Fails, since there is no memory for the head of the next request.
+    Close,
 }
 
 /// Where the request and its answer come from when the HTTP library has read a head.
@@ -159,7 +183,11 @@
 }
 
 impl CallerConnection {
-    pub(crate) fn new(node: Rc<RoutedNode>, caller: Option<SocketAddr>) -> Rc<Self> {
+    pub(crate) fn new(
+        node: Rc<RoutedNode>,
+        caller: Option<SocketAddr>,
+        slot: Rc<CallerSlot>,
+    ) -> Rc<Self> {
         let phase = if node.is_on(Mechanism::Pipelining) {
             Phase::Idle
         } else {
@@ -171,6 +199,7 @@
             caller,
             state: RefCell::new(PipelineState {
                 unread: BytesMut::new(),
+                unread_lease: None,
                 started_bytes: 0,
                 missing: Missing::Unknown,
                 phase,
@@ -181,6 +210,10 @@
             in_flight: RefCell::default(),
             writing: RefCell::default(),
             caller_left: Cell::new(false),
+            slot,
+            is_between_requests: Cell::new(true),
+            window: RefCell::default(),
+            receive_buffer_bytes: Cell::default(),
         })
     }
 
@@ -201,7 +234,12 @@
                 }
                 Phase::Idle => {
                     if !self.begin_forwarding(&mut state) {
-                        return ReadAction::Read;
+                        let may_grow = self.may_grow_buffer(&mut state);
+                        return if may_grow {
+                            ReadAction::Read
+                        } else {
+                            ReadAction::Close
+                        };
                     }
                 }
                 Phase::Forwarding { left_bytes, .. } => {
@@ -214,6 +252,9 @@
                 Phase::Answering if self.node.is_stopping() => return ReadAction::AwaitEnd,
                 Phase::Answering => {
                     self.start_buffered(&mut state);
+                    if !self.may_grow_buffer(&mut state) {
+                        return ReadAction::Wait;
+                    }
                     return match READ_AHEAD_LIMIT_BYTES.saturating_sub(unread_bytes) {
                         0 => ReadAction::Wait,
                         room_bytes => ReadAction::ReadAhead(room_bytes),
@@ -223,11 +264,68 @@
         }
     }
 
+    /// Whether there is memory for more buffered bytes.
+    fn may_grow_buffer(&self, state: &mut PipelineState) -> bool {
+        if state.unread.len() < UNCOUNTED_BUFFER_BYTES || state.unread_lease.is_some() {
+            return true;
+        }
+        let memory = &self.node.memory;
+        state.unread_lease = memory.lease_whole(BodyKind::Request, LARGE_BUFFER_BYTES);
+        state.unread_lease.is_some()
+    }
+
     /// Buffers bytes from the socket.
     pub(crate) fn on_read(&self, bytes: &[u8]) {
+        self.on_bytes(bytes.len());
         self.state.borrow_mut().unread.extend_from_slice(bytes);
     }
 
+    /// Bytes have come from the socket. Those that come while no request is being received or answered
+    /// begin one.
+    pub(crate) fn on_bytes(&self, bytes_count: usize) {
+        if bytes_count > 0 && self.is_between_requests.replace(false) {
+            self.enter(ConnectionStage::ReceivingHead);
+        }
+    }
+
+    /// The connection has come to a stage.
+    pub(crate) fn enter(&self, stage: ConnectionStage) {
+        self.slot.enter(stage);
+    }
+
+    /// Has the receive buffer of the socket hold up to `window_bytes`, if that is more than it holds and
+    /// there is memory for them.
+    pub(crate) fn widen_receive_buffer(&self, window_bytes: usize) {
+        // The kernel uses up to twice the size that it is given.
+        if window_bytes <= 2 * RECEIVE_BUFFER_BYTES {
+            return;
+        }
+        let lease = self
+            .node
+            .memory
+            .lease_extra(BodyKind::Request, window_bytes);
+        if let Some(lease) = lease {
+            *self.window.borrow_mut() = Some(lease);
+            self.receive_buffer_bytes.set(Some(window_bytes / 2));
+        }
+    }
+
+    /// Has the receive buffer of the socket get its usual size again.
+    pub(crate) fn narrow_receive_buffer(&self) {
+        if self.window.borrow().is_some() {
+            self.receive_buffer_bytes.set(Some(RECEIVE_BUFFER_BYTES));
+        }
+    }
+
+    /// Takes the size that the receive buffer of the socket is to get.
+    pub(crate) fn take_receive_buffer_bytes(&self) -> Option<usize> {
+        let bytes = self.receive_buffer_bytes.take();
+        if bytes == Some(RECEIVE_BUFFER_BYTES) {
+            *self.window.borrow_mut() = None;
+        }
+        bytes
+    }
+
     /// Handles the end of the socket's stream; returns whether buffered bytes are still to be
     /// forwarded.
     pub(crate) fn on_end(&self) -> bool {
@@ -248,6 +346,7 @@
         state.missing.on_forwarded(bytes_count);
         if state.unread.is_empty() && state.unread.capacity() > KEPT_BUFFER_BYTES {
             state.unread = BytesMut::new();
+            state.unread_lease = None;
         }
         if let Phase::Forwarding {
             left_bytes,
@@ -350,12 +449,17 @@
             if !state.pipeline.may_start(pipelined) {
                 return;
             }
+            let memory = &self.node.memory;
+            let Some(lease) = memory.lease_whole(BodyKind::Request, STARTED_REQUEST_BYTES) else {
+                return;
+            };
             let started = StartedRequest::start(
                 &self.node,
                 self.caller(),
                 request,
                 size_bytes,
                 Rc::clone(&self.held_bytes),
+                lease,
             );
             state.pipeline.start(pipelined, started);
             state.started_bytes += size_bytes;
@@ -389,6 +493,8 @@
     /// Handles a request whose head the HTTP library has read; returns where its answer comes
     /// from.
     pub(crate) fn on_head_read<B>(&self, request: &Request<B>) -> RequestSource {
+        self.is_between_requests.set(false);
+        self.enter(ConnectionStage::Answering);
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         match state.phase {
@@ -449,9 +555,21 @@
 
     /// Ends the accounting of the answer, since all of its bytes are written.
     pub(crate) fn on_written(&self) {
-        if self.writing.borrow_mut().take().is_some() {
-            *self.in_flight.borrow_mut() = None;
+        if self.writing.borrow_mut().take().is_none() {
+            return;
+        }
+        *self.in_flight.borrow_mut() = None;
+        let state = self.state.borrow();
+        if state.pipeline.started_count() > 0 {
+            return;
         }
+        let has_begun = !state.unread.is_empty();
+        self.is_between_requests.set(!has_begun);
+        self.enter(if has_begun {
+            ConnectionStage::ReceivingHead
+        } else {
+            ConnectionStage::Idle
+        });
     }
 
     /// Whether there are bytes that haven't been forwarded to the HTTP library.
--- a/crates/kumquatquayd/src/routed/entry.rs
+++ b/crates/kumquatquayd/src/routed/entry.rs
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, request::Parts};
 use http_body_util::{Either, Full};
-use hyper::body::Incoming;
 use kumquatquay_core::routed::{BodyKind, Mechanism, RetryAfter, RouteEntry, request_priority};
 use kumquatquay_wire::routed::{
     LinkOutcome, NotRunReason, Payload, RouteSettings, UnknownReason, WorkspaceSettings,
@@ -31,6 +30,7 @@
     node::{RoutedNode, StopPhase},
     outgoing_call::{OutgoingCall, Progress},
     quotas::{QuotaRefusal, UnspentToken, return_token, take_token},
+    received_body::ReceivedBody,
     request_log::{
         log_over_quota, log_request_end, log_request_rate_limited, log_unidentified, not_run_label,
         unknown_label,
@@ -42,7 +42,7 @@
 const UNROUTED_RETRY: Duration = Duration::from_millis(300);
 
 /// The body of a caller's request: still being received, or already in memory.
-pub(crate) type CallerBody = Either<Incoming, BufferedBody>;
+pub(crate) type CallerBody = Either<ReceivedBody, BufferedBody>;
 
 /// Serves one request: admits it, forwards it and returns the response. Whatever the request waits for, it gets
 /// its final answer when the grace period of a shutdown is used up.
--- a/crates/kumquatquayd/src/routed/http_io.rs
+++ b/crates/kumquatquayd/src/routed/http_io.rs
@@ -9,7 +9,7 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use kumquatquay_wire::routed::Fields;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use super::{
     bounded_read::{BoundedStream, ReadMeter},
@@ -26,6 +26,13 @@
 /// Pause after a failed accept, most often because of a lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Size of the receive buffer of a caller's socket, of which the kernel uses up to twice as much. Bytes that
+/// haven't been read count as memory of the node.
+pub(crate) const RECEIVE_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Connections that wait to be accepted.
+const BACKLOG_COUNT: u32 = 128;
+
 /// Longest time from one request on a connection to the head of the next. Callers reuse
 /// connections that were idle for most of the configured time, which a new configuration may
 /// raise while a connection is open; closing one just as a request arrives would lose the
@@ -42,17 +49,33 @@
     listener.wrap_err_with(|| format!("can't listen on {address} for {what}"))
 }
 
+/// [`bind_listener`], for callers: their sockets hold few bytes that haven't been read.
+pub(crate) fn bind_caller_listener(address: SocketAddr) -> eyre::Result<TcpListener> {
+    let bind = || {
+        let socket = if address.is_ipv4() {
+            TcpSocket::new_v4()
+        } else {
+            TcpSocket::new_v6()
+        }?;
+        socket.set_reuseaddr(true)?;
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG_COUNT)
+    };
+    bind().wrap_err_with(|| format!("can't listen on {address} for callers"))
+}
+
 /// Accepts connections for as long as the node runs.
 pub(crate) async fn accept_connections(
     node: Rc<RoutedNode>,
     listener: TcpListener,
-    take: impl Fn(Rc<RoutedNode>, TcpStream),
+    take: impl AsyncFn(Rc<RoutedNode>, TcpStream),
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                take(Rc::clone(&node), stream);
+                take(Rc::clone(&node), stream).await;
             }
             Err(error) => {
                 node.metrics.count("accept_failed", "error");
--- a/crates/kumquatquayd/src/routed/metrics_text.rs
+++ b/crates/kumquatquayd/src/routed/metrics_text.rs
@@ -34,6 +34,11 @@
         ("held_answer_bytes", node.held_answers.get().bytes() as u64),
         ("body_bytes", node.memory.held_bytes() as u64),
         ("body_bytes_most", node.memory.most_held_bytes() as u64),
+        ("caller_connections", node.caller_slots.count() as u64),
+        (
+            "caller_connections_bytes",
+            node.memory.connections_bytes() as u64,
+        ),
         (
             "held_requests",
             node.held_requests.borrow().held_count() as u64,
--- a/crates/kumquatquayd/src/routed/node.rs
+++ b/crates/kumquatquayd/src/routed/node.rs
@@ -33,6 +33,7 @@
     arrivals::RepeatLog,
     backend_pool::BackendPool,
     call_workers::CallWorkers,
+    caller_slots::CallerSlots,
     held_requests::HeldRequests,
     interface::{Dialect, PlatformStore},
     link::Links,
@@ -173,6 +174,8 @@
     pub(crate) refused_report_second: Cell<Option<u64>>,
     /// Requests at the entry whose answers haven't been written yet.
     pub(crate) in_flight_count: Cell<usize>,
+    /// Open connections of callers.
+    pub(super) caller_slots: CallerSlots,
     /// Memory of the bodies of requests and answers, and of callers' connections.
     pub(crate) memory: NodeMemory,
     /// Answers at the entry that haven't been written yet.
@@ -262,6 +265,7 @@
         let answer_limit_bytes = held_answers.answer_limit_bytes().min(BODY_LIMIT_BYTES);
         let clock = SystemClock::new();
         let memory = NodeMemory::new(settings.limits.memory_bytes, clock);
+        let caller_slots = CallerSlots::new(settings.limits.descriptors_count);
         Rc::new(Self {
             store_poller: RefCell::new(store_poller),
             store_poller_wake: Notify::new(),
@@ -319,6 +323,7 @@
             key_waits_count: Cell::new(0),
             refused_report_second: Cell::new(None),
             in_flight_count: Cell::new(0),
+            caller_slots,
             memory,
             held_answers: Cell::new(held_answers),
             nodes_count: Cell::new(1),
--- a/crates/kumquatquayd/src/routed/node_memory.rs
+++ b/crates/kumquatquayd/src/routed/node_memory.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::SystemClock;
 
-/// The memory that all bodies of a node share.
+/// The memory that all bodies and callers' connections of a node share.
 ///
 /// All of it is used from one thread. It can be sent to others since what is held of a body is released
 /// where its last [`Bytes`] are dropped.
@@ -59,6 +59,26 @@
         is_granted.then_some(lease)
     }
 
+    /// [`NodeMemory::lease_whole`], for what can be done without: nothing while memory gets short.
+    pub(crate) fn lease_extra(&self, kind: BodyKind, bytes: usize) -> Option<BodyLease> {
+        let has_plenty = self.state().budget.has_plenty();
+        let lease = has_plenty.then(|| self.lease_whole(kind, bytes));
+        lease.flatten()
+    }
+
+    /// Counts another connection of a caller until the lease is dropped, if it may be held.
+    pub(crate) fn lease_connection(&self) -> Option<ConnectionLease> {
+        let is_granted = self.state().budget.add_connection();
+        is_granted.then(|| ConnectionLease {
+            memory: self.clone(),
+        })
+    }
+
+    /// Bytes that callers' connections are counted for.
+    pub(crate) fn connections_bytes(&self) -> usize {
+        self.state().budget.connections_bytes()
+    }
+
     /// Bytes of bodies that are held.
     pub(crate) fn held_bytes(&self) -> usize {
         self.state().budget.held_bytes()
@@ -75,6 +95,18 @@
     }
 }
 
+/// Counts one connection of a caller until it is dropped.
+#[derive(Debug)]
+pub(crate) struct ConnectionLease {
+    memory: NodeMemory,
+}
+
+impl Drop for ConnectionLease {
+    fn drop(&mut self) {
+        self.memory.state().budget.remove_connection();
+    }
+}
+
 /// Counts one body until it is dropped.
 #[derive(Debug)]
 pub(crate) struct BodyLease {
--- a/crates/kumquatquayd/src/routed/pipelining.rs
+++ b/crates/kumquatquayd/src/routed/pipelining.rs
@@ -19,6 +19,8 @@
     rt::{Read, ReadBufCursor, Write},
     service::service_fn,
 };
+use kumquatquay_core::routed::ConnectionStage;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -27,10 +29,13 @@
 
 use super::{
     bounded_read::{BoundedStream, ReadMeter},
+    buffer_pool::with_read_buffer,
     caller_connection::{CallerConnection, ReadAction, RequestSource},
+    caller_slots::CallerSlot,
     entry::{CallerBody, serve_entry},
-    http_io::{BufferedBody, http1_server, local_answer},
+    http_io::{BufferedBody, RECEIVE_BUFFER_BYTES, http1_server, local_answer},
     node::{RoutedNode, StopPhase},
+    received_body::ReceivedBody,
 };
 
 /// Size of a read from a socket.
@@ -40,6 +45,9 @@
 /// a socket with unread bytes resets the connection, and the last answer could be lost.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Pause after each read of discarded bytes.
+const LINGER_PAUSE: Duration = Duration::from_millis(5);
+
 /// `Retry-After` of a refusal for too many unread answers.
 const UNREAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -47,15 +55,18 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Serves one connection of a caller until it ends or the node stops.
-pub(crate) async fn serve_caller(node: Rc<RoutedNode>, stream: TcpStream) {
-    let caller_connection = CallerConnection::new(Rc::clone(&node), stream.peer_addr().ok());
+pub(crate) async fn serve_caller(node: Rc<RoutedNode>, stream: TcpStream, slot: CallerSlot) {
+    let slot = Rc::new(slot);
+    let caller = stream.peer_addr().ok();
+    let caller_connection = CallerConnection::new(Rc::clone(&node), caller, Rc::clone(&slot));
     let answering = Rc::clone(&caller_connection);
     let service = service_fn(move |request| {
         // Called before the future is polled: the HTTP library reads more bytes before it waits
         // for the answer.
         let turn = answering.on_head_read(&request);
         let answer = answer(Rc::clone(&answering), turn, request);
-        async { Ok::<_, Infallible>(answer.await) }
+        // Boxed: the HTTP library has room for it on each connection, also on those without a request.
+        Box::pin(async { Ok::<_, Infallible>(answer.await) })
     });
     let meter = Rc::<ReadMeter>::default();
     let io = CallerIo {
@@ -74,21 +85,32 @@
         }
         node.stop_reached(StopPhase::Closing).await;
     };
+    let mut is_evicted = false;
     tokio::select! {
         _ = meter.drive(Pin::new(&mut connection)) => {}
+        () = slot.evicted() => is_evicted = true,
         () = closing => {
             // Otherwise the connection closes after the last answer to what was read.
             if caller_connection.may_close() {
                 Pin::new(&mut connection).graceful_shutdown();
             }
             // Errors on a caller's connection concern only the caller.
-            let _ = meter.drive(Pin::new(&mut connection)).await;
+            tokio::select! {
+                _ = meter.drive(Pin::new(&mut connection)) => {}
+                () = slot.evicted() => is_evicted = true,
+            }
         }
     }
     let stream = connection.into_parts().io.stream.into_inner();
     caller_connection.end();
-    if !caller_connection.caller_left() {
-        linger(stream, caller_connection.has_unread()).await;
+    if is_evicted || caller_connection.caller_left() {
+        return;
+    }
+    slot.enter(ConnectionStage::Closing);
+    set_receive_buffer(&stream, RECEIVE_BUFFER_BYTES);
+    tokio::select! {
+        () = linger(stream, caller_connection.has_unread()) => {}
+        () = slot.evicted() => {}
     }
 }
 
@@ -110,7 +132,7 @@
         RequestSource::Streamed => {
             serve_entry(
                 Rc::clone(&caller_connection.node),
-                request.map(CallerBody::Left),
+                request.map(|body| CallerBody::Left(ReceivedBody::new(body, &caller_connection))),
             )
             .await
         }
@@ -168,19 +190,19 @@
     }
 }
 
-/// Discards what a caller still sends on a closed connection, for up to [`LINGER_TIMEOUT`].
+/// Discards what a caller still sends on a closed connection, for up to [`LINGER_TIMEOUT`]. A caller who sends
+/// as fast as it can is read from slowly, so that others are served meanwhile.
 async fn linger(stream: TcpStream, has_unread: bool) {
-    let mut scratch = [0; READ_CHUNK_BYTES];
-    let first = stream.try_read(&mut scratch);
-    let is_silent = first.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
+    let discard = || with_read_buffer(|buffer| stream.try_read(buffer));
+    let is_silent = discard().is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
     if is_silent && !has_unread {
         return;
     }
     let discarding = async {
         while stream.readable().await.is_ok() {
-            match stream.try_read(&mut scratch) {
+            match discard() {
                 Ok(0) => return,
-                Ok(_) => {}
+                Ok(_) => sleep(LINGER_PAUSE).await,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return,
             }
@@ -189,6 +211,13 @@
     let _ = timeout(LINGER_TIMEOUT, discarding).await;
 }
 
+fn set_receive_buffer(stream: &TcpStream, bytes: usize) {
+    if let Err(error) = set_socket_recv_buffer_size(stream, bytes) {
+        // The body comes more slowly, or more bytes of the next one wait.
+        log::debug!(event = "receive_buffer"; "the receive buffer keeps its size: {error}");
+    }
+}
+
 /// Socket of a caller as the HTTP library sees it: one request at a time.
 struct CallerIo {
     stream: BoundedStream<TcpStream>,
@@ -219,6 +248,13 @@
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
+    /// Resizes the receive buffer of the socket if that was asked for.
+    fn resize_receive_buffer(&self) {
+        if let Some(bytes) = self.caller_connection.take_receive_buffer_bytes() {
+            set_receive_buffer(self.stream.get_ref(), bytes);
+        }
+    }
+
     /// Buffers up to `limit_bytes` from the socket; returns how many were read.
     fn poll_buffer(
         &mut self,
@@ -256,6 +292,7 @@
         let room = &mut chunk[..cursor.remaining().min(READ_CHUNK_BYTES)];
         let mut buffer = ReadBuf::uninit(room);
         std::task::ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer))?;
+        self.caller_connection.on_bytes(buffer.filled().len());
         if buffer.filled().is_empty() {
             self.caller_connection.on_end();
         }
@@ -271,6 +308,7 @@
         mut cursor: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let io = self.get_mut();
+        io.resize_receive_buffer();
         loop {
             let limit_bytes = match io.caller_connection.read_action() {
                 ReadAction::ForwardDirectly => return io.poll_forward_directly(context, cursor),
@@ -281,6 +319,7 @@
                     return Poll::Ready(Ok(()));
                 }
                 ReadAction::Wait => return Poll::Pending,
+                ReadAction::Close => return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into())),
                 ReadAction::AwaitEnd => return io.poll_end(context),
                 ReadAction::Read => READ_CHUNK_BYTES,
                 ReadAction::ReadAhead(room_bytes) => room_bytes,
--- a/crates/kumquatquayd/src/routed/settings.rs
+++ b/crates/kumquatquayd/src/routed/settings.rs
@@ -60,7 +60,7 @@
 pub struct ResourceLimits {
     /// Memory in bytes.
     pub memory_bytes: usize,
-    /// File descriptors that may be open at the same time.
+    /// Sockets that may be open at the same time.
     pub descriptors_count: usize,
 }
 
--- a/crates/kumquatquayd/src/routed/start.rs
+++ b/crates/kumquatquayd/src/routed/start.rs
@@ -12,9 +12,12 @@
 
 use super::{
     backend_death::check_after_broken_runs,
+    caller_slots::{CallerSlot, evict_overdue_callers},
     gate_slot::{admit_within_rate_limit, update_level_periodically},
     held_requests::release_held,
-    http_io::{BufferedBody, accept_connections, bind_listener, serve_connection},
+    http_io::{
+        BufferedBody, accept_connections, bind_caller_listener, bind_listener, serve_connection,
+    },
     initial_health_check::check_backend_at_start,
     interface::{Dialect, PlatformStore},
     link::watch_links,
@@ -81,6 +84,7 @@
     tasks.spawn_local(update_level_periodically(Rc::clone(&node)));
     tasks.spawn_local(admit_within_rate_limit(Rc::clone(&node)));
     tasks.spawn_local(release_held(Rc::clone(&node)));
+    tasks.spawn_local(evict_overdue_callers(Rc::clone(&node)));
     tasks.spawn_local(check_after_broken_runs(Rc::clone(&node)));
     tasks.spawn_local(check_backend_at_start(Rc::clone(&node)));
     tasks.spawn_local(recall_from_store(Rc::clone(&node)));
@@ -123,13 +127,13 @@
 async fn open_listeners(node: &Rc<RoutedNode>) -> eyre::Result<()> {
     let addresses = node.settings.listen;
     let links = bind_listener("links", addresses.links).await?;
-    let entry = bind_listener("callers", addresses.entry).await?;
+    let entry = bind_caller_listener(addresses.entry)?;
     let ready = bind_listener("readiness", addresses.ready).await?;
     let reports = bind_listener("reports", addresses.reports).await?;
     node.tasks.spawn_local(accept_connections(
         Rc::clone(node),
         links,
-        |node, stream| {
+        async |node, stream| {
             let tasks = node.tasks.clone();
             tasks.spawn_local(serve_link(node, stream));
         },
@@ -137,9 +141,12 @@
     node.tasks.spawn_local(accept_connections(
         Rc::clone(node),
         entry,
-        |node, stream| {
+        async |node, stream| {
+            let Some(slot) = CallerSlot::take(&node).await else {
+                return;
+            };
             let tasks = node.tasks.clone();
-            tasks.spawn_local(serve_caller(node, stream));
+            tasks.spawn_local(serve_caller(node, stream, slot));
         },
     ));
     serve_at(node, ready, serve_readiness);
@@ -165,7 +172,7 @@
 ) where
     F: Future<Output = Response<BufferedBody>> + 'static,
 {
-    let accepting = accept_connections(Rc::clone(node), listener, move |node, stream| {
+    let accepting = accept_connections(Rc::clone(node), listener, async move |node, stream| {
         let tasks = node.tasks.clone();
         tasks.spawn_local(serve_connection(node, stream, serve));
     });
@@ -177,7 +184,7 @@
     node.tasks.spawn_local(accept_connections(
         Rc::clone(node),
         listener,
-        |node, stream| {
+        async |node, stream| {
             if !is_from_this_host(&stream) {
                 node.metrics.count("operator", "not_from_this_host");
                 return;
--- a/crates/kumquatquayd/src/routed/started_request.rs
+++ b/crates/kumquatquayd/src/routed/started_request.rs
@@ -12,6 +12,7 @@
     entry::{CallerBody, serve_entry},
     http_io::{BufferedBody, CallerAddress},
     node::RoutedNode,
+    node_memory::BodyLease,
 };
 
 /// A pipelined request that is served before the HTTP library reads it.
@@ -23,6 +24,7 @@
     parts: Parts,
     body: Bytes,
     answer: Option<JoinHandle<HeldAnswer>>,
+    _memory: BodyLease,
 }
 
 /// A complete answer that is not written yet.
@@ -110,14 +112,15 @@
 }
 
 impl StartedRequest {
-    /// Starts a request of `size_bytes` bytes. Its answer counts in `waiting_bytes` until it is
-    /// taken.
+    /// Starts a request of `size_bytes` bytes, which is counted by `memory`. Its answer counts in
+    /// `waiting_bytes` until it is taken.
     pub(crate) fn start(
         node: &Rc<RoutedNode>,
         caller: Option<CallerAddress>,
         request: Request<Bytes>,
         size_bytes: usize,
         waiting_bytes: Rc<Cell<usize>>,
+        memory: BodyLease,
     ) -> Self {
         node.metrics.count("pipelined", "started");
         let (mut parts, body_bytes) = request.into_parts();
@@ -144,6 +147,7 @@
             parts: kept_parts,
             body: body_bytes,
             answer: Some(answer),
+            _memory: memory,
         }
     }
 
--- a/crates/kumquatquayd/src/tasks.rs
+++ b/crates/kumquatquayd/src/tasks.rs
@@ -2,7 +2,7 @@
 
 use std::{
     future::{Future, poll_fn},
-    pin::pin,
+    pin::{Pin, pin},
     task::Poll,
 };
 
@@ -21,12 +21,12 @@
 impl Tasks {
     /// Runs a task until it is done or the node ends.
     pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        tokio::spawn(until_ended(task, self.ended.clone()));
+        tokio::spawn(until_ended(Box::pin(task), self.ended.clone()));
     }
 
     /// [`Tasks::spawn`], for a task that stays on this thread.
     pub(crate) fn spawn_local(&self, task: impl Future<Output = ()> + 'static) {
-        tokio::task::spawn_local(until_ended(task, self.ended.clone()));
+        tokio::task::spawn_local(until_ended(Box::pin(task), self.ended.clone()));
     }
 
     /// Ends all tasks.
@@ -39,8 +39,12 @@
 ///
 /// The wait for the end is begun once: each time that the task is woken, only a flag is looked
 /// at. Most tasks are calls and connections, and they are woken for each message.
-async fn until_ended(task: impl Future<Output = ()>, ended: CancellationToken) {
-    let mut task = pin!(task);
+///
+/// The task is boxed, since this future would hold it twice: as it was passed, and pinned.
+async fn until_ended<F>(mut task: Pin<Box<F>>, ended: CancellationToken)
+where
+    F: Future<Output = ()>,
+{
     let mut end = pin!(ended.cancelled());
     let mut is_waiting = false;
     poll_fn(|context| {
