--- a/crates/kumquatquay-core/src/routed/connection_table.rs
+++ b/crates/kumquatquay-core/src/routed/connection_table.rs
@@ -9,9 +9,9 @@
 /// backend server and the platform's store, and listeners.
 const CONNECTIONS_RATIO: f64 = 0.6;
 
-/// How long a request may take to arrive until its connection gives way before idle ones do. Those of ordinary
-/// callers take less.
-const RECEIVING_TIME: Duration = Duration::from_secs(1);
+/// How long a request may take to arrive until its memory and its connection go to others first. Those of
+/// ordinary callers take less.
+pub(crate) const RECEIVING_TIME: Duration = Duration::from_secs(1);
 
 /// Identifies a connection of a caller.
 pub type ConnectionId = u64;
--- a/crates/kumquatquay-core/src/routed/memory_budget.rs
+++ b/crates/kumquatquay-core/src/routed/memory_budget.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use super::connection_table::RECEIVING_TIME;
+
 /// Share of the memory of a node that bodies may take. The rest is for callers' connections, the program and
 /// its tables.
 const BODIES_RATIO: f64 = 0.6;
@@ -14,14 +16,10 @@
 /// and unread bytes in its socket.
 const CONNECTION_BYTES: usize = 48 * 1024;
 
-/// Share of the memory for requests that those may still hold which are given up. Until they have released it,
-/// more is held than is counted as kept.
+/// Share of the memory for requests that given up ones may hold until another one is given up: what they
+/// hold exceeds the limit until their readers have released it.
 const GIVEN_UP_RATIO: f64 = 0.03;
 
-/// How long a request may take to arrive until its memory is given to another one that has none. Those of
-/// ordinary callers take less.
-const RECEIVING_TIME: Duration = Duration::from_secs(1);
-
 /// Share of the memory for bodies that the bodies of requests may take, so that answers fit beside them.
 const REQUESTS_RATIO: f64 = 0.8;
 
