Count one part for the copy of a chunked body, which is what it takes

Since the copy was counted whole, a chunked body of more than a quarter of the memory got a 503 on a node that had nothing else to do: 24 MiB at 64 MB (seen), so also 64 MB at 160 MB. Its parts are mappings that end one by one as they are copied, so beside them the copy takes one part.

Evidence: a_chunked_body_of_a_third_of_the_memory_is_served got 503 before, and is served within the memory now.

--- a/crates/kumquatquayd/src/routed/body_reader.rs
+++ b/crates/kumquatquayd/src/routed/body_reader.rs
@@ -167,10 +167,12 @@
         })
     }
 
-    /// Copies the parts into one buffer, which is counted beside them meanwhile.
+    /// Copies the parts into one buffer. Each part ends once it is copied, so the copy takes the memory of one
+    /// part beside theirs.
     fn join(&mut self) -> Result<BodyBuffer, BodyReadError> {
-        let copy_lease = self.memory.lease(self.kind);
-        if self.lease.is_some() && !copy_lease.grow(self.length_bytes) {
+        let copied_part = self.memory.lease(self.kind);
+        let copied_bytes = self.length_bytes.min(PART_BYTES);
+        if self.lease.is_some() && !copied_part.grow(copied_bytes) {
             return Err(BodyReadError::NoMemory);
         }
         let mut body = BodyBuffer::new(self.length_bytes);
